Name the evidence that traffic gives of a backend server

Cause: admission sees what health endpoints do not show, and both parts need one type for it. Change: flow.Evidence. Measured: builds.

--- a/internal/flow/health.go
+++ b/internal/flow/health.go
@@ -28,3 +28,22 @@
 	// Since is when the condition was announced, in nanoseconds of Unix time.
 	Since int64 `json:"since"`
 }
+
+// EvidenceKind is what one answer, or its absence, shows of a backend server.
+type EvidenceKind uint8
+
+// The kinds of evidence that traffic gives.
+const (
+	Answered EvidenceKind = iota + 1
+	Shed
+	Slow
+	Failed
+)
+
+// Evidence is one observation of a backend server made by traffic, at a time in
+// nanoseconds of Unix time.
+type Evidence struct {
+	Server config.Number
+	Kind   EvidenceKind
+	At     int64
+}
