Decide about flows by settled buckets, owners and records

Cause: flows must stay where they are while backend servers and instances change and updates arrive unevenly.

--- /dev/null
+++ b/internal/placement/compile.go
@@ -0,0 +1,221 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/zeebo/errs"
+
+	"balsamfork/internal/config"
+	"balsamfork/internal/flow"
+	"balsamfork/internal/table"
+)
+
+// invariant is the class of the panics on a configuration that was not validated.
+var invariant = errs.Class("placement: invariant")
+
+// compiler makes plans and keeps what they share.
+type compiler struct {
+	cache *table.Cache
+	times map[config.Number]*serverTimes
+}
+
+func newCompiler() *compiler {
+	return &compiler{cache: table.NewCache(), times: map[config.Number]*serverTimes{}}
+}
+
+// compile makes the plan of a configuration; prior may be nil.
+func (c *compiler) compile(now int64, cfg *config.Config, all []flow.Announcement, prior *plan) *plan {
+	p := &plan{
+		config: cfg,
+		hasher: table.NewHasher(cfg.HashKey),
+		byName: make(map[string]*service, len(cfg.Services)),
+		owners: map[config.Number]*service{},
+	}
+	conditions := newest(all)
+	for i := range cfg.Services {
+		s := c.service(now, cfg, i, conditions, prior)
+		p.services = append(p.services, s)
+		p.byName[s.name] = s
+		for j := range s.servers {
+			p.owners[s.servers[j].number] = s
+		}
+	}
+	p.fillSlots()
+	c.forget(p)
+	return p
+}
+
+// newest returns the announcement with the highest sequence for each backend
+// server that is not in its normal condition.
+func newest(all []flow.Announcement) map[config.Number]flow.Announcement {
+	m := make(map[config.Number]flow.Announcement, len(all))
+	for _, a := range all {
+		if old, ok := m[a.Server]; !ok || a.Sequence > old.Sequence {
+			m[a.Server] = a
+		}
+	}
+	for n, a := range m {
+		if a.Condition == flow.Healthy {
+			delete(m, n)
+		}
+	}
+	return m
+}
+
+func (c *compiler) service(now int64, cfg *config.Config, index int,
+	conditions map[config.Number]flow.Announcement, prior *plan) *service {
+	d := &cfg.Services[index]
+	s := &service{
+		index: index, name: d.Name, address: d.Address, protocol: d.Protocol,
+		idle: d.IdleLimit, ramp: d.Ramp, declared: d,
+	}
+	s.servers = c.servers(now, d, conditions)
+	s.baseTable, s.base = c.cache.Get(d.Settled), s.positions(d.Settled)
+	s.targetTable, s.target = c.cache.Get(d.Current), s.positions(d.Current)
+	s.unsettled = c.unsettled(s, conditions)
+	s.compareTables()
+	s.inherit(now, cfg.Version, prior)
+	return s
+}
+
+func (c *compiler) servers(now int64, d *config.Service, conditions map[config.Number]flow.Announcement) []server {
+	out := make([]server, 0, len(d.Servers))
+	for _, b := range d.Servers {
+		a := conditions[b.Number]
+		_, warm := find(d.Settled, b.Number)
+		s := server{
+			number: b.Number, address: b.Packets, state: b.State, weight: b.Weight, joined: b.Joined,
+			condition: a.Condition, announced: a.Since, warm: warm, times: c.timesOf(b.Number),
+		}
+		if b.State == config.Gone {
+			s.times.gone.CompareAndSwap(0, now)
+		} else {
+			s.times.gone.Store(0)
+		}
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b server) int { return int(a.number) - int(b.number) })
+	return out
+}
+
+func (c *compiler) timesOf(n config.Number) *serverTimes {
+	t, ok := c.times[n]
+	if !ok {
+		t = &serverTimes{}
+		c.times[n] = t
+	}
+	return t
+}
+
+// forget drops what only earlier plans used.
+func (c *compiler) forget(p *plan) {
+	c.cache.Turn()
+	for n := range c.times {
+		if p.owners[n] == nil {
+			delete(c.times, n)
+		}
+	}
+}
+
+func find(set config.Set, n config.Number) (int, bool) {
+	return slices.BinarySearchFunc(set, n, func(m config.Member, n config.Number) int {
+		return int(m.Number) - int(n)
+	})
+}
+
+func (s *service) positions(set config.Set) []uint16 {
+	out := make([]uint16, len(set))
+	for i, m := range set {
+		j, ok := slices.BinarySearchFunc(s.servers, m.Number, func(a server, n config.Number) int {
+			return int(a.number) - int(n)
+		})
+		if !ok {
+			panic(invariant.New("service %s: set names backend server %d, which is not listed", s.name, m.Number))
+		}
+		out[i] = uint16(j)
+	}
+	return out
+}
+
+// unsettled returns nil when every bucket of the service is settled.
+func (c *compiler) unsettled(s *service, conditions map[config.Number]flow.Announcement) *table.Bitmap {
+	d := s.declared
+	named := func(n config.Number) bool {
+		_, ok := conditions[n]
+		return ok
+	}
+	views := []table.View{{Set: d.Settled, Table: s.baseTable}, {Set: d.Current, Table: s.targetTable}}
+	for _, past := range d.Past {
+		views = append(views, table.View{Set: past, Table: c.cache.Get(past)})
+	}
+	if c.calm(s, views, named) {
+		return nil
+	}
+	m := table.Unsettled(views, named)
+	if m.Count() == 0 {
+		return nil
+	}
+	return m
+}
+
+// calm reports that all views share one table and that none of the backend
+// servers is named by an announcement, so that no bucket needs a look.
+func (c *compiler) calm(s *service, views []table.View, named func(config.Number) bool) bool {
+	for _, v := range views {
+		if v.Table != views[0].Table {
+			return false
+		}
+	}
+	return !slices.ContainsFunc(s.servers, func(b server) bool { return named(b.number) })
+}
+
+func (s *service) compareTables() {
+	s.lost = true
+	if s.baseTable == s.targetTable {
+		return
+	}
+	for b := range table.Buckets {
+		base, target := s.baseOf(b), s.targetOf(b)
+		if base == target {
+			continue
+		}
+		s.moves = true
+		if base != nil && base.state != config.Gone {
+			s.lost = false
+		}
+	}
+}
+
+// inherit takes over the version and times of a prior plan in which the same
+// flows went the same ways.
+func (s *service) inherit(now int64, version config.Version, prior *plan) {
+	s.since, s.changed, s.clocks = version, now, &clocks{}
+	if prior == nil {
+		return
+	}
+	old := prior.byName[s.name]
+	if old == nil || !sameSets(s.declared, old.declared) {
+		return
+	}
+	s.since, s.clocks = old.since, old.clocks
+	if sameConditions(s.servers, old.servers) {
+		s.changed = old.changed
+	}
+}
+
+func sameSets(a, b *config.Service) bool {
+	return slices.Equal(a.Settled, b.Settled) &&
+		slices.Equal(a.Current, b.Current) &&
+		slices.EqualFunc(a.Past, b.Past, func(x, y config.Set) bool { return slices.Equal(x, y) }) &&
+		slices.EqualFunc(a.Servers, b.Servers, sameServer)
+}
+
+func sameServer(a, b config.Server) bool {
+	return a.Number == b.Number && a.State == b.State && a.Joined == b.Joined && a.Packets == b.Packets
+}
+
+func sameConditions(a, b []server) bool {
+	return slices.EqualFunc(a, b, func(x, y server) bool {
+		return x.condition == y.condition && x.announced == y.announced
+	})
+}
--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,147 @@
+package placement
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"balsamfork/internal/config"
+	"balsamfork/internal/flow"
+	"balsamfork/internal/table"
+)
+
+// plan is what follows from one configuration and the announced conditions. It
+// is immutable but for the clocks that its services share with later plans.
+type plan struct {
+	config   *config.Config
+	hasher   table.Hasher
+	services []*service
+	byName   map[string]*service
+	owners   map[config.Number]*service
+	slots    []*service
+}
+
+// service is one service of a plan.
+type service struct {
+	index    int
+	name     string
+	address  netip.AddrPort
+	protocol config.Protocol
+	idle     time.Duration
+	ramp     config.Ramp
+	declared *config.Service
+	servers  []server
+	// base and target give for each position in the set the position in servers.
+	baseTable   *table.Table
+	targetTable *table.Table
+	base        []uint16
+	target      []uint16
+	// unsettled is nil when every bucket is settled.
+	unsettled *table.Bitmap
+	// moves reports that base and target differ on some bucket, lost that the
+	// base is gone on each of those.
+	moves bool
+	lost  bool
+	// since is the version that last changed where flows go, changed the time at
+	// which this instance heard of that or of the newest announcement.
+	since   config.Version
+	changed int64
+	*clocks
+}
+
+// clocks are the times that become known after a plan was made.
+type clocks struct {
+	// confirmed is when every instance had confirmed the service's version,
+	// or zero.
+	confirmed atomic.Int64
+	// overflow is when an older flow could not be recorded last, or zero.
+	overflow atomic.Int64
+}
+
+// server is one backend server of a service.
+type server struct {
+	number    config.Number
+	address   netip.AddrPort
+	state     config.ServerState
+	weight    uint32
+	joined    config.Version
+	condition flow.Condition
+	announced int64
+	// warm is set for a backend server that is some bucket's base by the
+	// configuration: its ramp is over.
+	warm  bool
+	times *serverTimes
+}
+
+// serverTimes are when the ramp of a backend server began, and when this
+// instance heard that it is gone; zero when not yet.
+type serverTimes struct {
+	ramp atomic.Int64
+	gone atomic.Int64
+}
+
+// find returns the service of an address, or nil.
+func (p *plan) find(address netip.AddrPort, protocol config.Protocol) *service {
+	mask := len(p.slots) - 1
+	for i := addressHash(address, protocol) & mask; p.slots[i] != nil; i = (i + 1) & mask {
+		if s := p.slots[i]; s.address == address && s.protocol == protocol {
+			return s
+		}
+	}
+	return nil
+}
+
+func addressHash(a netip.AddrPort, protocol config.Protocol) int {
+	b := a.Addr().As16()
+	high := binary.LittleEndian.Uint64(b[:8])
+	low := binary.LittleEndian.Uint64(b[8:])
+	port := uint64(a.Port())<<8 | uint64(protocol)
+	return int(table.Mix(high^table.Mix(low^port<<32)) >> 1)
+}
+
+func (p *plan) fillSlots() {
+	n := 2
+	for n < 2*len(p.services)+2 {
+		n *= 2
+	}
+	p.slots = make([]*service, n)
+	for _, s := range p.services {
+		i := addressHash(s.address, s.protocol) & (n - 1)
+		for p.slots[i] != nil {
+			i = (i + 1) & (n - 1)
+		}
+		p.slots[i] = s
+	}
+}
+
+func (s *service) isUnsettled(bucket int) bool {
+	return s.unsettled != nil && s.unsettled.Has(bucket)
+}
+
+func (s *service) baseOf(bucket int) *server {
+	return s.at(s.baseTable[bucket], s.base)
+}
+
+func (s *service) targetOf(bucket int) *server {
+	return s.at(s.targetTable[bucket], s.target)
+}
+
+func (s *service) at(position uint16, index []uint16) *server {
+	if position == table.None {
+		return nil
+	}
+	return &s.servers[index[position]]
+}
+
+// server returns the backend server with a number, or nil.
+func (s *service) server(n config.Number) *server {
+	i, ok := slices.BinarySearchFunc(s.servers, n, func(a server, n config.Number) int {
+		return int(a.number) - int(n)
+	})
+	if !ok {
+		return nil
+	}
+	return &s.servers[i]
+}
--- /dev/null
+++ b/internal/placement/settle.go
@@ -0,0 +1,160 @@
+package placement
+
+import (
+	"slices"
+
+	"balsamfork/internal/config"
+	"balsamfork/internal/fleet"
+	"balsamfork/internal/records"
+	"balsamfork/internal/table"
+)
+
+// Summary is what one instance knows of a service that is not settled.
+type Summary struct {
+	Service string `json:"service"`
+	// Version is what the instance serves by.
+	Version config.Version `json:"version"`
+	// Complete says that the instance holds all records that it must hold.
+	Complete bool `json:"complete"`
+	// Watched says that every live flow of the unsettled buckets that the instance
+	// holds is recorded, or that it lives on a base that is gone.
+	Watched bool `json:"watched"`
+	// Ramping says that a backend server is still on its ramp.
+	Ramping bool `json:"ramping"`
+	// Away counts the records of flows that are not on their base, by the base.
+	Away []Away `json:"away,omitempty"`
+}
+
+// Away is how many recorded flows live elsewhere than on their base.
+type Away struct {
+	Base  config.Number `json:"base"`
+	Flows int           `json:"flows"`
+}
+
+// Step is what brings a service nearer to being settled.
+type Step uint8
+
+// The steps. Rebase makes the current set the base of all buckets, with the sets
+// before in the past. Clear empties the past.
+const (
+	NoStep Step = iota
+	Rebase
+	Clear
+)
+
+// Summary returns what this instance knows of a service, and false if its
+// configuration has no such service.
+func (e *Engine) Summary(now int64, name string) (Summary, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	st := e.state.Load()
+	if st.plan == nil || st.plan.byName[name] == nil {
+		return Summary{}, false
+	}
+	s := st.plan.byName[name]
+	a := st.ring.agreement
+	return Summary{
+		Service:  name,
+		Version:  st.plan.config.Version,
+		Complete: a.reached.Load() && len(a.pending) == 0 && st.confirmed >= s.since,
+		Watched:  !s.moves || s.lost || s.watchedAt() != 0 && a.full >= s.watchedAt(),
+		Ramping:  s.ramping(now),
+		Away:     e.away(s),
+	}, true
+}
+
+// ramping reports whether a backend server that new flows go to is on its ramp.
+func (s *service) ramping(now int64) bool {
+	return slices.ContainsFunc(s.target, func(i uint16) bool {
+		b := &s.servers[i]
+		start := b.times.ramp.Load()
+		return !b.warm && (start == 0 || ramped(s.ramp, now-start) < 1)
+	})
+}
+
+func (e *Engine) away(s *service) []Away {
+	flows := map[config.Number]int{}
+	for bucket := range table.Buckets {
+		b := e.records.Lock(bucket)
+		b.Each(func(r records.Record) bool {
+			base := s.baseOf(bucket)
+			if base != nil && base.number != r.Server() && s.server(r.Server()) != nil {
+				flows[base.number]++
+			}
+			return true
+		})
+		b.Unlock()
+	}
+	out := make([]Away, 0, len(flows))
+	for n, count := range flows {
+		out = append(out, Away{Base: n, Flows: count})
+	}
+	slices.SortFunc(out, func(a, b Away) int { return int(a.Base) - int(b.Base) })
+	return out
+}
+
+// Settle decides the next step of a service from the summaries of the reachable
+// instances. It waits for all of them, and while a data centre that was not taken
+// out has instances but none in reach, since those may still place flows.
+func Settle(c *config.Config, service string, v *fleet.View, all map[fleet.ID]Summary) Step {
+	i := slices.IndexFunc(c.Services, func(s config.Service) bool { return s.Name == service })
+	if i < 0 || cutOff(c, v) {
+		return NoStep
+	}
+	s := &c.Services[i]
+	watched, away := true, 0
+	for _, instance := range v.Instances {
+		if !instance.Reachable() {
+			continue
+		}
+		summary, ok := all[instance.ID]
+		if !ok || summary.Version != c.Version || !summary.Complete {
+			return NoStep
+		}
+		watched = watched && summary.Watched && !summary.Ramping
+		for _, a := range summary.Away {
+			away += a.Flows
+		}
+	}
+	switch {
+	case !slices.Equal(s.Settled, s.Current):
+		return stepIf(watched, Rebase)
+	case len(s.Past) > 0:
+		return stepIf(away == 0, Clear)
+	default:
+		return NoStep
+	}
+}
+
+func stepIf(ok bool, s Step) Step {
+	if ok {
+		return s
+	}
+	return NoStep
+}
+
+// cutOff reports whether some data centre that was not taken out is out of reach.
+func cutOff(c *config.Config, v *fleet.View) bool {
+	for _, d := range c.DataCentres {
+		known, reachable := false, false
+		for _, i := range v.Instances {
+			known = known || i.DataCentre == d.Name
+			reachable = reachable || i.DataCentre == d.Name && i.Reachable()
+		}
+		if known && !reachable && !d.Out {
+			return true
+		}
+	}
+	return false
+}
+
+// Unsettled returns the names of the services that a step may settle.
+func Unsettled(c *config.Config) []string {
+	var out []string
+	for _, s := range c.Services {
+		if len(s.Past) > 0 || !slices.Equal(s.Settled, s.Current) {
+			out = append(out, s.Name)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/placement/tick.go
@@ -0,0 +1,219 @@
+package placement
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"balsamfork/internal/config"
+	"balsamfork/internal/fleet"
+	"balsamfork/internal/records"
+	"balsamfork/internal/table"
+)
+
+const (
+	// sweepInterval is the time between two sweeps, each over one part in
+	// sweepParts of the buckets.
+	sweepInterval = time.Second
+	sweepParts    = 8
+)
+
+// Work is what an instance has to send now.
+type Work struct {
+	Asks []Ask
+}
+
+// Ask is a request to send to a peer, whose reply goes to Import.
+type Ask struct {
+	Peer    fleet.ID
+	Request Request
+}
+
+// Tick returns what to send, and forgets records that have ended. It is meant to
+// be called several times a second.
+func (e *Engine) Tick(now int64) Work {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	st := e.state.Load()
+	e.refresh(now, st)
+	a := st.ring.agreement
+	work := Work{Asks: a.asks(now, st.ring.digest)}
+	e.release(st)
+	if now-e.sweptAt >= int64(sweepInterval) {
+		e.sweptAt = now
+		e.sweep(now, st)
+	}
+	return work
+}
+
+// asks returns the requests that are due, in order of peer.
+func (a *agreement) asks(now int64, digest uint64) []Ask {
+	var out []Ask
+	var encoded []byte
+	for id, r := range a.pending {
+		if !r.due(now) {
+			continue
+		}
+		if encoded == nil {
+			encoded = records.AppendBuckets(nil, a.wanted)
+		}
+		out = append(out, Ask{Peer: id, Request: Request{Digest: digest, Buckets: encoded}})
+	}
+	if len(a.pending) == 0 {
+		for id, r := range a.holders {
+			if r.due(now) {
+				out = append(out, Ask{Peer: id, Request: Request{Digest: digest, Done: true}})
+			}
+		}
+	}
+	slices.SortFunc(out, func(x, y Ask) int { return strings.Compare(string(x.Peer), string(y.Peer)) })
+	return out
+}
+
+// refresh begins to fetch all buckets held anew when a service has been watched
+// for long enough to settle: copies that were lost on the way come with it.
+func (e *Engine) refresh(now int64, st *state) {
+	a := st.ring.agreement
+	if st.plan == nil || !a.reached.Load() || len(a.pending) > 0 {
+		return
+	}
+	for _, s := range st.plan.services {
+		if at := s.watchedAt(); at != 0 && now >= at && a.full < at {
+			e.fetchAll(now, st.ring)
+			return
+		}
+	}
+}
+
+func (e *Engine) fetchAll(now int64, r *ring) {
+	a := r.agreement
+	a.full = now
+	for bucket := range table.Buckets {
+		if r.holds(bucket) {
+			a.wanted.Set(bucket)
+		}
+	}
+	for _, p := range r.peers {
+		a.pending[p] = &retry{}
+	}
+}
+
+// watchedAt returns when every live flow of the unsettled buckets has been seen,
+// or zero if that is not known or never.
+func (s *service) watchedAt() int64 {
+	start := max(s.confirmed.Load(), s.overflow.Load())
+	if s.confirmed.Load() == 0 || s.idle == 0 || !s.moves || s.lost {
+		return 0
+	}
+	return start + int64(s.idle) + refreshSeconds*int64(time.Second)
+}
+
+// release forgets the buckets that this instance need not hold, once the two that
+// must have their records.
+func (e *Engine) release(st *state) {
+	r := st.ring
+	if !r.agreement.reached.Load() || len(r.agreement.pending) > 0 {
+		return
+	}
+	for bucket := range table.Buckets {
+		if r.holds(bucket) || !r.handedOver(bucket) {
+			continue
+		}
+		b := e.records.Lock(bucket)
+		e.complete[bucket] = false
+		if b.Len() > 0 {
+			b.Sweep(func(records.Record) bool { return true })
+		}
+		b.Unlock()
+	}
+}
+
+// handedOver reports whether both holders of a bucket have what this instance
+// knows of it: they did not ask for it, or are done.
+func (r *ring) handedOver(bucket int) bool {
+	held := false
+	for k := range 2 {
+		i := r.at(bucket, k)
+		if i == nil {
+			continue
+		}
+		wanted := r.agreement.asked[i.ID]
+		if wanted == nil || wanted.Has(bucket) && !r.agreement.told[i.ID] {
+			return false
+		}
+		held = true
+	}
+	return held
+}
+
+// HandedOver reports, for a leaving instance, that nothing is left that only this
+// instance knows, and that no peer takes it for an owner any more.
+func (e *Engine) HandedOver() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	st := e.state.Load()
+	if e.records.Total() == 0 && len(st.ring.peers) == 0 {
+		return true
+	}
+	if !st.ring.leaving || !st.ring.agreement.reached.Load() {
+		return false
+	}
+	return e.records.Total() == 0 && e.blank()
+}
+
+// sweep forgets the records of some buckets that have ended.
+func (e *Engine) sweep(now int64, st *state) {
+	if st.plan == nil {
+		return
+	}
+	for range table.Buckets / sweepParts {
+		bucket := e.sweepNext
+		e.sweepNext = (e.sweepNext + 1) % table.Buckets
+		b := e.records.Lock(bucket)
+		if b.Len() > 0 {
+			b.Sweep(func(r records.Record) bool { return st.ended(now, bucket, r) })
+		}
+		b.Unlock()
+	}
+}
+
+// ended reports whether a record is needed no more.
+func (st *state) ended(now int64, bucket int, r records.Record) bool {
+	s := st.plan.owners[r.Server()]
+	if s == nil {
+		return true
+	}
+	b := s.server(r.Server())
+	if b.state == config.Gone && st.confirmed >= s.since {
+		return true
+	}
+	silent := now/int64(time.Second) - int64(r.Seen)
+	if silent > s.limit(r) {
+		return true
+	}
+	if st.confirmed < s.since || !st.ring.agreement.reached.Load() {
+		return false
+	}
+	if !s.isUnsettled(bucket) {
+		return now-s.changed > settledSeconds*int64(time.Second)
+	}
+	derived := b == s.baseOf(bucket) && b == s.targetOf(bucket)
+	return derived && s.protocol != config.UDP
+}
+
+// limit returns the seconds of silence after which a record has ended.
+func (s *service) limit(r records.Record) int64 {
+	const never = 1 << 40
+	idle := int64(never)
+	if s.idle > 0 {
+		idle = int64(s.idle/time.Second) + 2*refreshSeconds
+	}
+	switch {
+	case r.Closed():
+		return min(idle, closedSeconds)
+	case r.Kind() == records.Opening:
+		return min(idle, openingSeconds)
+	default:
+		return idle
+	}
+}
--- /dev/null
+++ b/internal/table/bitmap.go
@@ -0,0 +1,67 @@
+package table
+
+import (
+	"math/bits"
+
+	"balsamfork/internal/config"
+)
+
+// Bitmap holds one bit per bucket.
+type Bitmap [Buckets / 64]uint64
+
+// Has reports whether the bit of a bucket is set.
+func (m *Bitmap) Has(bucket int) bool {
+	return m[bucket/64]&(1<<(bucket%64)) != 0
+}
+
+// Set sets the bit of a bucket.
+func (m *Bitmap) Set(bucket int) {
+	m[bucket/64] |= 1 << (bucket % 64)
+}
+
+// Count returns how many bits are set.
+func (m *Bitmap) Count() int {
+	n := 0
+	for _, w := range m {
+		n += bits.OnesCount64(w)
+	}
+	return n
+}
+
+// View is a table with the set that it was built over.
+type View struct {
+	Set   config.Set
+	Table *Table
+}
+
+// Number returns the backend server of a bucket, and zero when the set is empty.
+func (v View) Number(bucket int) config.Number {
+	p := v.Table[bucket]
+	if p == None {
+		return 0
+	}
+	return v.Set[p].Number
+}
+
+// Unsettled marks the buckets on which the views do not all agree, and those
+// that any view gives to a backend server for which named returns true.
+func Unsettled(views []View, named func(config.Number) bool) *Bitmap {
+	m := &Bitmap{}
+	for b := range Buckets {
+		if !agree(views, b, named) {
+			m.Set(b)
+		}
+	}
+	return m
+}
+
+func agree(views []View, bucket int, named func(config.Number) bool) bool {
+	first := views[0].Number(bucket)
+	for _, v := range views {
+		n := v.Number(bucket)
+		if n != first || named(n) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/table/cache.go
@@ -0,0 +1,55 @@
+package table
+
+import (
+	"encoding/binary"
+
+	"balsamfork/internal/config"
+)
+
+// Cache shares tables between equal sets and keeps those of the sets that are
+// still in use, so that a change rebuilds only the tables of sets that are new.
+// It is not safe for concurrent use.
+type Cache struct {
+	current map[string]*Table
+	next    map[string]*Table
+	built   int
+}
+
+// NewCache returns an empty Cache.
+func NewCache() *Cache {
+	return &Cache{current: map[string]*Table{}, next: map[string]*Table{}}
+}
+
+// Get returns the table of a set and keeps it for the next round.
+func (c *Cache) Get(set config.Set) *Table {
+	key := encode(set)
+	if t, ok := c.next[key]; ok {
+		return t
+	}
+	t, ok := c.current[key]
+	if !ok {
+		t = Build(set)
+		c.built++
+	}
+	c.next[key] = t
+	return t
+}
+
+// Turn ends a round: tables that no Get asked for since the last Turn are
+// forgotten. It returns how many tables are held and how many were built in
+// this round.
+func (c *Cache) Turn() (held, built int) {
+	c.current, c.next = c.next, map[string]*Table{}
+	built, c.built = c.built, 0
+	return len(c.current), built
+}
+
+// encode returns the set as bytes that only an equal set shares.
+func encode(set config.Set) string {
+	b := make([]byte, 0, 8*len(set))
+	for _, m := range set {
+		b = binary.LittleEndian.AppendUint32(b, uint32(m.Number))
+		b = binary.LittleEndian.AppendUint32(b, m.Weight)
+	}
+	return string(b)
+}
