Release buckets only while something of them is held

Cause: an instance without records waited for ever to release them. Change: look at what is held first; a model fleet with generated schedules.

--- a/internal/placement/compile.go
+++ b/internal/placement/compile.go
@@ -81,16 +81,13 @@
 func (c *compiler) servers(now int64, d *config.Service, conditions map[config.Number]flow.Announcement) []server {
 	out := make([]server, 0, len(d.Servers))
 	for _, b := range d.Servers {
-		a := conditions[b.Number]
-		_, warm := find(d.Settled, b.Number)
+		a, times := conditions[b.Number], c.timesOf(b.Number)
+		times.see(now, b.State)
+		_, based := find(d.Settled, b.Number)
 		s := server{
 			number: b.Number, address: b.Packets, state: b.State, weight: b.Weight, joined: b.Joined,
-			condition: a.Condition, announced: a.Since, warm: warm, times: c.timesOf(b.Number),
-		}
-		if b.State == config.Gone {
-			s.times.gone.CompareAndSwap(0, now)
-		} else {
-			s.times.gone.Store(0)
+			condition: a.Condition, announced: a.Since, times: times,
+			warm: based && !times.returned.Load(),
 		}
 		out = append(out, s)
 	}
--- a/internal/placement/exchange.go
+++ b/internal/placement/exchange.go
@@ -67,6 +67,8 @@
 	replies int
 	// fresh is set if this instance held no complete bucket at the beginning.
 	fresh bool
+	// released is set once every bucket that need not be held is forgotten.
+	released bool
 	// full is when the agreement began, if it fetches all buckets held anew.
 	full int64
 }
@@ -140,10 +142,10 @@
 		*p = retry{}
 	}
 	if r.Done {
-		a.told[from] = true
+		a.told[from], a.released = true, false
 		return out, nil
 	}
-	a.asked[from] = wanted
+	a.asked[from], a.released = wanted, false
 	delete(a.told, from)
 	e.exportBuckets(wanted, &out)
 	if out.Holds {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -70,7 +70,7 @@
 	condition flow.Condition
 	announced int64
 	// warm is set for a backend server that is some bucket's base by the
-	// configuration: its ramp is over.
+	// configuration and was not gone in between: its ramp is over.
 	warm  bool
 	times *serverTimes
 }
@@ -80,6 +80,20 @@
 type serverTimes struct {
 	ramp atomic.Int64
 	gone atomic.Int64
+	// returned is set once it was active again after it was gone.
+	returned atomic.Bool
+}
+
+// see notes the state of a backend server at a time.
+func (t *serverTimes) see(now int64, state config.ServerState) {
+	if state == config.Gone {
+		t.gone.CompareAndSwap(0, now)
+		return
+	}
+	if t.gone.Swap(0) != 0 {
+		t.returned.Store(true)
+		t.ramp.Store(0)
+	}
 }
 
 // find returns the service of an address, or nil.
--- /dev/null
+++ b/internal/placement/schedule_run_test.go
@@ -0,0 +1,50 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	scheduleSeeds = 40
+	flowsEach     = 300
+)
+
+// play runs one schedule: flows open before, during and after its changes.
+func play(seed int, loss float64) *model {
+	one, two := testService(1, 1, 14), testService(2, 20, 4)
+	one.IdleLimit, two.IdleLimit = 10*time.Second, 10*time.Second
+	m := newModel(uint64(seed), 6, testConfig(one, two), newEngineNode)
+	m.loss = loss
+	m.settle()
+	m.run(2 * time.Second)
+	for i := range flowsEach {
+		at := time.Duration(i) * 30 * time.Second / flowsEach
+		m.after(at, func() { m.begin(i%2, time.Second+m.within(90*time.Second)) })
+	}
+	for _, c := range schedules.Example(seed) {
+		m.after(8*time.Second+c.at, func() { m.do(c) })
+	}
+	m.run(150 * time.Second)
+	return m
+}
+
+func TestNoFlowBreaksOverSchedules(t *testing.T) {
+	is := is.New(t)
+	flows, packets, relays, unsettled := 0, 0, 0, 0
+	for seed := range scheduleSeeds {
+		m := play(seed, 0)
+		none := func(int) bool { return false }
+		if n := m.broken(none); n > 0 || m.wrong > 0 || m.dropped > 0 {
+			t.Errorf("seed %d %v: %d broken, %d at the wrong service, %d dropped", seed, schedules.Example(seed), n, m.wrong, m.dropped)
+		}
+		flows += len(m.clients)
+		packets += m.packets
+		relays += m.relays
+		unsettled += len(Unsettled(m.config))
+	}
+	t.Logf("%d flows, %d packets, %d relays, %d services unsettled at the end", flows, packets, relays, unsettled)
+	is.True(flows >= 10000)
+}
--- a/internal/placement/tick.go
+++ b/internal/placement/tick.go
@@ -112,22 +112,33 @@
 // must have their records.
 func (e *Engine) release(st *state) {
 	r := st.ring
-	if !r.agreement.reached.Load() || len(r.agreement.pending) > 0 {
+	a := r.agreement
+	if a.released || !a.reached.Load() || len(a.pending) > 0 {
 		return
 	}
+	a.released = true
 	for bucket := range table.Buckets {
-		if r.holds(bucket) || !r.handedOver(bucket) {
-			continue
-		}
-		b := e.records.Lock(bucket)
-		e.complete[bucket] = false
-		if b.Len() > 0 {
-			b.Sweep(func(records.Record) bool { return true })
+		if !r.holds(bucket) && !e.releaseBucket(r, bucket) {
+			a.released = false
 		}
-		b.Unlock()
 	}
 }
 
+// releaseBucket reports whether nothing of the bucket is left.
+func (e *Engine) releaseBucket(r *ring, bucket int) bool {
+	b := e.records.Lock(bucket)
+	defer b.Unlock()
+	if !e.complete[bucket] && b.Len() == 0 {
+		return true
+	}
+	if !r.handedOver(bucket) {
+		return false
+	}
+	e.complete[bucket] = false
+	b.Sweep(func(records.Record) bool { return true })
+	return true
+}
+
 // handedOver reports whether both holders of a bucket have what this instance
 // knows of it: they did not ask for it, or are done.
 func (r *ring) handedOver(bucket int) bool {
