Carry records between instances and settle services

Cause: the Engine's work needs the control link, and unsettled services need one instance to take the steps. Change: package handover (Exchanger, Coordinator).

--- /dev/null
+++ b/internal/handover/exchanger.go
@@ -0,0 +1,144 @@
+package handover
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"balsamfork/internal/fleet"
+	"balsamfork/internal/peer"
+	"balsamfork/internal/placement"
+)
+
+// Invalid is the class of errors for a request that cannot be understood.
+var Invalid = errs.Class("handover: invalid")
+
+// Engine is what this package carries messages for.
+type Engine interface {
+	Tick(now int64) placement.Work
+	Export(from fleet.ID, r placement.Request) (placement.Reply, error)
+	Import(now int64, from fleet.ID, sent placement.Request, r placement.Reply) error
+	Summary(now int64, service string) (placement.Summary, bool)
+}
+
+// Exchanger sends the requests of an Engine to peers and answers theirs.
+type Exchanger struct {
+	engine  Engine
+	caller  peer.Caller
+	log     *slog.Logger
+	metrics metrics
+}
+
+type metrics struct {
+	requests  tally.Counter
+	failures  tally.Counter
+	sent      tally.Counter
+	received  tally.Counter
+	refusals  tally.Counter
+	summaries tally.Counter
+}
+
+func newMetrics(s tally.Scope) metrics {
+	s = s.SubScope("handover")
+	return metrics{
+		requests:  s.Counter("requests"),
+		failures:  s.Counter("failures"),
+		sent:      s.Counter("record_bytes_sent"),
+		received:  s.Counter("record_bytes_received"),
+		refusals:  s.Counter("refused_replies"),
+		summaries: s.Counter("summaries"),
+	}
+}
+
+// NewExchanger registers the methods of this package and returns an Exchanger,
+// whose Run does the rest.
+func NewExchanger(e Engine, c peer.Caller, r peer.Registry, scope tally.Scope, log *slog.Logger) *Exchanger {
+	x := &Exchanger{engine: e, caller: c, log: log.With("part", part), metrics: newMetrics(scope)}
+	r.Handle(FetchMethod, x.handleFetch)
+	r.Handle(SummaryMethod, x.handleSummary)
+	return x
+}
+
+func (x *Exchanger) handleFetch(_ context.Context, from fleet.ID, params json.RawMessage) (any, error) {
+	request, err := parseRequest(params)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := x.engine.Export(from, request)
+	if err != nil {
+		return nil, Invalid.Wrap(err)
+	}
+	x.metrics.sent.Inc(int64(len(reply.Records)))
+	return reply, nil
+}
+
+func parseRequest(params json.RawMessage) (placement.Request, error) {
+	var r placement.Request
+	if err := json.Unmarshal(params, &r); err != nil {
+		return r, Invalid.New("request for records: %v", err)
+	}
+	return r, nil
+}
+
+// SummaryRequest asks for the summary of a service.
+type SummaryRequest struct {
+	Service string `json:"service"`
+}
+
+func (x *Exchanger) handleSummary(_ context.Context, _ fleet.ID, params json.RawMessage) (any, error) {
+	var r SummaryRequest
+	if err := json.Unmarshal(params, &r); err != nil {
+		return nil, Invalid.New("request for a summary: %v", err)
+	}
+	s, ok := x.engine.Summary(time.Now().UnixNano(), r.Service)
+	if !ok {
+		return nil, Invalid.New("service %q is not known", r.Service)
+	}
+	x.metrics.summaries.Inc(1)
+	return s, nil
+}
+
+// Run sends what the Engine has to send until the context ends.
+func (x *Exchanger) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	calls := errgroup.Group{}
+	calls.SetLimit(maxCalls)
+	defer func() { _ = calls.Wait() }()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, ask := range x.engine.Tick(time.Now().UnixNano()).Asks {
+			calls.TryGo(func() error {
+				x.ask(ctx, ask)
+				return nil
+			})
+		}
+	}
+}
+
+// ask sends one request. What fails is asked again by a later Tick.
+func (x *Exchanger) ask(ctx context.Context, a placement.Ask) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	x.metrics.requests.Inc(1)
+	var reply placement.Reply
+	if err := x.caller.Call(ctx, a.Peer, FetchMethod, a.Request, &reply); err != nil {
+		x.metrics.failures.Inc(1)
+		x.log.Debug("Peer did not answer.", "peer", a.Peer, "error", err)
+		return
+	}
+	x.metrics.received.Inc(int64(len(reply.Records)))
+	if err := x.engine.Import(time.Now().UnixNano(), a.Peer, a.Request, reply); err != nil {
+		x.metrics.refusals.Inc(1)
+		x.log.Warn("Reply was refused.", "peer", a.Peer, "error", err)
+	}
+}
--- /dev/null
+++ b/internal/handover/settle.go
@@ -0,0 +1,154 @@
+package handover
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/zeebo/xxh3"
+	"golang.org/x/sync/errgroup"
+
+	"balsamfork/internal/config"
+	"balsamfork/internal/fleet"
+	"balsamfork/internal/peer"
+	"balsamfork/internal/placement"
+	"balsamfork/internal/table"
+)
+
+// Settler changes the configuration by compare-and-swap on the version seen. It
+// returns an error when that version is not the newest any more.
+type Settler interface {
+	// Rebase makes the current set of a service the base of all its buckets, and
+	// keeps the sets before in the past.
+	Rebase(ctx context.Context, service string, seen config.Version) error
+	// Clear empties the past of a service.
+	Clear(ctx context.Context, service string, seen config.Version) error
+}
+
+// Source gives the newest configuration and view that this instance knows. Both
+// may be nil at the start.
+type Source interface {
+	Config() *config.Config
+	View() *fleet.View
+}
+
+// Coordinator settles the services that fall to this instance: each service to
+// the first usable instance by rendezvous over its name. Two instances that take
+// themselves for the first do no harm, since of two changes one is refused.
+type Coordinator struct {
+	self    fleet.ID
+	engine  Engine
+	caller  peer.Caller
+	source  Source
+	settler Settler
+	log     *slog.Logger
+	steps   tally.Counter
+	refused tally.Counter
+}
+
+// NewCoordinator returns a Coordinator, whose Run does the work.
+func NewCoordinator(self fleet.ID, e Engine, c peer.Caller, src Source, s Settler, scope tally.Scope, log *slog.Logger) *Coordinator {
+	scope = scope.SubScope("settling")
+	return &Coordinator{
+		self: self, engine: e, caller: c, source: src, settler: s, log: log.With("part", part),
+		steps: scope.Counter("steps"), refused: scope.Counter("refused"),
+	}
+}
+
+// Run settles services until the context ends.
+func (c *Coordinator) Run(ctx context.Context) {
+	ticker := time.NewTicker(settleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.round(ctx)
+		}
+	}
+}
+
+// round looks at each unsettled service once. One step ends the round, since the
+// configuration is another one afterwards.
+func (c *Coordinator) round(ctx context.Context) {
+	cfg, view := c.source.Config(), c.source.View()
+	if cfg == nil || view == nil {
+		return
+	}
+	for _, name := range placement.Unsettled(cfg) {
+		if First(view, name) != c.self {
+			continue
+		}
+		step := placement.Settle(cfg, name, view, c.summaries(ctx, view, name))
+		if step != placement.NoStep {
+			c.take(ctx, step, name, cfg.Version)
+			return
+		}
+	}
+}
+
+func (c *Coordinator) take(ctx context.Context, step placement.Step, service string, seen config.Version) {
+	act := c.settler.Clear
+	if step == placement.Rebase {
+		act = c.settler.Rebase
+	}
+	if err := act(ctx, service, seen); err != nil {
+		c.refused.Inc(1)
+		c.log.Info("Service was not settled.", "service", service, "version", seen, "error", err)
+		return
+	}
+	c.steps.Inc(1)
+	c.log.Info("Service came nearer to being settled.", "service", service, "version", seen, "step", step)
+}
+
+// First returns the usable instance that settles a service, or "".
+func First(v *fleet.View, service string) fleet.ID {
+	var first fleet.ID
+	var top uint64
+	name := xxh3.HashString(service)
+	for _, i := range v.Instances {
+		score := table.Mix(xxh3.HashString(string(i.ID)) ^ name)
+		if i.Usable() && (first == "" || score > top) {
+			first, top = i.ID, score
+		}
+	}
+	return first
+}
+
+// summaries asks all reachable instances for theirs, and leaves out the ones that
+// do not answer.
+func (c *Coordinator) summaries(ctx context.Context, v *fleet.View, service string) map[fleet.ID]placement.Summary {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	all := map[fleet.ID]placement.Summary{}
+	group := errgroup.Group{}
+	group.SetLimit(maxCalls)
+	for _, i := range slices.DeleteFunc(slices.Clone(v.Instances), unreachable) {
+		group.Go(func() error {
+			if s, ok := c.summary(ctx, i.ID, service); ok {
+				mu.Lock()
+				defer mu.Unlock()
+				all[i.ID] = s
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return all
+}
+
+func unreachable(i fleet.Instance) bool { return !i.Reachable() }
+
+func (c *Coordinator) summary(ctx context.Context, id fleet.ID, service string) (placement.Summary, bool) {
+	if id == c.self {
+		return c.engine.Summary(time.Now().UnixNano(), service)
+	}
+	var s placement.Summary
+	err := c.caller.Call(ctx, id, SummaryMethod, SummaryRequest{Service: service}, &s)
+	return s, err == nil
+}
--- a/internal/placement/settle.go
+++ b/internal/placement/settle.go
@@ -158,3 +158,8 @@
 	}
 	return out
 }
+
+// String returns the name of the step.
+func (s Step) String() string {
+	return [...]string{"none", "rebase", "clear"}[s]
+}
