--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,100 @@
+// Package admin serves metrics, readiness and liveness of an instance over HTTP,
+// and the Go profiler where settings allow it.
+package admin
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"net/netip"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors of the admin endpoint.
+var Error = errs.Class("admin")
+
+// readHeaderTimeout bounds how long a client may take over its request header.
+const readHeaderTimeout = 5 * time.Second
+
+// Readiness says whether the instance serves, and if not, what it waits for.
+type Readiness func() (ready bool, reason string)
+
+// Options says what the endpoint serves.
+type Options struct {
+	Listen  netip.AddrPort
+	Metrics http.Handler
+	Ready   Readiness
+	// Pprof adds the profiler under /debug/pprof/.
+	Pprof bool
+}
+
+// Server is the endpoint of one instance.
+type Server struct {
+	listener net.Listener
+	server   *http.Server
+	log      *slog.Logger
+}
+
+// Listen binds the address. It returns an Error if that fails.
+func Listen(o Options, log *slog.Logger) (*Server, error) {
+	listener, err := net.Listen("tcp", o.Listen.String())
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	server := &http.Server{Handler: handler(o), ReadHeaderTimeout: readHeaderTimeout}
+	return &Server{listener: listener, server: server, log: log}, nil
+}
+
+// Addr returns the address that was bound.
+func (s *Server) Addr() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Start serves until Close.
+func (s *Server) Start() {
+	go func() {
+		err := s.server.Serve(s.listener)
+		if !errors.Is(err, http.ErrServerClosed) {
+			s.log.Error("endpoint ended", "error", err)
+		}
+	}()
+}
+
+// Close ends the endpoint and waits for answers that are being written.
+func (s *Server) Close(ctx context.Context) error {
+	return Error.Wrap(s.server.Shutdown(ctx))
+}
+
+func handler(o Options) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", o.Metrics)
+	mux.HandleFunc("GET /livez", alive)
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) { ready(w, o.Ready) })
+	if o.Pprof {
+		mux.HandleFunc("/debug/pprof/", pprof.Index)
+		mux.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
+		mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+		mux.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
+		mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	}
+	return mux
+}
+
+func alive(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "alive\n")
+}
+
+func ready(w http.ResponseWriter, readiness Readiness) {
+	ok, reason := readiness()
+	if !ok {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
