--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -49,6 +49,9 @@
 	// Copied came from an owner that has placed the flow on the named backend
 	// server: the receiver records that, then forwards.
 	Copied
+	// Gathered came from an instance that hands all fragments of one packet to
+	// the same instance. Decisions never see it: to them it is FromFabric.
+	Gathered
 )
 
 // Packet is the summary of one packet that decisions are made on.
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,125 @@
+package forward
+
+import (
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"balsamfork/internal/flow"
+)
+
+// Forwarder is the running packet path.
+type Forwarder struct {
+	config    Config
+	decider   flow.Decider
+	known     func(netip.AddrPort) bool
+	log       *slog.Logger
+	clock     func() int64
+	fragments *fragments
+	reporter  *reporter
+	workers   []*worker
+	running   sync.WaitGroup
+	ticker    *time.Ticker
+	stop      chan struct{}
+	stopOnce  sync.Once
+}
+
+// New opens the sockets. known reports whether an address is the packet address
+// of an instance; it is called for each steered packet and must be safe for
+// concurrent use, not block and not allocate.
+func New(
+	config Config, decider flow.Decider, known func(netip.AddrPort) bool, log *slog.Logger, scope tally.Scope,
+) (*Forwarder, error) {
+	f := &Forwarder{
+		config:    config,
+		decider:   decider,
+		known:     known,
+		log:       log.With("part", "forward"),
+		clock:     func() int64 { return time.Now().UnixNano() },
+		fragments: &fragments{},
+		reporter:  newReporter(scope),
+		stop:      make(chan struct{}),
+	}
+	conns, err := listen(config.Listen, max(config.Workers, 1))
+	if err != nil {
+		return nil, err
+	}
+	for _, conn := range conns {
+		w, err := newWorker(f, conn)
+		if err != nil {
+			closeAll(conns)
+			return nil, err
+		}
+		f.workers = append(f.workers, w)
+	}
+	return f, nil
+}
+
+// Addr returns the address that the Forwarder listens on.
+func (f *Forwarder) Addr() netip.AddrPort {
+	return f.workers[0].conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// Start begins to forward.
+func (f *Forwarder) Start() {
+	f.log.Info("Forwarding packets.", "address", f.Addr(), "workers", len(f.workers))
+	for _, w := range f.workers {
+		f.running.Go(w.run)
+	}
+	f.ticker = time.NewTicker(reportInterval)
+	f.running.Go(f.report)
+}
+
+func (f *Forwarder) report() {
+	defer f.ticker.Stop()
+	for {
+		select {
+		case <-f.ticker.C:
+			f.reporter.report(f.Totals())
+		case <-f.stop:
+			f.reporter.report(f.Totals())
+			return
+		}
+	}
+}
+
+// Totals returns what all workers have counted.
+func (f *Forwarder) Totals() Totals {
+	var t Totals
+	for _, w := range f.workers {
+		w.addTo(&t)
+	}
+	return t
+}
+
+// Close forwards what has arrived, then closes the sockets. The fabric should
+// have stopped sending before.
+func (f *Forwarder) Close() error {
+	f.end(func(conn *net.UDPConn) { _ = conn.SetReadDeadline(time.Now().Add(drainTime)) })
+	f.log.Info("Forwarding ended.", "received", f.Totals().Received)
+	return nil
+}
+
+// Abort closes the sockets at once; what has arrived is lost.
+func (f *Forwarder) Abort() {
+	f.end(func(conn *net.UDPConn) { _ = conn.Close() })
+}
+
+// end makes the workers stop, waits for them and closes the sockets. Later
+// calls only wait.
+func (f *Forwarder) end(interrupt func(*net.UDPConn)) {
+	f.stopOnce.Do(func() {
+		close(f.stop)
+		for _, w := range f.workers {
+			interrupt(w.conn)
+		}
+	})
+	f.running.Wait()
+	for _, w := range f.workers {
+		_ = w.conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/forward/mmsg_linux.go
@@ -0,0 +1,96 @@
+package forward
+
+import (
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"syscall"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+// mmsghdr is struct mmsghdr of recvmmsg(2).
+type mmsghdr struct {
+	header unix.Msghdr
+	length uint32
+}
+
+// reader reads batches of packets with their sources. It is recvmmsg(2) by
+// hand, because ReadBatch of golang.org/x/net allocates two objects for the
+// source address of each packet.
+type reader struct {
+	conn    syscall.RawConn
+	headers [batchSize]mmsghdr
+	vectors [batchSize]unix.Iovec
+	names   [batchSize]unix.RawSockaddrInet6
+	receive func(fd uintptr) bool
+	count   int
+	errno   syscall.Errno
+}
+
+// newReader returns a reader that fills the given buffers, one per packet.
+func newReader(conn *net.UDPConn, buffers [][]byte) (*reader, error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	r := &reader{conn: raw}
+	for i := range r.headers {
+		r.vectors[i].Base = &buffers[i][0]
+		r.vectors[i].SetLen(len(buffers[i]))
+		header := &r.headers[i].header
+		header.Iov = &r.vectors[i]
+		header.SetIovlen(1)
+		header.Name = (*byte)(unsafe.Pointer(&r.names[i]))
+	}
+	r.receive = r.recvmmsg
+	return r, nil
+}
+
+// read waits for packets and returns how many arrived.
+func (r *reader) read() (int, error) {
+	for i := range r.headers {
+		r.headers[i].header.Namelen = unix.SizeofSockaddrInet6
+	}
+	if err := r.conn.Read(r.receive); err != nil {
+		return 0, err
+	}
+	if r.errno != 0 {
+		return 0, r.errno
+	}
+	return r.count, nil
+}
+
+func (r *reader) recvmmsg(fd uintptr) bool {
+	n, _, errno := unix.Syscall6(unix.SYS_RECVMMSG, fd,
+		uintptr(unsafe.Pointer(&r.headers[0])), batchSize, unix.MSG_DONTWAIT, 0, 0)
+	if errno == unix.EAGAIN || errno == unix.EINTR {
+		return false
+	}
+	r.count, r.errno = int(n), errno
+	return true
+}
+
+// size returns the size of the i-th packet of the last batch, and false if it
+// was larger than its buffer.
+func (r *reader) size(i int) (int, bool) {
+	truncated := r.headers[i].header.Flags&unix.MSG_TRUNC != 0
+	return int(r.headers[i].length), !truncated
+}
+
+// source returns the sender of the i-th packet of the last batch.
+func (r *reader) source(i int) netip.AddrPort {
+	name := &r.names[i]
+	if name.Family == unix.AF_INET {
+		name4 := (*unix.RawSockaddrInet4)(unsafe.Pointer(name))
+		return netip.AddrPortFrom(netip.AddrFrom4(name4.Addr), networkOrder(name4.Port))
+	}
+	return netip.AddrPortFrom(netip.AddrFrom16(name.Addr).Unmap(), networkOrder(name.Port))
+}
+
+func networkOrder(port uint16) uint16 {
+	var b [2]byte
+	binary.NativeEndian.PutUint16(b[:], port)
+	return binary.BigEndian.Uint16(b[:])
+}
--- /dev/null
+++ b/internal/standin/wire/wire.go
@@ -0,0 +1,138 @@
+// Package wire builds and reads the packets of the stand-ins: IPv4 with TCP or
+// UDP inside GRE in UDP. It knows just enough of TCP to open, use and close a
+// connection.
+package wire
+
+import (
+	"net/netip"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+
+	"balsamfork/internal/config"
+)
+
+// hopLimit is the time to live of the packets, in hops.
+const hopLimit = 64
+
+// Flag is a TCP flag.
+type Flag uint8
+
+// The flags that the stand-ins use.
+const (
+	SYN Flag = 1 << iota
+	ACK
+	FIN
+	RST
+)
+
+// Segment is one packet of a flow.
+type Segment struct {
+	From     netip.AddrPort
+	To       netip.AddrPort
+	Protocol config.Protocol
+	Flags    Flag
+	// Data is the payload. After Read it is valid as long as the bytes read.
+	Data []byte
+}
+
+// Has reports whether all of want are set.
+func (s Segment) Has(want Flag) bool { return s.Flags&want == want }
+
+// Codec builds and reads segments in buffers of its own. It is not safe for
+// concurrent use.
+type Codec struct {
+	buffer  gopacket.SerializeBuffer
+	parser  *gopacket.DecodingLayerParser
+	decoded []gopacket.LayerType
+	gre     layers.GRE
+	ip      layers.IPv4
+	tcp     layers.TCP
+	udp     layers.UDP
+	payload gopacket.Payload
+}
+
+// NewCodec returns a codec.
+func NewCodec() *Codec {
+	c := &Codec{buffer: gopacket.NewSerializeBuffer()}
+	c.parser = gopacket.NewDecodingLayerParser(layers.LayerTypeGRE, &c.gre, &c.ip, &c.tcp, &c.udp)
+	c.parser.IgnoreUnsupported = true
+	return c
+}
+
+// Build returns the payload of the outer UDP packet. It is valid until the
+// next call.
+func (c *Codec) Build(s Segment) ([]byte, error) {
+	c.gre = layers.GRE{Protocol: layers.EthernetTypeIPv4}
+	c.ip = layers.IPv4{
+		Version:  4,
+		TTL:      hopLimit,
+		Protocol: layers.IPProtocol(s.Protocol),
+		SrcIP:    s.From.Addr().AsSlice(),
+		DstIP:    s.To.Addr().AsSlice(),
+	}
+	c.payload = s.Data
+	options := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
+	err := gopacket.SerializeLayers(c.buffer, options, &c.gre, &c.ip, c.transport(s), &c.payload)
+	return c.buffer.Bytes(), err
+}
+
+func (c *Codec) transport(s Segment) gopacket.SerializableLayer {
+	if s.Protocol == config.UDP {
+		c.udp = layers.UDP{SrcPort: layers.UDPPort(s.From.Port()), DstPort: layers.UDPPort(s.To.Port())}
+		_ = c.udp.SetNetworkLayerForChecksum(&c.ip)
+		return &c.udp
+	}
+	c.tcp = layers.TCP{
+		SrcPort: layers.TCPPort(s.From.Port()),
+		DstPort: layers.TCPPort(s.To.Port()),
+		SYN:     s.Has(SYN),
+		ACK:     s.Has(ACK),
+		FIN:     s.Has(FIN),
+		RST:     s.Has(RST),
+	}
+	_ = c.tcp.SetNetworkLayerForChecksum(&c.ip)
+	return &c.tcp
+}
+
+// Read reads the payload of an outer UDP packet, and returns false if it holds
+// no segment.
+func (c *Codec) Read(data []byte) (Segment, bool) {
+	if err := c.parser.DecodeLayers(data, &c.decoded); err != nil || len(c.decoded) < 3 {
+		return Segment{}, false
+	}
+	from, _ := netip.AddrFromSlice(c.ip.SrcIP)
+	to, _ := netip.AddrFromSlice(c.ip.DstIP)
+	switch c.decoded[2] {
+	case layers.LayerTypeTCP:
+		return Segment{
+			From:     netip.AddrPortFrom(from, uint16(c.tcp.SrcPort)),
+			To:       netip.AddrPortFrom(to, uint16(c.tcp.DstPort)),
+			Protocol: config.TCP,
+			Flags:    c.flags(),
+			Data:     c.tcp.Payload,
+		}, true
+	case layers.LayerTypeUDP:
+		return Segment{
+			From:     netip.AddrPortFrom(from, uint16(c.udp.SrcPort)),
+			To:       netip.AddrPortFrom(to, uint16(c.udp.DstPort)),
+			Protocol: config.UDP,
+			Data:     c.udp.Payload,
+		}, true
+	default:
+		return Segment{}, false
+	}
+}
+
+func (c *Codec) flags() Flag {
+	var flags Flag
+	for _, f := range []struct {
+		set  bool
+		flag Flag
+	}{{c.tcp.SYN, SYN}, {c.tcp.ACK, ACK}, {c.tcp.FIN, FIN}, {c.tcp.RST, RST}} {
+		if f.set {
+			flags |= f.flag
+		}
+	}
+	return flags
+}
