--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -81,7 +81,6 @@
 		case <-f.ticker.C:
 			f.reporter.report(f.Totals())
 		case <-f.stop:
-			f.reporter.report(f.Totals())
 			return
 		}
 	}
@@ -109,17 +108,18 @@
 	f.end(func(conn *net.UDPConn) { _ = conn.Close() })
 }
 
-// end makes the workers stop, waits for them and closes the sockets. Later
-// calls only wait.
+// end makes the workers stop, waits for them, reports what they counted last
+// and closes the sockets. Later calls only wait for the first.
 func (f *Forwarder) end(interrupt func(*net.UDPConn)) {
 	f.stopOnce.Do(func() {
 		close(f.stop)
 		for _, w := range f.workers {
 			interrupt(w.conn)
 		}
+		f.running.Wait()
+		f.reporter.report(f.Totals())
+		for _, w := range f.workers {
+			_ = w.conn.Close()
+		}
 	})
-	f.running.Wait()
-	for _, w := range f.workers {
-		_ = w.conn.Close()
-	}
 }
--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -1,6 +1,6 @@
 // Package wire builds and reads the packets of the stand-ins: IPv4 with TCP or
 // UDP inside GRE in UDP. It knows just enough of TCP to open, use and close a
-// connection.
+// connection. Flows over UDP do the same with a byte of flags before their data.
 package wire
 
 import (
@@ -15,7 +15,7 @@
 // hopLimit is the time to live of the packets, in hops.
 const hopLimit = 64
 
-// Flag is a TCP flag.
+// Flag is a flag of TCP.
 type Flag uint8
 
 // The flags that the stand-ins use.
@@ -50,6 +50,7 @@
 	tcp     layers.TCP
 	udp     layers.UDP
 	payload gopacket.Payload
+	marked  []byte
 }
 
 // NewCodec returns a codec.
@@ -72,6 +73,10 @@
 		DstIP:    s.To.Addr().AsSlice(),
 	}
 	c.payload = s.Data
+	if s.Protocol == config.UDP {
+		c.marked = append(append(c.marked[:0], byte(s.Flags)), s.Data...)
+		c.payload = c.marked
+	}
 	options := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
 	err := gopacket.SerializeLayers(c.buffer, options, &c.gre, &c.ip, c.transport(s), &c.payload)
 	return c.buffer.Bytes(), err
@@ -113,11 +118,15 @@
 			Data:     c.tcp.Payload,
 		}, true
 	case layers.LayerTypeUDP:
+		if len(c.udp.Payload) == 0 {
+			return Segment{}, false
+		}
 		return Segment{
 			From:     netip.AddrPortFrom(from, uint16(c.udp.SrcPort)),
 			To:       netip.AddrPortFrom(to, uint16(c.udp.DstPort)),
 			Protocol: config.UDP,
-			Data:     c.udp.Payload,
+			Flags:    Flag(c.udp.Payload[0]),
+			Data:     c.udp.Payload[1:],
 		}, true
 	default:
 		return Segment{}, false
