Sum the callers' counts under their lock

Cause: the race detector found Counts reading counters after the lock was let go. Change: each line adds its counts while it holds its lock.

--- a/internal/standin/caller/counts.go
+++ b/internal/standin/caller/counts.go
@@ -1,7 +1,5 @@
 package caller
 
-import "maps"
-
 // Counts is what the callers of one service have tried and seen.
 type Counts struct {
 	// Flows counts flows that were begun, Opened those that were answered.
@@ -53,12 +51,15 @@
 func (c *Callers) Counts() map[string]Counts {
 	sum := make(map[string]Counts)
 	for _, l := range c.lines {
-		l.mu.Lock()
-		counts := maps.Clone(l.counts)
-		l.mu.Unlock()
-		for name, n := range counts {
-			sum[name] = sum[name].plus(*n)
-		}
+		l.addTo(sum)
 	}
 	return sum
 }
+
+func (l *line) addTo(sum map[string]Counts) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, n := range l.counts {
+		sum[name] = sum[name].plus(*n)
+	}
+}
