Serve requests end to end through the owner of the key and the admitting instance

Cause: requests had no path yet. Conclusion: the interface stands for wiring; properties under faults follow.

--- /dev/null
+++ b/internal/admission/server.go
@@ -0,0 +1,183 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"balsamfork/internal/coldstart"
+	"balsamfork/internal/config"
+	"balsamfork/internal/fleet"
+	"balsamfork/internal/flow"
+	"balsamfork/internal/quorum"
+)
+
+// creditCap bounds the slot time that a climbing server saves up while idle.
+const creditCap = 20 * time.Millisecond
+
+type state uint8
+
+const (
+	waiting state = iota + 1
+	running
+	over
+)
+
+type attempt struct {
+	Attempt
+	state   state
+	waiters []uint64
+	outcome Outcome
+	replied bool
+	started int64
+	// until is when the backend server must have ended the run.
+	until     int64
+	cancelled bool
+	slow      bool
+}
+
+type vote struct {
+	id    fleet.ID
+	until int64
+}
+
+type server struct {
+	Server
+	name  uint64
+	group quorum.Group
+	// chosen is set if this instance ranks first, first if it also may admit.
+	chosen, first bool
+	votes         [quorum.GroupSize]vote
+	// since is when the lease was first asked for, asked when last; zero is never.
+	since, asked int64
+	guard        coldstart.Guard
+	running      []*attempt
+	queue        []*attempt
+	// mean and dev follow the time of a run and its deviation, in nanoseconds
+	// (Jacobson, 1988).
+	mean, dev float64
+	// credit is the slot time that may be used while the share is below 1.
+	credit   float64
+	creditAt int64
+	cold     int64
+	// drained is when the server began to drain.
+	drained int64
+}
+
+// held reports whether more than half of the group have granted the server.
+func (s *server) held(now int64) bool {
+	n := 0
+	for _, id := range s.group.IDs() {
+		if v := s.vote(id); v != nil && v.until > now {
+			n++
+		}
+	}
+	return s.group.Majority() <= n && n > 0
+}
+
+func (s *server) vote(id fleet.ID) *vote {
+	for i := range s.votes {
+		if s.votes[i].id == id {
+			return &s.votes[i]
+		}
+	}
+	return nil
+}
+
+func (s *server) setVote(id fleet.ID, until int64) {
+	if v := s.vote(id); v != nil {
+		v.until = until
+		return
+	}
+	oldest := 0
+	for i := range s.votes {
+		if s.votes[i].until < s.votes[oldest].until {
+			oldest = i
+		}
+	}
+	s.votes[oldest] = vote{id: id, until: until}
+}
+
+// takes reports whether new requests may wait for the server.
+func (s *server) takes(now int64) bool {
+	return s.first && s.State == config.Active && s.runs(now)
+}
+
+// runs reports whether requests may be sent to the server. Those that wait for one
+// that drains are sent for a short while yet.
+func (s *server) runs(now int64) bool {
+	if s.State == config.Draining && now-s.drained > int64(DrainQueue) {
+		return false
+	}
+	return s.State != config.Gone && s.Condition != flow.Down && s.held(now)
+}
+
+// limit is how many slots may be used on average.
+func (s *server) limit(now int64) float64 {
+	if !s.runs(now) {
+		return 0
+	}
+	return s.guard.Share(now) * float64(s.Slots)
+}
+
+func (s *server) load(now int64) Load {
+	l := Load{Used: len(s.running) + len(s.queue)}
+	if s.takes(now) {
+		l.Limit = s.limit(now)
+	}
+	return l
+}
+
+// settle brings the credit up to now.
+func (s *server) settle(now int64) {
+	most := float64(creditCap) * float64(s.Slots)
+	gained := (s.guard.Share(now)*float64(s.Slots) - float64(len(s.running))) * float64(now-s.creditAt)
+	s.credit = min(s.credit+gained, most)
+	s.creditAt = now
+}
+
+// free reports whether one more request may be sent now.
+func (s *server) free(now int64) bool {
+	limit := s.limit(now)
+	if limit <= 0 || len(s.running) >= s.Slots {
+		return false
+	}
+	if limit >= float64(s.Slots) {
+		return true
+	}
+	s.settle(now)
+	return len(s.running) < int(math.Ceil(limit)) && s.credit >= 0
+}
+
+// expected is the longest time a run is likely to take.
+func (s *server) expected() time.Duration {
+	return time.Duration(s.mean + 2*s.dev)
+}
+
+// wait estimates how long a request that comes now waits for a slot.
+func (s *server) wait(now int64) time.Duration {
+	if s.free(now) && len(s.queue) == 0 {
+		return 0
+	}
+	return time.Duration(s.mean * float64(len(s.queue)+1) / max(s.limit(now), 0.01))
+}
+
+func (s *server) learn(took time.Duration) {
+	if s.mean == 0 {
+		s.mean, s.dev = float64(took), float64(took)/4
+		return
+	}
+	off := float64(took) - s.mean
+	s.mean += off / 16
+	s.dev += (math.Abs(off) - s.dev) / 8
+}
+
+func remove(list []*attempt, a *attempt) []*attempt {
+	for i, x := range list {
+		if x == a {
+			copy(list[i:], list[i+1:])
+			list[len(list)-1] = nil
+			return list[:len(list)-1]
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/admission/tick.go
@@ -0,0 +1,155 @@
+package admission
+
+import (
+	"time"
+
+	"balsamfork/internal/config"
+	"balsamfork/internal/fleet"
+	"balsamfork/internal/flow"
+	"balsamfork/internal/request"
+)
+
+// TickEvery is how often Tick is to be called.
+const TickEvery = 10 * time.Millisecond
+
+// Tick does what is due: it asks for grants, gives them up, ends what has run out
+// of time, and starts what may start.
+func (s *System) Tick(now int64) {
+	asks := make(map[fleet.ID][]config.Number)
+	for _, sv := range s.order {
+		s.overdue(now, sv)
+		s.keep(now, sv, asks)
+		if !sv.runs(now) {
+			s.refuseQueue(now, sv)
+		}
+		s.pump(now, sv)
+	}
+	s.ask(now, asks)
+	s.forget(now)
+}
+
+// overdue ends runs whose time is up, and takes those that last unusually long as
+// evidence before they end.
+func (s *System) overdue(now int64, sv *server) {
+	slow, known := sv.guard.SlowAfter()
+	for i := 0; i < len(sv.running); {
+		at := sv.running[i]
+		if known && !at.slow && now-at.started > int64(slow) {
+			at.slow = true
+			s.report(now, sv, flow.Slow, 0)
+		}
+		if now >= at.until && !at.replied {
+			s.timeout(now, sv, at)
+		}
+		if now < at.until+int64(s.timing.Margin) {
+			i++
+			continue
+		}
+		s.end(now, sv, at)
+	}
+}
+
+func (s *System) timeout(now int64, sv *server, at *attempt) {
+	if !at.cancelled {
+		at.cancelled = true
+		s.emit(Effect{Kind: CancelRun, Attempt: at.Attempt})
+		s.report(now, sv, flow.Failed, 0)
+	}
+	s.finish(now, sv, at, request.Unsure(request.TooLate))
+}
+
+// keep renews or gives up the right to admit to one backend server.
+func (s *System) keep(now int64, sv *server, asks map[fleet.ID][]config.Number) {
+	sv.first = sv.chosen && !s.leaving && sv.State != config.Gone
+	if !sv.first && len(sv.running)+len(sv.queue) == 0 {
+		s.giveUp(now, sv)
+		return
+	}
+	if now-sv.asked < int64(s.timing.Renew) && sv.asked != 0 {
+		return
+	}
+	if sv.asked == 0 {
+		sv.since = now
+	}
+	sv.asked = now
+	sv.group = s.members.Group(sv.name, sv.DataCentre, sv.Region, now)
+	for _, to := range sv.group.IDs() {
+		asks[to] = append(asks[to], sv.Number)
+	}
+}
+
+func (s *System) giveUp(now int64, sv *server) {
+	sv.asked = 0
+	for i := range sv.votes {
+		if v := sv.votes[i]; v.id != "" {
+			s.release(now, v.id, sv.Number)
+		}
+		sv.votes[i] = vote{}
+	}
+	if sv.State == config.Gone {
+		delete(s.servers, sv.Number)
+	}
+}
+
+func (s *System) release(now int64, to fleet.ID, n config.Number) {
+	if to == s.self.ID {
+		s.grants.Release(s.self, n, now)
+		return
+	}
+	s.emit(Effect{Kind: ReleaseGrant, To: to, Servers: []config.Number{n}, SentAt: now})
+}
+
+func (s *System) refuseQueue(now int64, sv *server) {
+	for len(sv.queue) > 0 {
+		at := sv.queue[0]
+		sv.queue = remove(sv.queue, at)
+		s.count(sv, -1)
+		s.finish(now, sv, at, request.Refuse(request.NoServer))
+	}
+}
+
+func (s *System) ask(now int64, asks map[fleet.ID][]config.Number) {
+	if own := asks[s.self.ID]; own != nil {
+		s.Granted(now, s.self.ID, now, s.Ask(now, s.self, own, now))
+		delete(asks, s.self.ID)
+	}
+	for _, id := range sortedIDs(asks) {
+		s.emit(Effect{Kind: AskGrant, To: id, Servers: asks[id], SentAt: now})
+	}
+}
+
+func (s *System) forget(now int64) {
+	n := 0
+	for n < len(s.ended) && s.ended[n].at <= now {
+		id := s.ended[n].id
+		if at := s.attempts[id]; at != nil && at.state == over {
+			delete(s.attempts, id)
+		}
+		n++
+	}
+	s.ended = s.ended[n:]
+}
+
+// Running returns how many requests run, for a graceful shutdown.
+func (s *System) Running() int {
+	n := 0
+	for _, sv := range s.order {
+		n += len(sv.running)
+	}
+	return n
+}
+
+// Held returns how many backend servers the instance may admit to now, and how
+// many it should.
+func (s *System) Held(now int64) (held, wanted int) {
+	for _, sv := range s.order {
+		if !sv.first {
+			continue
+		}
+		wanted++
+		if sv.held(now) {
+			held++
+		}
+	}
+	return held, wanted
+}
--- /dev/null
+++ b/internal/admission/types.go
@@ -0,0 +1,127 @@
+// Package admission counts the slots of backend servers. Each backend server has
+// one admitting instance; all requests for it pass there. The right to admit is a
+// lease (Gray and Cheriton, 1989) that more than half of a small group of
+// instances have granted, so that two instances never hold it at once; a new
+// holder gets it only after every request of its predecessor must have ended. The
+// package does no I/O: inputs are values, and what is to be done comes back as
+// effects.
+package admission
+
+import (
+	"time"
+
+	"balsamfork/internal/config"
+	"balsamfork/internal/fleet"
+	"balsamfork/internal/flow"
+	"balsamfork/internal/quorum"
+	"balsamfork/internal/request"
+)
+
+// Timing is the same in all instances.
+type Timing struct {
+	// Settle is quorum.Timing.Settle.
+	Settle time.Duration
+	// Hold is how long a grant lasts; Renew is how often it is asked for again.
+	Hold, Renew time.Duration
+	// MaxRun is the longest time a backend server runs one request.
+	MaxRun time.Duration
+	// Margin bounds the clock difference between an instance and a backend server,
+	// and the time a backend server takes to end a request at its deadline.
+	Margin time.Duration
+}
+
+// Limits of the queues of an instance.
+const (
+	// QueuePerSlot is how many requests may wait for one slot.
+	QueuePerSlot = 4
+	// MaxWaiting is how many requests may wait in all. Once half of them wait, a
+	// service may have no more than its equal part.
+	MaxWaiting = 4096
+	// DrainQueue is how long a draining backend server still gets requests that
+	// wait for it already.
+	DrainQueue = 1500 * time.Millisecond
+)
+
+// Server is one backend server as the configuration and the fleet have it.
+type Server struct {
+	Number     config.Number
+	Service    string
+	DataCentre string
+	Region     string
+	Slots      int
+	Ramp       config.Ramp
+	State      config.ServerState
+	Condition  flow.Condition
+	// ColdSince is when its last cold start began, in nanoseconds; zero is never.
+	ColdSince int64
+}
+
+// AttemptID identifies one attempt to run a request.
+type AttemptID struct {
+	Owner quorum.Holder `json:"owner"`
+	Seq   uint64        `json:"seq"`
+}
+
+// Attempt asks to run a request on a backend server.
+type Attempt struct {
+	ID     AttemptID     `json:"id"`
+	Server config.Number `json:"server"`
+	// Sent and Deadline are in nanoseconds of Unix time.
+	Sent     int64            `json:"sent"`
+	Deadline int64            `json:"deadline"`
+	Request  *request.Request `json:"request"`
+}
+
+// Load is what an answer says of its backend server.
+type Load struct {
+	// Used counts running and waiting requests, Limit the slots that may be used
+	// now; it is zero while nothing may be sent.
+	Used  int     `json:"used"`
+	Limit float64 `json:"limit"`
+}
+
+// Outcome ends an attempt. Refused says that the attempt has not run and will not.
+type Outcome struct {
+	Result request.Result `json:"result"`
+	Load   Load           `json:"load"`
+}
+
+// EffectKind says what is to be done.
+type EffectKind uint8
+
+// The kinds of effects.
+const (
+	// Dispatch sends the request of Attempt to the backend server.
+	Dispatch EffectKind = iota + 1
+	// CancelRun asks the backend server to stop the attempt.
+	CancelRun
+	// Reply answers Waiter with Outcome.
+	Reply
+	// AskGrant asks To for grants of Servers; its answer goes to Granted.
+	AskGrant
+	// ReleaseGrant tells To that Servers are not held any more.
+	ReleaseGrant
+	// Report passes Evidence on.
+	Report
+)
+
+// Effect is one thing to be done.
+type Effect struct {
+	Kind     EffectKind
+	Attempt  Attempt
+	Waiter   uint64
+	Outcome  Outcome
+	To       fleet.ID
+	Servers  []config.Number
+	SentAt   int64
+	Evidence flow.Evidence
+}
+
+// Run is how a run on a backend server ended.
+type Run struct {
+	Result request.Result
+	// Shed is set if the backend server refused to run the request.
+	Shed bool
+	// Ended is set if the request does not run there any more for certain.
+	Ended bool
+}
--- /dev/null
+++ b/internal/requestpath/messages.go
@@ -0,0 +1,137 @@
+package requestpath
+
+import (
+	"encoding/json"
+
+	"balsamfork/internal/admission"
+	"balsamfork/internal/atmostonce"
+	"balsamfork/internal/config"
+	"balsamfork/internal/quorum"
+	"balsamfork/internal/request"
+)
+
+// Methods that callers use.
+const (
+	methodDo     = "request.do"
+	methodCancel = "request.cancel"
+	methodHome   = "request.home"
+)
+
+// Methods between instances.
+const (
+	peerRun     = "request.run"
+	peerDrop    = "request.drop"
+	peerClaim   = "request.claim"
+	peerAdmit   = "request.admit"
+	peerStop    = "request.stop"
+	peerHold    = "request.hold"
+	peerRelease = "request.release"
+)
+
+// The method by which a backend server is told to cancel, and the codes by which it
+// answers that it has cancelled, and that it has not run the request. The first two
+// are those of the Language Server Protocol for the same purpose.
+const (
+	ServerCancel  = "$/cancelRequest"
+	CodeCancelled = -32800
+	CodeNotRun    = -32050
+)
+
+// CancelParams are the params of "request.cancel".
+type CancelParams struct {
+	ID string `json:"id"`
+}
+
+// HomeResult is the result of "request.home": what a key made now is to carry.
+type HomeResult struct {
+	Home string `json:"home"`
+	// Now is the clock of the instance in milliseconds of Unix time.
+	Now int64 `json:"now"`
+}
+
+type copyID struct {
+	From quorum.Holder `json:"from"`
+	Seq  uint64        `json:"seq"`
+}
+
+type runParams struct {
+	Copy    copyID           `json:"copy"`
+	Request *request.Request `json:"request"`
+	// Join asks only for the result of a request that has been started.
+	Join bool `json:"join,omitempty"`
+}
+
+type dropParams struct {
+	Copy   copyID `json:"copy"`
+	Cancel bool   `json:"cancel"`
+}
+
+type claimParams struct {
+	High     uint64              `json:"high"`
+	Low      uint64              `json:"low"`
+	Created  int64               `json:"created"`
+	Claimant atmostonce.Claimant `json:"claimant"`
+}
+
+type claimResult struct {
+	Verdict atmostonce.Verdict  `json:"verdict"`
+	By      atmostonce.Claimant `json:"by"`
+}
+
+type holdParams struct {
+	Holder  quorum.Holder   `json:"holder"`
+	Servers []config.Number `json:"servers"`
+	SentAt  int64           `json:"sentAt"`
+}
+
+type holdResult struct {
+	Servers []config.Number `json:"servers"`
+}
+
+// CancelServerParams are the params of ServerCancel: the ID of the JSON-RPC request.
+type CancelServerParams struct {
+	ID string `json:"id"`
+}
+
+// ServerParams are the params of a request to a backend server. The answer must
+// carry the same Attempt: a ServerResult, or an error with ServerFault as its data.
+type ServerParams struct {
+	Attempt string `json:"attempt"`
+	Key     string `json:"key"`
+	// Deadline is in milliseconds of Unix time: the request must have ended then.
+	Deadline int64           `json:"deadline"`
+	Params   json.RawMessage `json:"params,omitempty"`
+}
+
+// ServerResult is the result of a request at a backend server.
+type ServerResult struct {
+	Attempt string          `json:"attempt"`
+	Value   json.RawMessage `json:"value"`
+}
+
+// ServerFault is the data of an error that a backend server answers with.
+type ServerFault struct {
+	Attempt string          `json:"attempt"`
+	Data    json.RawMessage `json:"data,omitempty"`
+}
+
+// decodeParams decodes the params of a peer's message. It returns
+// request.InvalidError.
+func decodeParams[T any](raw json.RawMessage) (T, error) {
+	var v T
+	if err := json.Unmarshal(raw, &v); err != nil {
+		return v, request.InvalidError.Wrap(err)
+	}
+	return v, nil
+}
+
+func decodeAttempt(raw json.RawMessage) (admission.Attempt, error) {
+	a, err := decodeParams[admission.Attempt](raw)
+	if err != nil {
+		return a, err
+	}
+	if a.Request == nil {
+		return a, request.InvalidError.New("request: missing")
+	}
+	return a, a.Request.Validate()
+}
--- /dev/null
+++ b/internal/requestpath/options.go
@@ -0,0 +1,77 @@
+// Package requestpath is the adapter of the request path: JSON-RPC 2.0 over TCP
+// towards callers and backend servers, and the control link between instances.
+// The decisions are in packages keyowner and admission; this package carries out
+// what they say.
+package requestpath
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"balsamfork/internal/admission"
+	"balsamfork/internal/fleet"
+	"balsamfork/internal/flow"
+	"balsamfork/internal/quorum"
+)
+
+// Options are the settings of the request path.
+type Options struct {
+	Self        fleet.ID
+	Incarnation uint64
+	DataCentre  string
+	Region      string
+	// Listen is where callers connect.
+	Listen netip.AddrPort
+	// Timing and Membership must be the same in all instances. Zero fields take
+	// their value from Defaults.
+	Timing     admission.Timing
+	Membership quorum.Timing
+	// Dial connects to a backend server; if nil, over TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Evidence, if set, is called with what answers show of backend servers. It
+	// must not block.
+	Evidence func(flow.Evidence)
+}
+
+// Defaults returns the usual timing.
+func Defaults() (admission.Timing, quorum.Timing) {
+	t := admission.Timing{
+		Settle: 2 * time.Second,
+		Hold:   2 * time.Second,
+		Renew:  700 * time.Millisecond,
+		MaxRun: 5 * time.Second,
+		Margin: 250 * time.Millisecond,
+	}
+	return t, quorum.Timing{
+		Settle:      t.Settle,
+		DeadMemory:  10 * time.Minute,
+		LeaveMemory: t.Settle + t.Hold + t.MaxRun + 2*t.Margin,
+	}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialFor}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+func (o *Options) fill() {
+	t, q := Defaults()
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
+	or := func(d *time.Duration, usual time.Duration) {
+		if *d == 0 {
+			*d = usual
+		}
+	}
+	or(&o.Timing.Settle, t.Settle)
+	or(&o.Timing.Hold, t.Hold)
+	or(&o.Timing.Renew, min(t.Renew, o.Timing.Hold/3))
+	or(&o.Timing.MaxRun, t.MaxRun)
+	or(&o.Timing.Margin, t.Margin)
+	or(&o.Membership.Settle, o.Timing.Settle)
+	or(&o.Membership.DeadMemory, q.DeadMemory)
+	or(&o.Membership.LeaveMemory, o.Timing.Settle+o.Timing.Hold+o.Timing.MaxRun+2*o.Timing.Margin)
+}
--- /dev/null
+++ b/internal/requestpath/path.go
@@ -0,0 +1,208 @@
+package requestpath
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/zeebo/errs"
+
+	"balsamfork/internal/admission"
+	"balsamfork/internal/atmostonce"
+	"balsamfork/internal/config"
+	"balsamfork/internal/fleet"
+	"balsamfork/internal/flow"
+	"balsamfork/internal/keyowner"
+	"balsamfork/internal/peer"
+	"balsamfork/internal/quorum"
+	"balsamfork/internal/request"
+)
+
+// ListenError is the class of errors for an address that cannot be listened on.
+var ListenError = errs.Class("requestpath: listen")
+
+// Path is the request path of one instance.
+type Path struct {
+	opts  Options
+	self  quorum.Holder
+	peers peer.Caller
+	log   *slog.Logger
+	m     metrics
+
+	ctx  context.Context
+	stop context.CancelFunc
+	work sync.WaitGroup
+
+	listener net.Listener
+	servers  *pools
+	drops    *drops
+
+	// mu guards all that follows.
+	mu       sync.Mutex
+	members  *quorum.Electorate
+	claims   *atmostonce.Claims
+	owner    *keyowner.System
+	admitter *admission.System
+	cfg      *config.Config
+	view     *fleet.View
+	notices  map[config.Number]flow.Announcement
+	cold     map[config.Number]joined
+	seq      uint64
+	results  map[uint64]chan request.Result
+	outcomes map[uint64]chan admission.Outcome
+	calls    map[uint64]call
+	stopping bool
+	closed   bool
+	callers  int
+}
+
+// call is a message to another instance whose answer is awaited.
+type call struct {
+	to     fleet.ID
+	cancel context.CancelFunc
+}
+
+// New returns a request path. It registers its methods with reg; call Start once
+// the configuration and the view are set.
+func New(o Options, peers peer.Caller, reg peer.Registry, log *slog.Logger, scope tally.Scope) *Path {
+	o.fill()
+	now := time.Now().UnixNano()
+	p := &Path{
+		opts:     o,
+		self:     quorum.Holder{ID: o.Self, Incarnation: o.Incarnation},
+		peers:    peers,
+		log:      log.With("part", "requests"),
+		m:        newMetrics(scope),
+		members:  quorum.New(o.Membership),
+		notices:  make(map[config.Number]flow.Announcement),
+		cold:     make(map[config.Number]joined),
+		results:  make(map[uint64]chan request.Result),
+		outcomes: make(map[uint64]chan admission.Outcome),
+		calls:    make(map[uint64]call),
+	}
+	p.ctx, p.stop = context.WithCancel(context.Background())
+	p.servers = newPools(p.ctx, o.Dial, p.log, p.m)
+	p.drops = newDrops()
+	p.claims = atmostonce.NewClaims(now, o.Timing.Settle, atmostonce.MaxClaims)
+	p.admitter = admission.New(now, p.self, o.Timing, p.members)
+	p.owner = keyowner.New(keyowner.Options{
+		Self:    p.self,
+		Members: p.members,
+		Claims:  p.claims,
+		Table:   atmostonce.NewTable(atmostonce.MaxEntries, atmostonce.MaxAnswerBytes),
+		Rand:    rand.New(rand.NewPCG(o.Incarnation, quorum.Name(string(o.Self)))),
+		MaxRun:  o.Timing.MaxRun,
+	})
+	p.register(reg)
+	return p
+}
+
+// Start listens for callers and starts the timers. It returns ListenError.
+func (p *Path) Start() error {
+	l, err := net.Listen("tcp", p.opts.Listen.String())
+	if err != nil {
+		return ListenError.Wrap(err)
+	}
+	p.StartOn(l)
+	return nil
+}
+
+// StartOn is Start with a listener that is there already.
+func (p *Path) StartOn(l net.Listener) {
+	p.listener = l
+	p.work.Go(p.accept)
+	p.work.Go(p.tick)
+	p.log.Info("Requests are taken", "address", l.Addr().String())
+}
+
+// Addr returns where callers connect, once started.
+func (p *Path) Addr() net.Addr { return p.listener.Addr() }
+
+// Ready reports whether every backend server that this instance admits to has
+// granted slots, and there is at least a configuration and a view.
+func (p *Path) Ready() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held, wanted := p.admitter.Held(time.Now().UnixNano())
+	return p.cfg != nil && p.view != nil && held == wanted
+}
+
+// Drain stops taking requests within stopAfter, and returns once those in progress
+// have ended. It returns the error of the context if that ends first.
+func (p *Path) Drain(ctx context.Context) error {
+	p.listener.Close()
+	p.mu.Lock()
+	now := time.Now().UnixNano()
+	p.claims.SetLeaving(now)
+	p.admitter.SetLeaving(now)
+	p.flush()
+	p.mu.Unlock()
+	stopping := time.AfterFunc(stopAfter, p.refuseNew)
+	defer stopping.Stop()
+	for {
+		if p.idle() {
+			p.refuseNew()
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(drainPoll):
+		}
+	}
+}
+
+// Times of a graceful shutdown.
+const (
+	stopAfter = 2 * time.Second
+	drainPoll = 20 * time.Millisecond
+)
+
+func (p *Path) refuseNew() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopping = true
+	p.owner.SetStopping()
+}
+
+func (p *Path) idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.callers == 0 && p.owner.Pending() == 0 && p.admitter.Running() == 0
+}
+
+// Close ends everything at once.
+func (p *Path) Close() error {
+	if p.listener != nil {
+		p.listener.Close()
+	}
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.stop()
+	p.work.Wait()
+	p.servers.close()
+	return nil
+}
+
+func (p *Path) tick() {
+	t := time.NewTicker(admission.TickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-t.C:
+		}
+		p.mu.Lock()
+		now := time.Now().UnixNano()
+		p.admitter.Tick(now)
+		p.owner.Tick(now)
+		p.flush()
+		p.mu.Unlock()
+	}
+}
