Guard the handlers of the test's mesh

Cause: go test -race reported the map of handlers, written while an instance that was there already called. Change: a lock in the test's link; no product code. Conclusion: none.

--- a/internal/requestpath/path_test.go
+++ b/internal/requestpath/path_test.go
@@ -38,6 +38,8 @@
 }
 
 func (l link) Handle(method string, h peer.Handler) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.handlers[l.self] == nil {
 		l.handlers[l.self] = make(map[string]peer.Handler)
 	}
