Declare, accept and store the configuration

Cause: instances need an accepted configuration that survives lost answers, racing operators and paused writers. Conclusion: the command-line tool and the daemon can build on these types.

--- /dev/null
+++ b/internal/audit/trail.go
@@ -0,0 +1,147 @@
+package audit
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"balsamfork/internal/store"
+)
+
+// The bounds of the trail: MaxEntries of the newest entries are kept, some
+// fewer just after a page was begun anew.
+const (
+	entriesPerPage = 64
+	pages          = 64
+	// MaxEntries is how many entries the trail holds at most.
+	MaxEntries = entriesPerPage * pages
+
+	appendAttempts = 8
+)
+
+// Trail reads and appends the entries in a store.
+type Trail struct {
+	store  store.Store
+	prefix string
+}
+
+// NewTrail returns the trail whose keys begin with prefix.
+func NewTrail(s store.Store, prefix string) *Trail {
+	return &Trail{store: s, prefix: prefix}
+}
+
+// page is the stored form of entriesPerPage entries, from Number*entriesPerPage+1 on.
+type page struct {
+	Number  uint64  `json:"number"`
+	Entries []Entry `json:"entries"`
+}
+
+func pageOf(sequence uint64) uint64 { return (sequence - 1) / entriesPerPage }
+
+func (t *Trail) key(number uint64) string {
+	return fmt.Sprintf("%s/%d", t.prefix, number%pages)
+}
+
+func (t *Trail) read(ctx context.Context, number uint64) (page, store.Revision, error) {
+	value, err := t.store.Get(ctx, t.key(number))
+	if store.NotFound.Has(err) {
+		return page{Number: number}, 0, nil
+	}
+	if err != nil {
+		return page{}, 0, err
+	}
+	var p page
+	if err := json.Unmarshal(value.Data, &p); err != nil {
+		return page{}, 0, Tampered.New("page %d: %w", number, err)
+	}
+	return p, value.Revision, nil
+}
+
+// Append writes a sealed entry. Appending one that is there already does
+// nothing. It returns Tampered if the trail has another entry in its place, and
+// else the errors of the store.
+func (t *Trail) Append(ctx context.Context, e Entry) error {
+	if e.Sequence == 0 {
+		return nil
+	}
+	var err error
+	for range appendAttempts {
+		var done bool
+		if done, err = t.tryAppend(ctx, e); done {
+			return err
+		}
+	}
+	return err
+}
+
+// tryAppend makes one attempt and reports whether its outcome is final.
+func (t *Trail) tryAppend(ctx context.Context, e Entry) (bool, error) {
+	number := pageOf(e.Sequence)
+	p, revision, err := t.read(ctx, number)
+	if err != nil {
+		return true, err
+	}
+	if p.Number > number {
+		return true, nil
+	}
+	if p.Number < number {
+		p = page{Number: number}
+	}
+	for _, have := range p.Entries {
+		if have.Sequence != e.Sequence {
+			continue
+		}
+		if have.Hash != e.Hash {
+			return true, Tampered.New("entry %d is another one in the trail", e.Sequence)
+		}
+		return true, nil
+	}
+	p.Entries = append(p.Entries, e)
+	slices.SortFunc(p.Entries, bySequence)
+	data, err := json.Marshal(p)
+	if err != nil {
+		return true, Tampered.Wrap(err)
+	}
+	_, err = t.store.CompareAndSwap(ctx, t.key(number), revision, data)
+	again := store.Conflict.Has(err) || store.Unknown.Has(err)
+	return !again, err
+}
+
+func bySequence(a, b Entry) int {
+	switch {
+	case a.Sequence < b.Sequence:
+		return -1
+	case a.Sequence > b.Sequence:
+		return 1
+	}
+	return 0
+}
+
+// Read returns the entries that are kept up to last, the newest limit of them,
+// oldest first. Limit zero means all. They are returned as they are: Verify
+// tells whether they can be believed.
+func (t *Trail) Read(ctx context.Context, last uint64, limit int) ([]Entry, error) {
+	if limit <= 0 {
+		limit = MaxEntries
+	}
+	var entries []Entry
+	if last == 0 {
+		return nil, nil
+	}
+	for back := range uint64(pages) {
+		if back > pageOf(last) || len(entries) >= limit {
+			break
+		}
+		number := pageOf(last) - back
+		p, _, err := t.read(ctx, number)
+		if err != nil {
+			return nil, err
+		}
+		if p.Number != number {
+			break
+		}
+		entries = append(slices.Clone(p.Entries), entries...)
+	}
+	return entries[max(0, len(entries)-limit):], nil
+}
--- /dev/null
+++ b/internal/config/accept_test.go
@@ -0,0 +1,219 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func numbers(s Set) []Number {
+	var out []Number
+	for _, m := range s {
+		out = append(out, m.Number)
+	}
+	return out
+}
+
+// TestAccept walks the rules one after the other on one service.
+func TestAccept(t *testing.T) {
+	is := is.New(t)
+	doc := deployment(3)
+	one := must(t, nil, doc, false)
+	is.Equal(one.Version, Version(1))
+	is.Equal(numbers(one.Services[0].Settled), []Number{1, 2, 3})
+	is.Equal(one.Services[0].Current, one.Services[0].Settled)
+	same, diff, err := Accept(one, doc, change("again", 1))
+	is.NoErr(err)
+	is.True(same == one && diff.Empty())
+
+	drained, err := doc.WithServerState("service-0", "s0-1", Draining)
+	is.NoErr(err)
+	two := must(t, one, drained, false)
+	is.Equal(numbers(two.Services[0].Current), []Number{1, 3})
+	is.Equal(two.Services[0].Settled, one.Services[0].Settled)
+	is.Equal(len(two.Services[0].Past), 0) // the earlier target is the base itself
+
+	three := must(t, two, doc, false) // undrained in the middle of the drain
+	is.Equal(three.Services[0].Current, one.Services[0].Settled)
+	is.Equal(three.Services[0].Past, []Set{two.Services[0].Current})
+	is.Equal(three.Services[0].Servers[1].Joined, Version(3))
+
+	replaced := drained.Clone()
+	replaced.Services[0].BackendServers[1] = machine(9, 9, "b")
+	replaced.Services[0].BackendServers[1].Name = "s0-1"
+	four := must(t, three, replaced, false)
+	is.Equal(numbers(four.Services[0].Current), []Number{1, 3, 4})
+	c, err := four.Config()
+	is.NoErr(err)
+	is.Equal(c.Services[0].Servers[1].State, Gone) // the base names it still
+	is.Equal(c.Services[0].Servers[3].Joined, Version(4))
+
+	five, err := Rebase(four, "service-0", "rebase")
+	is.NoErr(err)
+	is.Equal(five.Services[0].Settled, four.Services[0].Current)
+	is.Equal(five.Services[0].Past, []Set{one.Services[0].Settled, two.Services[0].Current})
+	six, err := Clear(five, "service-0", "clear")
+	is.NoErr(err)
+	is.Equal(len(six.Services[0].Past), 0)
+	is.Equal(len(six.Services[0].Servers), 3) // nothing names the replaced one any more
+	is.Equal(six.Declared, Version(4))
+	_, _, err = Accept(six, doc, change("late", 4)) // what settled since is no conflict
+	is.NoErr(err)
+	_, _, err = Accept(six, doc, change("blind", 3))
+	is.True(Conflict.Has(err))
+}
+
+func TestForce(t *testing.T) {
+	is := is.New(t)
+	doc := deployment(3, 3)
+	one := must(t, nil, doc, false)
+	empty := doc.Clone()
+	empty.Services[1].BackendServers = nil
+	out := doc.Clone()
+	for i := range out.DataCentres {
+		out.DataCentres[i].Out = true
+	}
+	for _, d := range []Document{empty, out} {
+		_, diff, err := Accept(one, d, change("x", 1))
+		is.True(NeedsForce.Has(err))
+		is.True(len(diff.Cuts()) > 0)
+		two := must(t, one, d, true)
+		must(t, two, d, false) // it is so already
+		must(t, two, doc, false)
+	}
+}
+
+// TestAcceptProperties applies random edits, settling in between, and checks
+// what must hold of every accepted version.
+func TestAcceptProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := must(t, nil, deployment(4, 3), false)
+		owners := map[Number]string{}
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			before := state
+			name := state.Services[0].Name
+			var err error
+			switch rapid.IntRange(0, 9).Draw(t, "act") {
+			case 0:
+				state, err = Rebase(state, name, fmt.Sprint("rebase", step))
+			case 1:
+				state, err = Clear(state, name, fmt.Sprint("clear", step))
+			default:
+				doc := drawEdit(t, state.Document(), step)
+				if len(doc.Validate()) > 0 {
+					continue
+				}
+				state = must(t, state, doc, true)
+				if got, want := declared(state.Document()), declared(doc); !maps.Equal(got, want) {
+					t.Fatalf("declared %v, stored %v", want, got)
+				}
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			checkStep(t, before, state, owners)
+		}
+	})
+}
+
+func declared(doc Document) map[string]ServerSpec {
+	all := map[string]ServerSpec{}
+	for _, s := range doc.Services {
+		for _, server := range s.BackendServers {
+			all[s.Name+"/"+server.Name] = server
+		}
+	}
+	return all
+}
+
+func checkStep(t *rapid.T, before, state *State, owners map[Number]string) {
+	if state == before {
+		return
+	}
+	if err := state.Check(); err != nil {
+		t.Fatal(err)
+	}
+	if state.Version != before.Version+1 || string(state.HashKey) != string(before.HashKey) {
+		t.Fatalf("version %d follows %d", state.Version, before.Version)
+	}
+	data, err := json.Marshal(state)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var again State
+	if err := json.Unmarshal(data, &again); err != nil {
+		t.Fatal(err)
+	}
+	if data2, _ := json.Marshal(again); string(data) != string(data2) {
+		t.Fatal("the stored form changes when it is read and written")
+	}
+	c, _ := state.Config()
+	for _, s := range c.Services {
+		old := before.find(s.Name)
+		if len(s.Past) > MaxPast {
+			t.Fatalf("%d past sets", len(s.Past))
+		}
+		if old != nil && !old.Current.Equal(s.Current) && !remembers(s, old.Current) {
+			t.Fatalf("target %v is forgotten: %+v", old.Current, s)
+		}
+		for _, server := range s.Servers {
+			key := fmt.Sprint(s.Name, server.Name, server.Packets)
+			if first, used := owners[server.Number]; used && first != key {
+				t.Fatalf("number %d is %s and was %s", server.Number, key, first)
+			}
+			owners[server.Number] = key
+			if s.Current.Names(server.Number) != (server.State == Active) {
+				t.Fatalf("server %+v in current %v", server, s.Current)
+			}
+		}
+	}
+}
+
+// remembers reports whether the sets of a service still tell that a bucket may
+// have had its target in the given set.
+func remembers(s Service, target Set) bool {
+	return s.Settled.Equal(target) || slices.ContainsFunc(s.Past, func(p Set) bool {
+		return p.Equal(target) || len(p) == 0
+	})
+}
+
+// TestBoundPast drains each of many backend servers in turn without settling.
+func TestBoundPast(t *testing.T) {
+	is := is.New(t)
+	doc := deployment(3 * MaxPast)
+	state := must(t, nil, doc, false)
+	for i := range 3 * MaxPast {
+		drained, err := doc.WithServerState("service-0", doc.Services[0].BackendServers[i].Name, Draining)
+		is.NoErr(err)
+		before := state.Services[0].Current
+		state = must(t, state, drained, false)
+		is.True(len(state.Services[0].Past) <= MaxPast)
+		c, _ := state.Config()
+		is.True(remembers(c.Services[0], before))
+	}
+}
+
+func TestPlan(t *testing.T) {
+	is := is.New(t)
+	doc := deployment(14, 4)
+	one := must(t, nil, doc, false)
+	next, err := doc.WithServerState("service-0", "s0-1", Draining)
+	is.NoErr(err)
+	next, err = next.WithOut("c", true)
+	is.NoErr(err)
+	share := func(sets ...Set) float64 { return float64(len(sets)) / 10 }
+	diff, err := Plan(one, next, change("x", 1), share)
+	is.NoErr(err)
+	is.Equal(diff.DataCentres, []Step{{Action: TakeOut, Name: "c"}})
+	is.Equal(diff.Summary(1000), "take out data centre c, drain service-0/s0-1, take out service-0/s0-2, "+
+		"take out service-0/s0-5, take out service-0/s0-8, take out service-0/s0-11, take out service-1/s1-2")
+	is.Equal(len(diff.Cuts()), 5)
+	is.Equal(diff.Services[0].BucketsUnsettled, 0.2)
+	is.True(math.Abs(diff.Services[0].WeightMoved-5.0/14) < 1e-9)
+}
--- /dev/null
+++ b/internal/config/document.go
@@ -0,0 +1,147 @@
+package config
+
+import (
+	"encoding/json"
+	"net/netip"
+	"slices"
+
+	"balsamfork/internal/strictjson"
+)
+
+// DocumentFormat is the format number of the documents that this release
+// reads and prints.
+const DocumentFormat = 1
+
+// Document is what an operator declares, as JSON.
+type Document struct {
+	// Format is DocumentFormat.
+	Format      int               `json:"format"`
+	DataCentres []DataCentreSpec  `json:"dataCentres"`
+	Services    []ServiceDocument `json:"services"`
+}
+
+// DataCentreSpec declares a data centre.
+type DataCentreSpec struct {
+	Name   string `json:"name"`
+	Region string `json:"region,omitempty"`
+	// Out takes the data centre out of service.
+	Out bool `json:"out,omitempty"`
+}
+
+// ServiceDocument declares a service and the backend servers behind it.
+type ServiceDocument struct {
+	ServiceSpec
+	BackendServers []ServerSpec `json:"backendServers"`
+}
+
+// ServiceSpec declares a service without its backend servers.
+type ServiceSpec struct {
+	Name     string         `json:"name"`
+	Address  netip.AddrPort `json:"address"`
+	Protocol Protocol       `json:"protocol"`
+	// IdleLimit is the longest silence after which a flow must still reach its
+	// backend server through a planned change. Zero means without limit.
+	IdleLimit Duration `json:"idleLimit,omitzero"`
+	// Slots is how many requests a backend server runs at once.
+	Slots int      `json:"slots"`
+	Ramp  RampSpec `json:"ramp,omitzero"`
+}
+
+// RampSpec declares how a backend server that has just started is loaded: its
+// share grows from Start, over 0 and up to 1, to 1 over Duration.
+type RampSpec struct {
+	Start    float64  `json:"start"`
+	Duration Duration `json:"duration"`
+}
+
+// ServerSpec declares a backend server.
+type ServerSpec struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"dataCentre"`
+	// Packets takes flows as GRE in UDP, Requests takes JSON-RPC over TCP, Health
+	// is the URL that probes ask. The last two may be absent.
+	Packets  netip.AddrPort `json:"packets"`
+	Requests netip.AddrPort `json:"requests,omitzero"`
+	Health   string         `json:"health,omitempty"`
+	// Weight is relative to those of the service's other backend servers.
+	Weight uint32 `json:"weight"`
+	// State is Active or Draining; absent means Active.
+	State ServerState `json:"state,omitzero"`
+}
+
+// ParseDocument reads a declared document. The error is of type
+// strictjson.Problems and holds all problems, of decoding and of validation.
+func ParseDocument(data []byte) (Document, error) {
+	var doc Document
+	var problems strictjson.Problems
+	if err := strictjson.Decode(data, &doc); err != nil {
+		problems = err.(strictjson.Problems)
+	}
+	doc.normalise()
+	problems.AddNew(doc.Validate())
+	return doc, problems.Err()
+}
+
+// Marshal returns the document as indented JSON with a final newline.
+func (d Document) Marshal() ([]byte, error) {
+	data, err := json.MarshalIndent(d, "", "  ")
+	if err != nil {
+		return nil, Invalid.Wrap(err)
+	}
+	return append(data, '\n'), nil
+}
+
+// Clone returns a copy that shares nothing with the document.
+func (d Document) Clone() Document {
+	d.DataCentres = slices.Clone(d.DataCentres)
+	d.Services = slices.Clone(d.Services)
+	for i := range d.Services {
+		d.Services[i].BackendServers = slices.Clone(d.Services[i].BackendServers)
+	}
+	return d
+}
+
+// WithServerState returns a copy in which one backend server is Active or
+// Draining. It returns Invalid if there is no such backend server.
+func (d Document) WithServerState(service, server string, state ServerState) (Document, error) {
+	out := d.Clone()
+	for i := range out.Services {
+		s := &out.Services[i]
+		if s.Name != service {
+			continue
+		}
+		for j := range s.BackendServers {
+			if s.BackendServers[j].Name == server {
+				s.BackendServers[j].State = state
+				return out, nil
+			}
+		}
+		return d, Invalid.New("service %q has no backend server %q", service, server)
+	}
+	return d, Invalid.New("no service %q", service)
+}
+
+// WithOut returns a copy in which one data centre is out or back in. It returns
+// Invalid if there is no such data centre.
+func (d Document) WithOut(dataCentre string, isOut bool) (Document, error) {
+	out := d.Clone()
+	for i := range out.DataCentres {
+		if out.DataCentres[i].Name == dataCentre {
+			out.DataCentres[i].Out = isOut
+			return out, nil
+		}
+	}
+	return d, Invalid.New("no data centre %q", dataCentre)
+}
+
+// normalise writes out what an absent field means.
+func (d *Document) normalise() {
+	for i := range d.Services {
+		servers := d.Services[i].BackendServers
+		for j := range servers {
+			if servers[j].State == 0 {
+				servers[j].State = Active
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/document_test.go
@@ -0,0 +1,102 @@
+package config
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"balsamfork/internal/strictjson"
+)
+
+// TestParseDocumentReportsAll breaks one document in many ways at once and
+// wants each fault named, and nothing else.
+func TestParseDocumentReportsAll(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile("testdata/broken.json")
+	is.NoErr(err)
+	_, err = ParseDocument(data)
+	problems, ok := err.(strictjson.Problems)
+	is.True(ok)
+	var paths []string
+	for _, p := range problems {
+		paths = append(paths, p.Path)
+	}
+	want := []string{
+		"dataCentres[1].colour", "services[0].slots", "services[0].slots", "services[0].backendServers[0].state",
+		"services[0].backendServers[1].packets", "services[0].backendServers[2].weight",
+		"format", "dataCentres[1].name", "services[0].idleLimit", "services[0].ramp.start",
+		"services[0].backendServers[0].health", "services[0].backendServers[2].name",
+		"services[0].backendServers[2].dataCentre", "services[0].backendServers[2].packets",
+		"services[1].address", "services[1].backendServers[0].packets", "services[1].backendServers[0].weight",
+	}
+	is.Equal(strings.Join(paths, "\n"), strings.Join(want, "\n"))
+}
+
+func TestDocumentRoundTrip(t *testing.T) {
+	is := is.New(t)
+	doc := deployment(14, 4)
+	data, err := doc.Marshal()
+	is.NoErr(err)
+	again, err := ParseDocument(data)
+	is.NoErr(err)
+	is.Equal(doc, again)
+	is.Equal(doc, must(t, nil, doc, false).Document())
+}
+
+func FuzzParseDocument(f *testing.F) {
+	data, _ := deployment(2, 1).Marshal()
+	f.Add(data)
+	broken, _ := os.ReadFile("testdata/broken.json")
+	f.Add(broken)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		doc, err := ParseDocument(data)
+		if err != nil {
+			return
+		}
+		out, err := doc.Marshal()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ParseDocument(out); err != nil {
+			t.Fatalf("accepted, printed and refused: %v", err)
+		}
+		c := change("x", 0)
+		c.Force = true
+		state, _, err := Accept(nil, doc, c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := state.Config(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// FuzzState feeds the decoder of the stored form. What passes Check must be
+// written again as it was read.
+func FuzzState(f *testing.F) {
+	state := must(f, nil, deployment(3, 2), false)
+	data, _ := json.Marshal(state)
+	f.Add(data)
+	f.Add([]byte(strings.Replace(string(data), `"format":1`, `"format":2,"new":{"a":[1]}`, 1)))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var s State
+		if json.Unmarshal(data, &s) != nil || s.Check() != nil {
+			return
+		}
+		if _, err := s.Config(); err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range s.Services {
+			if _, err := Rebase(&s, r.Name, "x"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, err := json.Marshal(s); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/config/extra.go
@@ -0,0 +1,73 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// extra holds the fields of a stored object that this release does not know.
+// They are kept and written back, so that an older instance that settles a
+// service loses nothing of what a newer release stored.
+type extra map[string]json.RawMessage
+
+// unmarshalKeeping decodes an object into known, a pointer to a struct, and
+// returns the fields that the struct does not have.
+func unmarshalKeeping(data []byte, known any) (extra, error) {
+	if err := json.Unmarshal(data, known); err != nil {
+		return nil, err
+	}
+	var all extra
+	if err := json.Unmarshal(data, &all); err != nil {
+		return nil, err
+	}
+	names := jsonNames(reflect.TypeOf(known).Elem())
+	maps.DeleteFunc(all, func(name string, _ json.RawMessage) bool {
+		return slices.ContainsFunc(names, func(n string) bool { return strings.EqualFold(n, name) })
+	})
+	if len(all) == 0 {
+		return nil, nil
+	}
+	return all, nil
+}
+
+// marshalKeeping encodes a struct and adds the unknown fields, in order of name.
+func marshalKeeping(known any, more extra) ([]byte, error) {
+	data, err := json.Marshal(known)
+	if err != nil || len(more) == 0 {
+		return data, err
+	}
+	out := bytes.NewBuffer(bytes.TrimSuffix(data, []byte("}")))
+	for _, name := range slices.Sorted(maps.Keys(more)) {
+		if out.Len() > 1 {
+			out.WriteByte(',')
+		}
+		quoted, err := json.Marshal(name)
+		if err != nil {
+			return nil, err
+		}
+		out.Write(quoted)
+		out.WriteByte(':')
+		out.Write(more[name])
+	}
+	out.WriteByte('}')
+	return out.Bytes(), nil
+}
+
+func jsonNames(t reflect.Type) []string {
+	var names []string
+	for i := range t.NumField() {
+		field := t.Field(i)
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		switch {
+		case field.Anonymous && name == "":
+			names = append(names, jsonNames(field.Type)...)
+		case name != "" && name != "-":
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/config/main_test.go
@@ -0,0 +1,101 @@
+package config
+
+import (
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var dataCentreNames = []string{"a", "b", "c"}
+
+// deployment returns a document with services of the given number of backend
+// servers, spread over three data centres.
+func deployment(sizes ...int) Document {
+	doc := Document{Format: DocumentFormat}
+	for _, name := range dataCentreNames {
+		doc.DataCentres = append(doc.DataCentres, DataCentreSpec{Name: name})
+	}
+	for i, size := range sizes {
+		s := ServiceDocument{ServiceSpec: ServiceSpec{
+			Name: fmt.Sprintf("service-%d", i), Protocol: TCP, Slots: 4,
+			Address:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{203, 0, 113, byte(i + 1)}), 443),
+			IdleLimit: Duration(time.Hour),
+			Ramp:      RampSpec{Start: 0.1, Duration: Duration(time.Minute)},
+		}}
+		for j := range size {
+			s.BackendServers = append(s.BackendServers, machine(i, j, dataCentreNames[j%3]))
+		}
+		doc.Services = append(doc.Services, s)
+	}
+	return doc
+}
+
+func machine(service, index int, dataCentre string) ServerSpec {
+	addr := netip.AddrFrom4([4]byte{127, byte(service + 1), byte(index >> 8), byte(index)})
+	return ServerSpec{
+		Name: fmt.Sprintf("s%d-%d", service, index), DataCentre: dataCentre, Weight: 100, State: Active,
+		Packets: netip.AddrPortFrom(addr, 4754), Requests: netip.AddrPortFrom(addr, 8080),
+		Health: fmt.Sprintf("http://%v:8081/health", addr),
+	}
+}
+
+func change(id string, seen Version) Change {
+	return Change{ID: id, Seen: seen, Who: "operator", HashKey: [HashKeySize]byte{1}}
+}
+
+// must accepts a document as the next version.
+func must(t interface{ Fatal(...any) }, old *State, doc Document, force bool) *State {
+	c := change("first", 0)
+	if old != nil {
+		c = change(fmt.Sprintf("change-%d", old.Version), old.Version)
+	}
+	c.Force = force
+	next, _, err := Accept(old, doc, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+// drawEdit returns the document with one random edit, which may make no sense.
+func drawEdit(t *rapid.T, doc Document, step int) Document {
+	doc = doc.Clone()
+	s := &doc.Services[rapid.IntRange(0, len(doc.Services)-1).Draw(t, "service")]
+	pick := func() *ServerSpec {
+		if len(s.BackendServers) == 0 {
+			return nil
+		}
+		return &s.BackendServers[rapid.IntRange(0, len(s.BackendServers)-1).Draw(t, "server")]
+	}
+	server := pick()
+	switch kind := rapid.IntRange(0, 6).Draw(t, "kind"); {
+	case kind == 0:
+		dc := &doc.DataCentres[rapid.IntRange(0, len(doc.DataCentres)-1).Draw(t, "dc")]
+		dc.Out = !dc.Out
+	case kind == 1 || server == nil:
+		s.BackendServers = append(s.BackendServers, machine(100+step%100, step, dataCentreNames[step%3]))
+	case kind == 2:
+		server.State = Draining
+	case kind == 3:
+		server.State = Active
+	case kind == 4:
+		server.Weight = rapid.Uint32Range(1, 3).Draw(t, "weight") * 100
+	case kind == 5:
+		*server = s.BackendServers[0]
+		s.BackendServers = s.BackendServers[1:]
+	default:
+		server.Packets = netip.AddrPortFrom(server.Packets.Addr(), server.Packets.Port()+1)
+	}
+	return doc
+}
--- /dev/null
+++ b/internal/confstore/apply.go
@@ -0,0 +1,155 @@
+package confstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"balsamfork/internal/audit"
+	"balsamfork/internal/config"
+	"balsamfork/internal/store"
+)
+
+// Outcome is what became of a change that was asked for.
+type Outcome struct {
+	// Version has the change in it.
+	Version config.Version `json:"version"`
+	// Already is set when an earlier attempt of the same change had been
+	// accepted, or the change changes nothing.
+	Already bool `json:"already"`
+	// Diff is what the change does; nil if an earlier attempt was accepted.
+	Diff *config.Diff `json:"diff,omitempty"`
+}
+
+// ConflictError tells an operator of the changes that were accepted meanwhile.
+// It belongs to the class config.Conflict.
+type ConflictError struct {
+	Seen   config.Version `json:"seen"`
+	Newest config.Version `json:"newest"`
+	// Since holds the entries of the audit trail after Seen, oldest first.
+	Since []audit.Entry `json:"since"`
+	// Diff is what the operator's declaration would do to the newest version.
+	Diff *config.Diff `json:"diff"`
+
+	cause error
+}
+
+// Error says what was accepted and what the operator's change would undo.
+func (e *ConflictError) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "the declaration was made against version %d; version %d is in force", e.Seen, e.Newest)
+	for _, entry := range e.Since {
+		fmt.Fprintf(&b, "\n  version %d by %s: %s", entry.Version, entry.Who, entry.What)
+	}
+	if e.Diff != nil {
+		fmt.Fprintf(&b, "\n  applied now, this declaration would: %s", e.Diff.Summary(audit.MaxText))
+	}
+	return b.String()
+}
+
+// Unwrap returns the error of class config.Conflict.
+func (e *ConflictError) Unwrap() error { return e.cause }
+
+// Apply brings a declaration into the store as the next version. Repeating a
+// change with the same identity is safe. Errors: strictjson.Problems,
+// *ConflictError, config.NeedsForce, config.Newer, store.Unknown when the
+// outcome cannot be found out (repeat the same change), or those of the store,
+// after which nothing was changed.
+func (r *Repository) Apply(ctx context.Context, doc config.Document, change config.Change) (Outcome, error) {
+	var base Snapshot
+	for range writeAttempts {
+		var err error
+		if base, err = r.Read(ctx, base); err != nil {
+			return Outcome{}, err
+		}
+		if base.State != nil {
+			if version, accepted := base.State.AcceptedAs(change.ID); accepted {
+				return Outcome{Version: version, Already: true}, nil
+			}
+		}
+		if base.Version() < change.Seen {
+			return Outcome{}, store.Unavailable.New("the store answers with version %d, after version %d was seen",
+				base.Version(), change.Seen)
+		}
+		next, diff, err := config.Accept(base.State, doc, change)
+		if config.Conflict.Has(err) {
+			return Outcome{}, r.conflict(ctx, base, doc, change, err)
+		}
+		if err != nil {
+			return Outcome{Diff: diff}, err
+		}
+		if next == base.State {
+			return Outcome{Version: base.Version(), Already: true, Diff: diff}, nil
+		}
+		written, err := r.write(ctx, base, next, entryOf(change, diff))
+		if errors.Is(err, errLost) {
+			continue
+		}
+		return Outcome{Version: written.Version(), Diff: diff}, err
+	}
+	return Outcome{}, store.Unavailable.New("change %s lost %d races", change.ID, writeAttempts)
+}
+
+func entryOf(change config.Change, diff *config.Diff) audit.Entry {
+	what := change.What
+	if what == "" {
+		what = diff.Summary(audit.MaxText)
+	}
+	return audit.Entry{Who: change.Who, When: change.When, What: what, Commit: change.Commit}
+}
+
+func (r *Repository) conflict(ctx context.Context, base Snapshot, doc config.Document, change config.Change, cause error) error {
+	conflict := &ConflictError{Seen: change.Seen, Newest: base.Version(), cause: cause}
+	change.Seen, change.Force = base.Version(), true
+	if _, diff, err := config.Accept(base.State, doc, change); err == nil {
+		conflict.Diff = diff
+	}
+	// Without the trail the conflict is still told, with less to read.
+	entries, _ := r.Audit(ctx, 0)
+	for _, e := range entries {
+		if e.Version > conflict.Seen {
+			conflict.Since = append(conflict.Since, e)
+		}
+	}
+	return conflict
+}
+
+// Audit returns the newest limit entries of the audit trail, oldest first; zero
+// means all. audit.Tampered comes together with the entries.
+func (r *Repository) Audit(ctx context.Context, limit int) ([]audit.Entry, error) {
+	now, err := r.Read(ctx, Snapshot{})
+	if err != nil {
+		return nil, err
+	}
+	last := now.Head.Entry
+	entries, err := r.Trail().Read(ctx, last.Sequence, limit)
+	if err != nil {
+		return nil, err
+	}
+	entries = slices.DeleteFunc(entries, func(e audit.Entry) bool { return e.Sequence > last.Sequence })
+	if n := len(entries); last.Sequence != 0 && (n == 0 || entries[n-1].Sequence+1 == last.Sequence) {
+		entries = append(entries, last)
+	}
+	if err := audit.Verify(entries, last); err != nil {
+		return entries, err
+	}
+	return entries, verifyState(now)
+}
+
+// verifyState returns audit.Tampered if the configuration is not the one that
+// its audit entry was sealed over.
+func verifyState(s Snapshot) error {
+	if s.State == nil {
+		return nil
+	}
+	sum, err := stateDigest(s.State)
+	if err != nil {
+		return err
+	}
+	if sum != s.Head.Entry.Digest {
+		return audit.Tampered.New("version %d is not the configuration that its entry was written for", s.Version())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/confstore/layout.go
@@ -0,0 +1,122 @@
+package confstore
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"github.com/zeebo/errs"
+
+	"balsamfork/internal/audit"
+	"balsamfork/internal/config"
+	"balsamfork/internal/store"
+)
+
+// Error is the class of errors for a stored configuration that cannot be read.
+var Error = errs.Class("confstore")
+
+// The keys in the store.
+const (
+	headKey       = "balsamfork/config/head"
+	allocationKey = "balsamfork/config/allocations"
+	valuePrefix   = "balsamfork/config/value/"
+	auditPrefix   = "balsamfork/audit"
+)
+
+const (
+	// valueBytes is the size from which on a value takes no further service.
+	valueBytes = store.MaxValue / 2
+	// maxValues is the number of values from which on they are written together
+	// anew, which bounds what reading a whole configuration costs.
+	maxValues = 12
+)
+
+// Head is the stored form of everything but the services.
+type Head struct {
+	Header config.StateHeader `json:"header"`
+	// Services names the services in order.
+	Services []ServiceRef `json:"services"`
+	// Values holds what the services refer to.
+	Values []ValueRef `json:"values"`
+	// Entry is the audit entry of the version.
+	Entry audit.Entry `json:"entry"`
+}
+
+// ServiceRef says where the record of a service is.
+type ServiceRef struct {
+	Name    string         `json:"name"`
+	Written config.Version `json:"written"`
+	Value   uint64         `json:"value"`
+}
+
+// ValueRef names a value by its number and the SHA-256 of its bytes.
+type ValueRef struct {
+	Number uint64 `json:"number"`
+	Digest string `json:"digest"`
+}
+
+// Value is the stored form of the services that one change wrote.
+type Value struct {
+	// Base is the revision of the head that the writer started from.
+	Base     store.Revision         `json:"base"`
+	Services []config.ServiceRecord `json:"services"`
+}
+
+func valueKey(number uint64) string {
+	return fmt.Sprintf("%s%d", valuePrefix, number)
+}
+
+func digest(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// stateDigest returns the digest that an audit entry holds of a version.
+func stateDigest(s *config.State) (string, error) {
+	data, err := json.Marshal(s)
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	return digest(data), nil
+}
+
+// pack encodes records into as few values as their size allows, and returns the
+// bytes of each with the records in it.
+func pack(base store.Revision, records []config.ServiceRecord) ([][]byte, [][]config.ServiceRecord, error) {
+	groups, err := group(records)
+	if err != nil {
+		return nil, nil, err
+	}
+	var datas [][]byte
+	for _, g := range groups {
+		data, err := json.Marshal(Value{Base: base, Services: g})
+		if err != nil {
+			return nil, nil, Error.Wrap(err)
+		}
+		if len(data) > store.MaxValue {
+			return nil, nil, store.TooLarge.New("service %q takes %d bytes", g[0].Name, len(data))
+		}
+		datas = append(datas, data)
+	}
+	return datas, groups, nil
+}
+
+func group(records []config.ServiceRecord) ([][]config.ServiceRecord, error) {
+	var groups [][]config.ServiceRecord
+	size := valueBytes
+	for _, record := range records {
+		data, err := json.Marshal(record)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		if size+len(data) > valueBytes {
+			groups = append(groups, nil)
+			size = 0
+		}
+		last := len(groups) - 1
+		groups[last] = append(groups[last], record)
+		size += len(data) + 1
+	}
+	return groups, nil
+}
--- /dev/null
+++ b/internal/confstore/read.go
@@ -0,0 +1,152 @@
+package confstore
+
+import (
+	"context"
+	"encoding/json"
+
+	"balsamfork/internal/config"
+	"balsamfork/internal/store"
+)
+
+// readAttempts bounds how often a read begins again because the configuration
+// changed underneath it.
+const readAttempts = 6
+
+// Snapshot is a version as the store holds it.
+type Snapshot struct {
+	// State is nil before the first version.
+	State *config.State
+	// Head is the head, and Revision that of its key.
+	Head     Head
+	Revision store.Revision
+}
+
+// Version returns the version of the snapshot, zero before the first.
+func (s Snapshot) Version() config.Version {
+	return s.Head.Header.Version
+}
+
+// Repository reads and writes the configuration in one store. Its methods may be
+// called from several goroutines.
+type Repository struct {
+	store store.Store
+}
+
+// New returns the repository in a store.
+func New(s store.Store) *Repository {
+	return &Repository{store: s}
+}
+
+// Read returns the newest version. Records that known holds already are not
+// read again; known may be empty. Errors are those of the store, config.Newer,
+// or Error.
+func (r *Repository) Read(ctx context.Context, known Snapshot) (Snapshot, error) {
+	value, err := r.store.Get(ctx, headKey)
+	if store.NotFound.Has(err) {
+		return Snapshot{}, nil
+	}
+	if err != nil {
+		return Snapshot{}, err
+	}
+	return r.follow(ctx, known, value)
+}
+
+// Watch waits for a head after known and returns its version, as Read does.
+func (r *Repository) Watch(ctx context.Context, known Snapshot) (Snapshot, error) {
+	value, err := r.store.Watch(ctx, headKey, known.Revision)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	return r.follow(ctx, known, value)
+}
+
+// follow reads what the head in value refers to, and begins again with a newer
+// head when a value was allocated anew in the meantime.
+func (r *Repository) follow(ctx context.Context, known Snapshot, value store.Value) (Snapshot, error) {
+	var last error
+	for range readAttempts {
+		snapshot, whole, err := r.assemble(ctx, known, value)
+		if whole || err != nil {
+			return snapshot, err
+		}
+		last = Error.New("version %d is not whole", snapshot.Version())
+		if value, err = r.store.Get(ctx, headKey); err != nil {
+			return Snapshot{}, err
+		}
+	}
+	return Snapshot{}, last
+}
+
+// assemble reports false if a value is not the one that the head means.
+func (r *Repository) assemble(ctx context.Context, known Snapshot, value store.Value) (Snapshot, bool, error) {
+	s := Snapshot{Revision: value.Revision}
+	if err := json.Unmarshal(value.Data, &s.Head); err != nil {
+		return s, false, Error.New("the head cannot be read: %w", err)
+	}
+	if err := s.Head.Header.Readable(); err != nil {
+		return s, false, err
+	}
+	state := &config.State{StateHeader: s.Head.Header}
+	values := map[uint64]map[string]config.ServiceRecord{}
+	for _, ref := range s.Head.Services {
+		if have := known.record(ref); have != nil {
+			state.Services = append(state.Services, *have)
+			continue
+		}
+		if values[ref.Value] == nil {
+			records, whole, err := r.value(ctx, s.Head, ref.Value)
+			if !whole || err != nil {
+				return s, false, err
+			}
+			values[ref.Value] = records
+		}
+		record, found := values[ref.Value][ref.Name]
+		if !found || record.Written != ref.Written {
+			return s, false, Error.New("value %d does not hold service %q at version %d", ref.Value, ref.Name, ref.Written)
+		}
+		state.Services = append(state.Services, record)
+	}
+	s.State = state
+	return s, true, nil
+}
+
+// record returns the record that ref means, if the snapshot has it.
+func (s Snapshot) record(ref ServiceRef) *config.ServiceRecord {
+	if s.State == nil {
+		return nil
+	}
+	record := s.State.Service(ref.Name)
+	if record == nil || record.Written != ref.Written {
+		return nil
+	}
+	return record
+}
+
+// value reads one value and reports false if it is not the one that head means.
+func (r *Repository) value(ctx context.Context, head Head, number uint64) (map[string]config.ServiceRecord, bool, error) {
+	stored, err := r.store.Get(ctx, valueKey(number))
+	if store.NotFound.Has(err) {
+		return nil, false, nil
+	}
+	if err != nil {
+		return nil, false, err
+	}
+	want := ""
+	for _, ref := range head.Values {
+		if ref.Number == number {
+			want = ref.Digest
+		}
+	}
+	if digest(stored.Data) != want {
+		return nil, false, nil
+	}
+	var content Value
+	if err := json.Unmarshal(stored.Data, &content); err != nil {
+		return nil, false, Error.New("value %d cannot be read: %w", number, err)
+	}
+	byName := make(map[string]config.ServiceRecord, len(content.Services))
+	for _, record := range content.Services {
+		byName[record.Name] = record
+	}
+	return byName, true, nil
+}
--- /dev/null
+++ b/internal/standin/store/faults.go
@@ -0,0 +1,83 @@
+package store
+
+import (
+	"net/http"
+	"time"
+)
+
+// faults is what the server was told to do wrong.
+type faults struct {
+	down  bool
+	delay time.Duration
+	// lost counts the writes whose answers are yet to be lost, old the reads that
+	// are yet to be answered by the value before.
+	lost int
+	old  int
+}
+
+func (f *faults) lose() bool {
+	if f.lost == 0 {
+		return false
+	}
+	f.lost--
+	return true
+}
+
+// SetDown takes the store down, which breaks all waiting watches, or up again.
+func (s *Server) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults.down = down
+	s.wake()
+}
+
+// SetDelay makes every call take that much longer.
+func (s *Server) SetDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults.delay = delay
+}
+
+// LoseAnswers breaks the connection after each of the next n writes that took
+// effect, instead of answering.
+func (s *Server) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults.lost = n
+}
+
+// AnswerOld answers the next n reads of keys that were overwritten by the value
+// before.
+func (s *Server) AnswerOld(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults.old = n
+}
+
+// LapseLeases ends all leases at once.
+func (s *Server) LapseLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, lease := range s.leases {
+		lease.Expires = time.Time{}
+		s.leases[key] = lease
+	}
+}
+
+// pause waits for the delay and reports false if the store is down.
+func (s *Server) pause(r *http.Request) bool {
+	s.mu.Lock()
+	delay := s.faults.delay
+	s.mu.Unlock()
+	if delay > 0 {
+		timer := time.NewTimer(delay)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-r.Context().Done():
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.faults.down
+}
--- /dev/null
+++ b/internal/strictjson/decode.go
@@ -0,0 +1,179 @@
+package strictjson
+
+import (
+	"encoding"
+	"encoding/json"
+	"net/netip"
+	"reflect"
+	"strconv"
+	"strings"
+)
+
+// Decode reads data into the struct that into points to. Fields are matched by
+// their json tags, exactly. Types with UnmarshalText take a string. What is
+// absent stays as it is. The error is of type Problems and holds all of them;
+// fields without a problem are set even then.
+func Decode(data []byte, into any) error {
+	root, err := parse(data)
+	if err != nil {
+		return Problems{{Message: err.Error()}}
+	}
+	var d decoder
+	d.fill("", root, reflect.ValueOf(into).Elem())
+	return d.problems.Err()
+}
+
+type decoder struct {
+	problems Problems
+}
+
+var addrPortType = reflect.TypeFor[netip.AddrPort]()
+
+func (d *decoder) fill(path string, n node, v reflect.Value) {
+	if n.value == nil {
+		d.problems.Add(path, "must not be null")
+		return
+	}
+	if text, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		d.fillText(path, n, v, text)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		d.fillStruct(path, n, v)
+	case reflect.Slice:
+		d.fillSlice(path, n, v)
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		d.fill(path, n, v.Elem())
+	case reflect.String:
+		d.fillString(path, n, v)
+	case reflect.Bool:
+		d.fillBool(path, n, v)
+	default:
+		d.fillNumber(path, n, v)
+	}
+}
+
+func (d *decoder) fillText(path string, n node, v reflect.Value, text encoding.TextUnmarshaler) {
+	s, ok := n.value.(string)
+	if !ok {
+		d.problems.Add(path, "must be a string")
+		return
+	}
+	err := text.UnmarshalText([]byte(s))
+	if err == nil {
+		return
+	}
+	if v.Type() == addrPortType {
+		d.problems.Add(path, "must be an IP address and port such as 203.0.113.7:443, is %q", s)
+		return
+	}
+	d.problems.Add(path, "%v", err)
+}
+
+func (d *decoder) fillStruct(path string, n node, v reflect.Value) {
+	members, ok := n.value.([]member)
+	if !ok {
+		d.problems.Add(path, "must be an object")
+		return
+	}
+	fields := fieldsOf(v)
+	seen := make(map[string]bool, len(members))
+	for _, m := range members {
+		at := Field(path, m.name)
+		field, known := fields[m.name]
+		switch {
+		case !known:
+			d.problems.Add(at, "unknown field")
+		case seen[m.name]:
+			d.problems.Add(at, "given twice")
+		default:
+			d.fill(at, m.value, field)
+		}
+		seen[m.name] = true
+	}
+}
+
+func (d *decoder) fillSlice(path string, n node, v reflect.Value) {
+	elements, ok := n.value.([]node)
+	if !ok {
+		d.problems.Add(path, "must be an array")
+		return
+	}
+	slice := reflect.MakeSlice(v.Type(), len(elements), len(elements))
+	for i, e := range elements {
+		d.fill(Index(path, i), e, slice.Index(i))
+	}
+	v.Set(slice)
+}
+
+func (d *decoder) fillString(path string, n node, v reflect.Value) {
+	s, ok := n.value.(string)
+	if !ok {
+		d.problems.Add(path, "must be a string")
+		return
+	}
+	v.SetString(s)
+}
+
+func (d *decoder) fillBool(path string, n node, v reflect.Value) {
+	b, ok := n.value.(bool)
+	if !ok {
+		d.problems.Add(path, "must be true or false")
+		return
+	}
+	v.SetBool(b)
+}
+
+func (d *decoder) fillNumber(path string, n node, v reflect.Value) {
+	number, ok := n.value.(json.Number)
+	if !ok {
+		d.problems.Add(path, "must be a number")
+		return
+	}
+	switch {
+	case v.CanInt():
+		i, err := strconv.ParseInt(string(number), 10, v.Type().Bits())
+		if err != nil {
+			d.problems.Add(path, "must be a whole number, is %s", number)
+			return
+		}
+		v.SetInt(i)
+	case v.CanUint():
+		u, err := strconv.ParseUint(string(number), 10, v.Type().Bits())
+		if err != nil {
+			d.problems.Add(path, "must be a whole number from 0, is %s", number)
+			return
+		}
+		v.SetUint(u)
+	case v.CanFloat():
+		f, err := number.Float64()
+		if err != nil {
+			d.problems.Add(path, "must be a number, is %s", number)
+			return
+		}
+		v.SetFloat(f)
+	default:
+		panic("strictjson: type cannot be decoded: " + v.Type().String())
+	}
+}
+
+// fieldsOf returns the fields of a struct by their JSON names; those of
+// embedded structs count as its own.
+func fieldsOf(v reflect.Value) map[string]reflect.Value {
+	fields := make(map[string]reflect.Value)
+	for i := range v.NumField() {
+		info := v.Type().Field(i)
+		name, _, _ := strings.Cut(info.Tag.Get("json"), ",")
+		switch {
+		case info.Anonymous && name == "":
+			for inner, field := range fieldsOf(v.Field(i)) {
+				fields[inner] = field
+			}
+		case info.IsExported() && name != "" && name != "-":
+			fields[name] = v.Field(i)
+		}
+	}
+	return fields
+}
