Give operators a command-line tool

Cause: operators need to check, plan and apply declarations, drain, take out, look and verify. Change: the subcommands over confstore and the control link; status reports; one strict decoder for settings and declarations in place of two; the link takes a listener that is open already.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -130,9 +130,9 @@
 	commander.Error = env.Err
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(commander.FlagsCommand(), "")
-	for group, commands := range groups(env) {
-		for _, c := range commands {
-			commander.Register(c, group)
+	for _, g := range groups(env) {
+		for _, c := range g.commands {
+			commander.Register(c, g.name)
 		}
 	}
 	if err := top.Parse(args); err != nil {
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,131 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"balsamfork/internal/standin/store"
+)
+
+const declaration = `{"format":1,
+ "dataCentres":[{"name":"a","region":"r"},{"name":"b","region":"r"}],
+ "services":[{"name":"orders","address":"203.0.113.10:443","protocol":"tcp","idleLimit":"2h","slots":4,
+  "ramp":{"start":0.1,"duration":"30s"},
+  "backendServers":[
+   {"name":"o1","dataCentre":"a","packets":"127.0.0.1:9001","weight":1},
+   {"name":"o2","dataCentre":"a","packets":"127.0.0.1:9002","weight":1},
+   {"name":"o3","dataCentre":"b","packets":"127.0.0.1:9003","weight":1},
+   {"name":"o4","dataCentre":"b","packets":"127.0.0.1:9004","weight":1}]}]}`
+
+// tool runs commands against a store of its own.
+type tool struct {
+	t   *testing.T
+	url string
+	dir string
+}
+
+func newTool(t *testing.T) *tool {
+	server := httptest.NewServer(store.New())
+	t.Cleanup(server.Close)
+	return &tool{t: t, url: server.URL, dir: t.TempDir()}
+}
+
+func (u *tool) file(text string) string {
+	path := filepath.Join(u.dir, "declaration.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		u.t.Fatal(err)
+	}
+	return path
+}
+
+// run returns the exit code and what was printed.
+func (u *tool) run(input string, args ...string) (int, string, string) {
+	var out, errors bytes.Buffer
+	env := Env{In: strings.NewReader(input), Out: &out, Err: &errors}
+	code := Run(context.Background(), env, args)
+	return code, out.String(), errors.String()
+}
+
+// change runs a command that takes the flags of the store.
+func (u *tool) change(input, command string, args ...string) (int, string, string) {
+	return u.run(input, append([]string{command, "-store", u.url, "-operator", "anna"}, args...)...)
+}
+
+func TestValidateNamesThreeMistakes(t *testing.T) {
+	is := is.New(t)
+	u := newTool(t)
+	faulty := strings.NewReplacer(`"slots":4`, `"slots":-4`, `"dataCentre":"b","packets":"127.0.0.1:9003"`,
+		`"dataCentre":"c","packets":"127.0.0.1:9003"`, `"weight":1}]`, `"wieght":1}]`).Replace(declaration)
+	code, _, errors := u.run("", "validate", u.file(faulty))
+	is.Equal(code, 2)
+	for _, path := range []string{"services[0].slots", "services[0].backendServers[2].dataCentre", "services[0].backendServers[3].wieght"} {
+		is.True(strings.Contains(errors, path)) // every mistake is named
+	}
+}
+
+func TestChangesFromDeclarationToAudit(t *testing.T) {
+	is := is.New(t)
+	u := newTool(t)
+	path := u.file(declaration)
+
+	code, out, _ := u.change("", "plan", path)
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, "add service orders"))
+	code, out, _ = u.change("", "apply", "-commit", "c0ffee", path)
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, "Accepted as version 1"))
+	code, out, _ = u.change("", "apply", path)
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, "Nothing to change"))
+
+	code, _, _ = u.change("", "drain", "orders/o1")
+	is.Equal(code, 0)
+	code, _, _ = u.change("", "undrain", "orders/o1")
+	is.Equal(code, 0)
+	code, _, _ = u.change("", "drain", "orders")
+	is.Equal(code, 2) // not of the form SERVICE/SERVER
+
+	code, _, errors := u.change("n\n", "takeout", "b")
+	is.Equal(code, int(ExitRefused))
+	is.True(strings.Contains(errors, "ends established flows"))
+	code, _, _ = u.change("y\n", "takeout", "b")
+	is.Equal(code, 0)
+	code, _, _ = u.change("", "takeout", "-yes", "a")
+	is.Equal(code, int(ExitRefused)) // the last data centre needs -force
+	code, _, _ = u.change("", "return", "b")
+	is.Equal(code, 0)
+
+	code, out, _ = u.change("", "audit", "-json")
+	is.Equal(code, 0)
+	var trail struct {
+		Entries []struct{ Who, Commit string } `json:"entries"`
+		Whole   bool                           `json:"whole"`
+	}
+	is.NoErr(json.Unmarshal([]byte(out), &trail))
+	is.True(trail.Whole)
+	is.Equal(len(trail.Entries), 5)
+	is.Equal(trail.Entries[0].Commit, "c0ffee")
+	is.Equal(trail.Entries[4].Who, "anna")
+}
+
+func TestUsage(t *testing.T) {
+	is := is.New(t)
+	u := newTool(t)
+	code, out, _ := u.run("", "help")
+	is.Equal(code, 0)
+	for _, name := range []string{"validate", "plan", "apply", "status", "drain", "undrain", "takeout", "return", "audit", "version", "keys"} {
+		is.True(strings.Contains(out, name)) // the help lists every command
+	}
+	code, _, _ = u.run("", "apply", "-operator", "anna")
+	is.Equal(code, 2)
+	code, _, _ = u.run("", "status", "-instance", "nowhere")
+	is.Equal(code, 2)
+}
--- /dev/null
+++ b/internal/cli/groups.go
@@ -0,0 +1,19 @@
+package cli
+
+// group is a heading in the tool's help.
+type group struct {
+	name     string
+	commands []*command
+}
+
+// groups returns every command under its heading.
+func groups(env Env) []group {
+	return []group{
+		{"declarations", []*command{validateCommand(env), planCommand(env), applyCommand(env)}},
+		{"operation", []*command{
+			drainCommand(env), undrainCommand(env), takeoutCommand(env), returnCommand(env),
+			statusCommand(env), auditCommand(env),
+		}},
+		{"other", []*command{keysCommand(env), versionCommand(env)}},
+	}
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,93 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"balsamfork/internal/link"
+	"balsamfork/internal/status"
+)
+
+// statusTimeout bounds the answer of an instance.
+const statusTimeout = 5 * time.Second
+
+func statusCommand(env Env) *command {
+	var control controlFlags
+	c := &command{
+		name: "status", env: env, flags: control.declare,
+		synopsis: "show what an instance serves by",
+		help: `Asks one instance for the version in force, the instances it knows with their
+versions, the backend servers with their conditions, and its flows.
+
+Exit codes: 0 answered; 1 no answer.`,
+	}
+	c.run = func(ctx context.Context, args []string) (outcome, error) {
+		if _, err := arguments(args); err != nil {
+			return nil, err
+		}
+		return askStatus(ctx, control)
+	}
+	return c
+}
+
+func askStatus(ctx context.Context, control controlFlags) (outcome, error) {
+	address, err := control.address()
+	if err != nil {
+		return nil, err
+	}
+	k, err := control.load()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	client, err := link.Dial(ctx, address, k)
+	if err != nil {
+		return nil, err
+	}
+	defer client.Close()
+	var r report
+	if err := client.Call(ctx, status.Method, nil, &r.Report); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+type report struct {
+	status.Report
+}
+
+// Text prints the report as tables.
+func (r report) Text(w io.Writer) {
+	state := "ready"
+	if !r.Ready {
+		state = "not ready: " + r.Waiting
+	}
+	fmt.Fprintf(w, "%s, version %d, %s\n", r.Instance, r.Version, state)
+	fmt.Fprintf(w, "packets: %d received, %d forwarded, %d relayed, %d dropped; %d flow records\n",
+		r.Flows.Received, r.Flows.Forwarded, r.Flows.Relayed, r.Flows.Dropped, r.Flows.Records)
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "\nINSTANCE\tDATA CENTRE\tSTATE\tVERSION")
+	for _, i := range r.Instances {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\n", i.ID, i.DataCentre, i.State, i.Version)
+	}
+	for _, s := range r.Services {
+		printService(table, s)
+	}
+	_ = table.Flush()
+}
+
+func printService(w io.Writer, s status.Service) {
+	phase := "settled"
+	if !s.Settled {
+		phase = "a change is under way"
+	}
+	fmt.Fprintf(w, "\nSERVICE %s\t%s\t%d slots each\t%s\n", s.Name, s.Address, s.Slots, phase)
+	fmt.Fprintln(w, "BACKEND SERVER\tDATA CENTRE\tSTATE\tCONDITION\tWEIGHT")
+	for _, b := range s.Servers {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\n", b.Name, b.DataCentre, b.State, b.Condition, b.Weight)
+	}
+}
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -114,3 +115,9 @@
 	Number Number
 	Weight uint32
 }
+
+// IsSettled reports whether no change of the service is under way: every bucket
+// has the same base and target.
+func (s *Service) IsSettled() bool {
+	return len(s.Past) == 0 && slices.Equal(s.Settled, s.Current)
+}
--- a/internal/flow/health.go
+++ b/internal/flow/health.go
@@ -47,3 +47,18 @@
 	Kind   EvidenceKind
 	At     int64
 }
+
+// String returns the name of the condition.
+func (c Condition) String() string {
+	switch c {
+	case Healthy:
+		return "healthy"
+	case Cold:
+		return "cold"
+	case Down:
+		return "down"
+	case Recovering:
+		return "recovering"
+	}
+	return "unknown"
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -21,6 +21,8 @@
 type Options struct {
 	Self   fleet.ID
 	Listen netip.AddrPort
+	// Listener, if set, is used in place of Listen. The link closes it.
+	Listener net.Listener
 	// Keys are the certificates; nil means plain text.
 	Keys *keys.Reloader
 	// Resolve returns the control address of an instance.
@@ -86,9 +88,16 @@
 	l.methods[name] = method{handler: h, operator: true}
 }
 
+func (l *Link) listen() (net.Listener, error) {
+	if l.options.Listener != nil {
+		return l.options.Listener, nil
+	}
+	return net.Listen("tcp", l.options.Listen.String())
+}
+
 // Start listens.
 func (l *Link) Start() error {
-	ln, err := net.Listen("tcp", l.options.Listen.String())
+	ln, err := l.listen()
 	if err != nil {
 		return err
 	}
--- a/internal/placement/settle.go
+++ b/internal/placement/settle.go
@@ -151,9 +151,9 @@
 // Unsettled returns the names of the services that a step may settle.
 func Unsettled(c *config.Config) []string {
 	var out []string
-	for _, s := range c.Services {
-		if len(s.Past) > 0 || !slices.Equal(s.Settled, s.Current) {
-			out = append(out, s.Name)
+	for i := range c.Services {
+		if !c.Services[i].IsSettled() {
+			out = append(out, c.Services[i].Name)
 		}
 	}
 	return out
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,6 +16,9 @@
 // strictjson.Problems where the file could be read.
 var Error = errs.Class("settings")
 
+// MaxWorkers bounds Packets.Workers.
+const MaxWorkers = 64
+
 // Defaults of optional settings.
 const (
 	DefaultWorkers      = 2
@@ -54,7 +57,7 @@
 type Packets struct {
 	Listener
 	// Workers is the number of sockets and goroutines that read packets.
-	Workers int `json:"workers,omitempty" jsonschema:"minimum=1,maximum=64"`
+	Workers int `json:"workers,omitempty"`
 }
 
 // Control is the link between instances and towards operators. Either TLS is
@@ -69,7 +72,9 @@
 type TLS struct {
 	Certificate string `json:"certificate"`
 	Key         string `json:"key"`
-	Authorities string `json:"authorities"`
+	// Authorities lists every authority that is trusted: two while one replaces
+	// the other.
+	Authorities []string `json:"authorities"`
 }
 
 // Admin serves metrics, readiness and liveness over HTTP.
@@ -95,8 +100,8 @@
 
 // Log says what is logged, and how.
 type Log struct {
-	Level  string `json:"level,omitempty" jsonschema:"enum=debug,enum=info,enum=warn,enum=error"`
-	Format string `json:"format,omitempty" jsonschema:"enum=text,enum=json"`
+	Level  string `json:"level,omitempty"`
+	Format string `json:"format,omitempty"`
 }
 
 // Load reads and validates a settings file.
@@ -112,8 +117,14 @@
 // field.
 func Parse(data []byte) (*Valid, error) {
 	var s Settings
-	if problems := strictjson.Decode(data, &s); len(problems) > 0 {
-		return nil, Error.Wrap(problems)
+	var problems strictjson.Problems
+	if err := strictjson.Decode(data, &s); err != nil {
+		problems = err.(strictjson.Problems)
+	}
+	valid, faults := s.validate()
+	problems.AddNew(faults)
+	if err := problems.Err(); err != nil {
+		return nil, Error.Wrap(err)
 	}
-	return s.Validate()
+	return valid, nil
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -40,7 +40,7 @@
 		{"three unknown or missing fields", `{"id":"a","dataCenter":"a","region":"r","pakets":{},
 			"requests":{"listen":"127.0.0.1:1"},"control":{"listen":"127.0.0.1:2","plainText":true},
 			"admin":{"listen":"127.0.0.1:3"},"store":{"url":"http://x"}}`,
-			[]string{"dataCenter", "dataCentre", "packets", "pakets"}},
+			[]string{"dataCenter", "pakets", "dataCentre", "packets.listen"}},
 		{"three values out of place", `{"id":"","dataCentre":"a","region":"r",
 			"packets":{"listen":"here"},"requests":{"listen":"127.0.0.1:7001"},
 			"control":{"listen":"127.0.0.1:7001","plainText":true},"admin":{"listen":"127.0.0.1:7003"},
@@ -48,7 +48,7 @@
 			[]string{"id", "packets.listen", "store.url", "control.listen"}},
 		{"contradiction", `{"id":"a-1","dataCentre":"a","region":"r",
 			"packets":{"listen":"0.0.0.0:4754"},"requests":{"listen":"127.0.0.1:7001"},
-			"control":{"listen":"127.0.0.1:7002","plainText":true,"tls":{"certificate":"c","key":"k","authorities":"a"}},
+			"control":{"listen":"127.0.0.1:7002","plainText":true,"tls":{"certificate":"c","key":"k","authorities":["a"]}},
 			"admin":{"listen":"127.0.0.1:7003"},"store":{"url":"http://x"},"drainTimeout":"-1s"}`,
 			[]string{"packets.advertise", "drainTimeout", "control.plainText"}},
 	}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"fmt"
 	"log/slog"
 	"net/netip"
 	"net/url"
@@ -48,8 +47,8 @@
 	problems strictjson.Problems
 }
 
-// Validate checks every field and returns all problems at once.
-func (s Settings) Validate() (*Valid, error) {
+// validate checks every field and returns all problems at once.
+func (s Settings) validate() (*Valid, strictjson.Problems) {
 	var c check
 	v := &Valid{
 		Self:     s.self(&c),
@@ -57,25 +56,19 @@
 		Requests: c.endpoint("requests", s.Requests),
 		Control:  c.endpoint("control", s.Control.Listener),
 		Admin:    c.endpoint("admin", s.Admin.Listener),
-		Workers:  s.Packets.Workers,
+		Workers:  c.workers(s.Packets.Workers),
 		TLS:      s.Control.TLS,
 		Pprof:    s.Admin.Pprof,
 		StoreURL: s.Store.URL,
 		Peers:    c.peers(s),
 		LogLevel: c.level(s.Log.Level),
-		LogJSON:  s.Log.Format == "json",
+		LogJSON:  c.asJSON(s.Log.Format),
 	}
 	v.DrainTimeout = c.duration("drainTimeout", s.DrainTimeout, DefaultDrainTimeout)
-	if v.Workers == 0 {
-		v.Workers = DefaultWorkers
-	}
 	c.url("store.url", s.Store.URL)
 	c.distinct(s)
 	c.protection(s.Control)
-	if err := c.problems.Err(); err != nil {
-		return nil, Error.Wrap(err)
-	}
-	return v, nil
+	return v, c.problems
 }
 
 func (s Settings) self(c *check) fleet.Instance {
@@ -85,6 +78,23 @@
 	return fleet.Instance{ID: fleet.ID(s.ID), DataCentre: s.DataCentre, Region: s.Region}
 }
 
+func (c *check) workers(n int) int {
+	if n == 0 {
+		return DefaultWorkers
+	}
+	if n < 1 || n > MaxWorkers {
+		c.problems.Add("packets.workers", "must be from 1 to %d, is %d", MaxWorkers, n)
+	}
+	return n
+}
+
+func (c *check) asJSON(format string) bool {
+	if format != "" && format != "text" && format != "json" {
+		c.problems.Add("log.format", "must be text or json, is %q", format)
+	}
+	return format == "json"
+}
+
 func (c *check) name(path, value string) {
 	if value == "" {
 		c.problems.Add(path, "must not be empty")
@@ -114,7 +124,7 @@
 	var peers []fleet.Instance
 	seen := map[string]bool{s.ID: true}
 	for i, p := range s.Peers {
-		path := fmt.Sprintf("peers[%d]", i)
+		path := strictjson.Index("peers", i)
 		c.name(path+".id", p.ID)
 		if seen[p.ID] {
 			c.problems.Add(path+".id", "%q is named twice", p.ID)
@@ -186,6 +196,8 @@
 	case control.TLS != nil:
 		c.name("control.tls.certificate", control.TLS.Certificate)
 		c.name("control.tls.key", control.TLS.Key)
-		c.name("control.tls.authorities", control.TLS.Authorities)
+		if len(control.TLS.Authorities) == 0 {
+			c.problems.Add("control.tls.authorities", "must not be empty")
+		}
 	}
 }
