Mend a false verdict after many faults at once

Cause: a paused instance that still took its watchers for alive sent its heartbeats to the dead, while the new watchers heard none. Change: heartbeats also go to the next watcher while one is suspected, a new watcher is greeted at once, and verdicts wait after a pause of one's own.

--- a/internal/member/main_test.go
+++ b/internal/member/main_test.go
@@ -7,11 +7,11 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
 	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
 	}
+	flag.Parse()
 	os.Exit(m.Run())
 }
--- a/internal/member/rows.go
+++ b/internal/member/rows.go
@@ -103,7 +103,7 @@
 func (r *rows) neighbours(self fleet.ID) (after, before []fleet.ID) {
 	own := places(self)
 	for ring := range rings {
-		next, last := r.adjacent(self, own[ring], ring)
+		next, last := r.adjacent(self, own[ring], ring, present)
 		if next == nil {
 			return nil, nil
 		}
@@ -113,11 +113,35 @@
 	return after, before
 }
 
-// adjacent finds the instances right after and right before a place on a ring.
-func (r *rows) adjacent(self fleet.ID, at uint64, ring int) (next, last *row) {
+// watchers returns the next instances on each ring, and beyond each that is
+// suspected the next that is not: others may have found it dead already.
+func (r *rows) watchers(self fleet.ID) []fleet.ID {
+	own := places(self)
+	var out []fleet.ID
+	for ring := range rings {
+		next, _ := r.adjacent(self, own[ring], ring, present)
+		if next == nil {
+			return nil
+		}
+		out = appendNew(out, next.ID)
+		sound, _ := r.adjacent(self, own[ring], ring, unsuspected)
+		if sound != nil {
+			out = appendNew(out, sound.ID)
+		}
+	}
+	return out
+}
+
+func present(x *row) bool { return x.State != fleet.Dead }
+
+func unsuspected(x *row) bool { return x.State != fleet.Dead && x.suspicion == nil }
+
+// adjacent finds the instances right after and right before a place on a ring,
+// of those that count.
+func (r *rows) adjacent(self fleet.ID, at uint64, ring int, counts func(*row) bool) (next, last *row) {
 	var gap, back uint64
 	for _, x := range r.list {
-		if x.ID == self || x.State == fleet.Dead {
+		if x.ID == self || !counts(x) {
 			continue
 		}
 		forward := x.place[ring] - at
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -20,6 +20,9 @@
 
 	after  []fleet.ID
 	before []fleet.ID
+	// watchers are who heartbeats go to: those after this one on the rings, and
+	// while one of them is suspected the next.
+	watchers []fleet.ID
 	// moved is set when the neighbours have to be found anew.
 	moved bool
 
@@ -39,7 +42,9 @@
 	nextBeat  int64
 	nextSeek  int64
 	nextSync  int64
-	synced    bool
+	// verdictsFrom is when instances may be found dead again after a pause.
+	verdictsFrom int64
+	synced       bool
 }
 
 // New makes a table that knows only its own instance. Self.Incarnation is the
@@ -169,7 +174,8 @@
 	return v
 }
 
-// forgivePause gives the watched more time if this instance itself stood still.
+// forgivePause gives the watched more time if this instance itself stood still,
+// and reads what came in meanwhile before it finds anyone dead.
 func (t *Table) forgivePause(now int64) {
 	gap := now - t.lastTick
 	t.lastTick = now
@@ -180,11 +186,7 @@
 		t.watches[n].heard += gap
 		t.watches[n].probed = 0
 	}
-	for _, x := range t.rows.list {
-		if x.suspicion != nil {
-			x.suspicion.since = min(x.suspicion.since+gap, now)
-		}
-	}
+	t.verdictsFrom = now + int64(t.params.Confirm)
 }
 
 // join makes this instance usable once it serves by a configuration and has
@@ -203,8 +205,9 @@
 		return
 	}
 	t.moved = false
-	known := t.after
+	known := t.watchers
 	t.after, t.before = t.rows.neighbours(t.self.ID)
+	t.watchers = t.rows.watchers(t.self.ID)
 	t.greet(known)
 	t.rewatch(now)
 }
--- a/internal/member/watch.go
+++ b/internal/member/watch.go
@@ -46,14 +46,14 @@
 		return
 	}
 	t.nextBeat = max(t.nextBeat+int64(t.params.Heartbeat), now)
-	for _, id := range t.after {
+	for _, id := range t.watchers {
 		t.send(id, Message{Kind: Heartbeat, Digest: t.Digest()})
 	}
 }
 
 // greet sends a heartbeat at once to each watcher that was not one before.
 func (t *Table) greet(known []fleet.ID) {
-	for _, id := range t.after {
+	for _, id := range t.watchers {
 		if !slices.Contains(known, id) {
 			t.send(id, Message{Kind: Heartbeat, Digest: t.Digest()})
 		}
@@ -108,8 +108,7 @@
 func (t *Table) addSuspicion(now int64, x *row, by, from fleet.ID) {
 	if x.suspicion == nil {
 		x.suspicion = &suspicion{since: now}
-		t.epoch++
-		t.viewDirty = true
+		t.suspicionChanged()
 	} else if by == "" || slices.Contains(x.suspicion.by, by) {
 		return
 	}
@@ -121,6 +120,9 @@
 
 // suspicionSystem finds those dead whose suspicion was confirmed or has lasted.
 func (t *Table) suspicionSystem(now int64) {
+	if now < t.verdictsFrom {
+		return
+	}
 	for _, x := range t.rows.list {
 		s := x.suspicion
 		if s == nil {
@@ -145,6 +147,11 @@
 		return
 	}
 	x.suspicion = nil
+	t.suspicionChanged()
+}
+
+func (t *Table) suspicionChanged() {
 	t.epoch++
 	t.viewDirty = true
+	t.moved = true
 }
