--- a/internal/placement/bound_test.go
+++ b/internal/placement/bound_test.go
@@ -74,15 +74,6 @@
 	return e
 }
 
-// drained takes the last member out of the current set.
-func drained(s config.Service) config.Service {
-	n := len(s.Servers) - 1
-	s.Servers = append([]config.Server(nil), s.Servers...)
-	s.Servers[n].State = config.Draining
-	s.Current = s.Settled[:n]
-	return s
-}
-
 func TestBoundSettledPacket(t *testing.T) {
 	is := is.New(t)
 	e := testEngine(testConfig(testService(1, 1, 14), testService(2, 20, 4)), 16)
