Compare records with the other holder instead of fetching all

Cause: before a service settles, copies lost on the way must be found; fetching all records anew costs bytes that grow with the flows. Change: a request may carry a sum of 4 bytes for each bucket; only buckets that differ are sent, and only the other holder is asked.

--- a/internal/placement/exchange.go
+++ b/internal/placement/exchange.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"encoding/binary"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,8 @@
 	// retryFirst and retryMax bound the time between two requests to a peer.
 	retryFirst = 200 * time.Millisecond
 	retryMax   = 4 * time.Second
+	// sumBytes is the length of one entry of Request.Sums.
+	sumBytes = 4
 )
 
 // Request asks a peer for the records of buckets, and whether it sees the same
@@ -25,6 +28,10 @@
 	// Buckets are those that the sender must hold and does not yet, as package
 	// records encodes them.
 	Buckets []byte `json:"buckets,omitempty"`
+	// Sums are, for each of the buckets in order, the sum of the sender's own
+	// records in 4 bytes; buckets with an equal sum are left out of the reply.
+	// Without Sums, all are sent.
+	Sums []byte `json:"sums,omitempty"`
 	// Done says that the sender now has the records of all buckets that it asked for.
 	Done bool `json:"done,omitempty"`
 }
@@ -77,6 +84,9 @@
 type retry struct {
 	at   int64
 	wait time.Duration
+	// compare holds the buckets to compare with the peer, or is nil to fetch all
+	// that are wanted.
+	compare *table.Bitmap
 }
 
 // due reports whether to ask now, and moves to the next time.
@@ -139,7 +149,7 @@
 	}
 	a := st.ring.agreement
 	if p := a.pending[from]; p != nil {
-		*p = retry{}
+		p.at, p.wait = 0, 0
 	}
 	if r.Done {
 		a.told[from], a.released = true, false
@@ -147,14 +157,19 @@
 	}
 	a.asked[from], a.released = wanted, false
 	delete(a.told, from)
-	e.exportBuckets(wanted, &out)
+	if err := e.exportBuckets(wanted, r.Sums, &out); err != nil {
+		return Reply{}, err
+	}
 	if out.Holds {
 		out.Watched = st.plan.watched()
 	}
 	return out, nil
 }
 
-func (e *Engine) exportBuckets(wanted *table.Bitmap, out *Reply) {
+func (e *Engine) exportBuckets(wanted *table.Bitmap, sums []byte, out *Reply) error {
+	if len(sums) > 0 && len(sums) != sumBytes*wanted.Count() {
+		return records.Invalid.New("%d bytes of sums for %d buckets", len(sums), wanted.Count())
+	}
 	for bucket := range table.Buckets {
 		if !wanted.Has(bucket) {
 			continue
@@ -163,12 +178,28 @@
 		if e.complete[bucket] || b.Len() > 0 {
 			out.Holds = true
 		}
-		b.Each(func(r records.Record) bool {
-			out.Records = records.Append(out.Records, r)
-			return true
-		})
+		if len(sums) == 0 || binary.LittleEndian.Uint32(sums) != b.Sum() {
+			out.Records = b.Append(out.Records)
+		}
 		b.Unlock()
+		if len(sums) > 0 {
+			sums = sums[sumBytes:]
+		}
+	}
+	return nil
+}
+
+// sums returns the sums of this instance's records in the buckets.
+func (e *Engine) sums(of *table.Bitmap) []byte {
+	var out []byte
+	for bucket := range table.Buckets {
+		if of.Has(bucket) {
+			b := e.records.Lock(bucket)
+			out = binary.LittleEndian.AppendUint32(out, b.Sum())
+			b.Unlock()
+		}
 	}
+	return out
 }
 
 func (p *plan) watched() []Watched {
--- a/internal/placement/tick.go
+++ b/internal/placement/tick.go
@@ -36,8 +36,7 @@
 	defer e.mu.Unlock()
 	st := e.state.Load()
 	e.refresh(now, st)
-	a := st.ring.agreement
-	work := Work{Asks: a.asks(now, st.ring.digest)}
+	work := Work{Asks: e.asks(now, st.ring)}
 	e.release(st)
 	if now-e.sweptAt >= int64(sweepInterval) {
 		e.sweptAt = now
@@ -47,22 +46,18 @@
 }
 
 // asks returns the requests that are due, in order of peer.
-func (a *agreement) asks(now int64, digest uint64) []Ask {
+func (e *Engine) asks(now int64, ring *ring) []Ask {
 	var out []Ask
-	var encoded []byte
+	a := ring.agreement
 	for id, r := range a.pending {
-		if !r.due(now) {
-			continue
-		}
-		if encoded == nil {
-			encoded = records.AppendBuckets(nil, a.wanted)
+		if r.due(now) {
+			out = append(out, Ask{Peer: id, Request: e.request(ring, r)})
 		}
-		out = append(out, Ask{Peer: id, Request: Request{Digest: digest, Buckets: encoded}})
 	}
 	if len(a.pending) == 0 {
 		for id, r := range a.holders {
 			if r.due(now) {
-				out = append(out, Ask{Peer: id, Request: Request{Digest: digest, Done: true}})
+				out = append(out, Ask{Peer: id, Request: Request{Digest: ring.digest, Done: true}})
 			}
 		}
 	}
@@ -70,8 +65,16 @@
 	return out
 }
 
-// refresh begins to fetch all buckets held anew when a service has been watched
-// for long enough to settle: copies that were lost on the way come with it.
+func (e *Engine) request(ring *ring, r *retry) Request {
+	if r.compare == nil {
+		return Request{Digest: ring.digest, Buckets: records.AppendBuckets(nil, ring.agreement.wanted)}
+	}
+	return Request{Digest: ring.digest, Buckets: records.AppendBuckets(nil, r.compare), Sums: e.sums(r.compare)}
+}
+
+// refresh begins to compare all buckets held with their other holders when a
+// service has been watched for long enough to settle: a copy that was lost on the
+// way is found by it.
 func (e *Engine) refresh(now int64, st *state) {
 	a := st.ring.agreement
 	if st.plan == nil || !a.reached.Load() || len(a.pending) > 0 {
@@ -79,22 +82,25 @@
 	}
 	for _, s := range st.plan.services {
 		if at := s.watchedAt(); at != 0 && now >= at && a.full < at {
-			e.fetchAll(now, st.ring)
+			st.ring.compareAll(now)
 			return
 		}
 	}
 }
 
-func (e *Engine) fetchAll(now int64, r *ring) {
-	a := r.agreement
-	a.full = now
+func (r *ring) compareAll(now int64) {
+	r.agreement.full = now
 	for bucket := range table.Buckets {
-		if r.holds(bucket) {
-			a.wanted.Set(bucket)
+		other := r.partner(bucket)
+		if other == nil || !r.holds(bucket) {
+			continue
 		}
-	}
-	for _, p := range r.peers {
-		a.pending[p] = &retry{}
+		p := r.agreement.pending[other.ID]
+		if p == nil {
+			p = &retry{compare: &table.Bitmap{}}
+			r.agreement.pending[other.ID] = p
+		}
+		p.compare.Set(bucket)
 	}
 }
 
--- a/internal/records/bucket.go
+++ b/internal/records/bucket.go
@@ -1,6 +1,10 @@
 package records
 
-import "math/bits"
+import (
+	"math/bits"
+
+	"balsamfork/internal/table"
+)
 
 const (
 	// minSlots is the room of a bucket that has any record.
@@ -168,3 +172,25 @@
 		b.resize(want)
 	}
 }
+
+// Append encodes the records of the bucket after to.
+func (b *Bucket) Append(to []byte) []byte {
+	b.Each(func(r Record) bool {
+		to = Append(to, r)
+		return true
+	})
+	return to
+}
+
+// Sum returns a sum over the flows that are established and open, with their
+// backend servers. Equal contents have equal sums; others differ but by chance.
+func (b *Bucket) Sum() uint32 {
+	sum := uint32(0)
+	b.Each(func(r Record) bool {
+		if !r.Closed() && r.Kind() != Opening {
+			sum += uint32(table.Mix(r.Flow ^ table.Mix(uint64(r.Server()))))
+		}
+		return true
+	})
+	return sum
+}
