--- a/internal/placement/bound_test.go
+++ b/internal/placement/bound_test.go
@@ -105,3 +105,89 @@
 		float64(decide)/float64(20*len(keys)), float64(hash)/float64(20*len(keys)), ratio, sum&1)
 	is.True(ratio <= 3)
 }
+
+// drainRun is the total of a drain of 1 in 14.
+type drainRun struct {
+	packets, relayed, messages, bytes int
+	records, fresh, left              int
+	length                            time.Duration
+}
+
+// drainOne drains one of 14 backend servers under a rate of new flows for each
+// instance, lets the flows end and the service settle.
+func drainOne(instances, rate int) drainRun {
+	const opening = 20 * time.Second
+	s := testService(1, 1, 14)
+	s.IdleLimit = 5 * time.Second
+	m := newModel(1, instances, testConfig(s), newEngineNode)
+	m.silence = 2 * time.Second
+	m.settle()
+	m.run(2 * time.Second)
+	begun := m.now
+	flows := int(opening/time.Second) * rate * instances
+	for i := range flows {
+		m.after(time.Duration(i)*opening/time.Duration(flows), func() { m.begin(0, m.within(10*time.Second)) })
+	}
+	m.run(time.Second)
+	m.messages, m.bytes = 0, 0
+	m.do(change{act: drain, pick: 13})
+	moved := func(c *client) bool {
+		return m.nodes[0].engine.state.Load().plan.services[0].isUnsettled(table.Bucket(m.nodes[0].engine.state.Load().plan.hasher.Flow(&c.key)))
+	}
+	out := drainRun{}
+	for range 70 {
+		m.run(time.Second)
+		held := 0
+		for _, n := range m.nodes {
+			held += n.engine.Counts().Placed + n.engine.Counts().Opening
+		}
+		if held > out.records {
+			out.records = held
+			out.fresh = 0
+			for _, c := range m.clients {
+				if c.open && moved(c) {
+					out.fresh++
+				}
+			}
+		}
+	}
+	out.length = time.Duration(m.now - begun)
+	out.packets, out.relayed, out.messages, out.bytes = m.packets, m.relayed, m.messages, m.bytes
+	m.run(300 * time.Second)
+	for _, n := range m.nodes {
+		out.left += n.engine.records.Total()
+	}
+	out.left += len(Unsettled(m.config))
+	return out
+}
+
+func TestBoundDrain(t *testing.T) {
+	is := is.New(t)
+	const bytesLimit = 3000 // a second and instance
+	for _, size := range []struct{ instances, rate int }{{3, 3000}, {16, 50}} {
+		r := drainOne(size.instances, size.rate)
+		steered := float64(r.relayed) / float64(r.packets)
+		rate := float64(r.bytes) / r.length.Seconds() / float64(size.instances)
+		t.Logf("%d instances with %d new flows a second each", size.instances, size.rate)
+		t.Logf("%d packets, %.1f%% steered; at most %d records in two copies for %d new flows in affected buckets, %d left; %d messages, %.0f bytes a second and instance",
+			r.packets, steered*100, r.records, r.fresh, r.left, r.messages, rate)
+		is.True(steered <= 0.10)
+		is.True(r.records <= 2*r.fresh)
+		is.Equal(r.left, 0)
+		is.True(rate <= bytesLimit)
+	}
+}
+
+func TestBoundSteeredPacketAllocatesNothing(t *testing.T) {
+	is := is.New(t)
+	s := testService(1, 1, 14)
+	s.Servers[13].State = config.Draining
+	s.Current = s.Settled[:13]
+	e := testEngine(testConfig(s), 16)
+	i := 0
+	is.Equal(testing.AllocsPerRun(100000, func() {
+		i++
+		p := flow.Packet{Key: testKey(1, i%20000), Origin: flow.FromFabric, Flags: flow.Flags(i/20000) & flow.Syn}
+		e.Decide(second, &p)
+	}), 0.0)
+}
