--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,267 @@
+package handover
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"balsamfork/internal/config"
+	"balsamfork/internal/fleet"
+	"balsamfork/internal/flow"
+	"balsamfork/internal/peer"
+	"balsamfork/internal/placement"
+	"balsamfork/internal/records"
+)
+
+// mesh is a control link in memory; calls to an instance in down fail.
+type mesh struct {
+	mu       sync.Mutex
+	handlers map[fleet.ID]map[string]peer.Handler
+	down     map[fleet.ID]bool
+}
+
+type meshLink struct {
+	mesh *mesh
+	self fleet.ID
+}
+
+func (l meshLink) Handle(method string, h peer.Handler) {
+	if l.mesh.handlers[l.self] == nil {
+		l.mesh.handlers[l.self] = map[string]peer.Handler{}
+	}
+	l.mesh.handlers[l.self][method] = h
+}
+
+func (l meshLink) Call(ctx context.Context, to fleet.ID, method string, params, result any) error {
+	l.mesh.mu.Lock()
+	h := l.mesh.handlers[to][method]
+	down := l.mesh.down[to]
+	l.mesh.mu.Unlock()
+	if h == nil || down {
+		return peer.Unreachable.New("instance %s", to)
+	}
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	answer, err := h(ctx, l.self, raw)
+	if err != nil {
+		return err
+	}
+	if raw, err = json.Marshal(answer); err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, result)
+}
+
+func (l meshLink) Notify(ctx context.Context, to fleet.ID, method string, params any) error {
+	return l.Call(ctx, to, method, params, &struct{}{})
+}
+
+// world is the configuration and view that all instances of a test share.
+type world struct {
+	mu      sync.Mutex
+	config  *config.Config
+	view    *fleet.View
+	engines map[fleet.ID]*placement.Engine
+	steps   []placement.Step
+}
+
+func (w *world) Config() *config.Config { w.mu.Lock(); defer w.mu.Unlock(); return w.config }
+func (w *world) View() *fleet.View      { w.mu.Lock(); defer w.mu.Unlock(); return w.view }
+
+func (w *world) Rebase(_ context.Context, _ string, seen config.Version) error {
+	return w.change(placement.Rebase, seen, func(s *config.Service) {
+		s.Past, s.Settled = []config.Set{s.Settled}, s.Current
+	})
+}
+
+func (w *world) Clear(_ context.Context, _ string, seen config.Version) error {
+	return w.change(placement.Clear, seen, func(s *config.Service) { s.Past = nil })
+}
+
+func (w *world) change(step placement.Step, seen config.Version, edit func(*config.Service)) error {
+	w.mu.Lock()
+	next := *w.config
+	if next.Version != seen {
+		w.mu.Unlock()
+		return fmt.Errorf("version %d is not %d", seen, next.Version)
+	}
+	next.Version++
+	next.Services = []config.Service{next.Services[0]}
+	edit(&next.Services[0])
+	w.config = &next
+	w.steps = append(w.steps, step)
+	w.mu.Unlock()
+	w.spread()
+	return nil
+}
+
+// spread gives the configuration and the view to all instances.
+func (w *world) spread() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	v := *w.view
+	v.Instances = append([]fleet.Instance(nil), v.Instances...)
+	for i := range v.Instances {
+		v.Instances[i].Applied = w.config.Version
+	}
+	w.view = &v
+	now := time.Now().UnixNano()
+	for _, e := range w.engines {
+		e.SetConfig(now, w.config)
+		e.SetView(now, w.view)
+	}
+}
+
+func newWorld(instances int) *world {
+	s := config.Service{
+		Name: "feeds", Address: netip.MustParseAddrPort("192.0.2.1:443"), Protocol: config.TCP, IdleLimit: 20 * time.Second,
+	}
+	for n := config.Number(1); n <= 6; n++ {
+		s.Servers = append(s.Servers, config.Server{Number: n, State: config.Active, Weight: 1})
+		s.Settled = append(s.Settled, config.Member{Number: n, Weight: 1})
+	}
+	s.Servers[5].State = config.Draining
+	s.Current = s.Settled[:5]
+	w := &world{
+		config: &config.Config{Version: 1, Services: []config.Service{s}}, view: &fleet.View{},
+		engines: map[fleet.ID]*placement.Engine{},
+	}
+	for i := range instances {
+		id := fleet.ID(fmt.Sprint("i", i))
+		w.view.Instances = append(w.view.Instances, fleet.Instance{ID: id, State: fleet.Alive, Incarnation: 1, DataCentre: fmt.Sprint(i % 3)})
+		w.engines[id] = placement.New(placement.Options{Self: id, Records: records.LimitsFor(10000)})
+	}
+	return w
+}
+
+func key(i int) flow.Key {
+	return flow.Key{
+		Source:      netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 40000),
+		Destination: netip.MustParseAddrPort("192.0.2.1:443"), Protocol: config.TCP,
+	}
+}
+
+// send passes a packet through the instances until it is forwarded.
+func (w *world) send(at fleet.ID, p flow.Packet) config.Number {
+	for {
+		v := w.engines[at].Decide(time.Now().UnixNano(), &p)
+		if v.Action != flow.Relay {
+			return v.Server
+		}
+		at, p.Origin, p.Server = v.Peer, v.As, v.Server
+		p.Hops++
+	}
+}
+
+func TestRecordsMoveAndServicesSettle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(4)
+		all := w.view
+		m := &mesh{handlers: map[fleet.ID]map[string]peer.Handler{}, down: map[fleet.ID]bool{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		for id, e := range w.engines {
+			l := meshLink{m, id}
+			x := NewExchanger(e, l, l, tally.NoopScope, slog.New(slog.DiscardHandler))
+			c := NewCoordinator(id, e, l, w, w, tally.NoopScope, slog.New(slog.DiscardHandler))
+			running.Go(func() { x.Run(ctx) })
+			running.Go(func() { c.Run(ctx) })
+		}
+		// Three instances place flows; the fourth joins and takes some over.
+		w.view = &fleet.View{Instances: all.Instances[:3]}
+		m.down["i3"] = true
+		w.spread()
+		time.Sleep(5 * time.Second)
+		placed := map[int]config.Number{}
+		for i := range 500 {
+			placed[i] = w.send(fleet.ID(fmt.Sprint("i", i%3)), flow.Packet{Key: key(i), Flags: flow.Syn})
+			is.True(placed[i] != 6)
+			w.send("i0", flow.Packet{Key: key(i)})
+		}
+		m.mu.Lock()
+		m.down["i3"] = false
+		m.mu.Unlock()
+		w.mu.Lock()
+		w.view = all
+		w.mu.Unlock()
+		w.spread()
+		time.Sleep(10 * time.Second)
+		s, ok := w.engines["i3"].Summary(time.Now().UnixNano(), "feeds")
+		is.True(ok && s.Complete)
+		for i := range 500 {
+			is.Equal(w.send("i3", flow.Packet{Key: key(i)}), placed[i])
+			w.send("i3", flow.Packet{Key: key(i), Flags: flow.Fin})
+		}
+		// Silence for the idle limit: rebase, then clear once the flows are closed.
+		time.Sleep(10 * time.Minute)
+		is.Equal(w.steps, []placement.Step{placement.Rebase, placement.Clear})
+		cancel()
+		running.Wait()
+	})
+}
+
+func TestSettlingWaitsForEveryInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(3)
+		m := &mesh{handlers: map[fleet.ID]map[string]peer.Handler{}, down: map[fleet.ID]bool{"i1": true}}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		for id, e := range w.engines {
+			l := meshLink{m, id}
+			x := NewExchanger(e, l, l, tally.NoopScope, slog.New(slog.DiscardHandler))
+			c := NewCoordinator(id, e, l, w, w, tally.NoopScope, slog.New(slog.DiscardHandler))
+			running.Go(func() { x.Run(ctx) })
+			running.Go(func() { c.Run(ctx) })
+		}
+		w.spread()
+		time.Sleep(10 * time.Minute)
+		is.Equal(len(w.steps), 0)
+		cancel()
+		running.Wait()
+	})
+}
+
+func FuzzFetch(f *testing.F) {
+	f.Add([]byte(`{"digest":"0","buckets":"AQE=","sums":"AAAAAAAAAAA="}`), []byte(`{"digest":"0","records":"AAAA"}`))
+	f.Add([]byte(`{"digest":1}`), []byte(`{}`))
+	w := newWorld(2)
+	w.spread()
+	e := w.engines["i0"]
+	own, err := e.Export("i1", placement.Request{})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, request, reply []byte) {
+		r, err := parseRequest(request)
+		if err != nil {
+			if !Invalid.Has(err) {
+				t.Fatal(err)
+			}
+			return
+		}
+		if _, err := e.Export("i1", r); err != nil && !records.Invalid.Has(err) {
+			t.Fatal(err)
+		}
+		var got placement.Reply
+		if json.Unmarshal(reply, &got) != nil {
+			return
+		}
+		r.Digest, got.Digest = own.Digest, own.Digest
+		if err := e.Import(1<<60, "i1", r, got); err != nil && !records.Invalid.Has(err) {
+			t.Fatal(err)
+		}
+	})
+}
--- a/internal/placement/bound_test.go
+++ b/internal/placement/bound_test.go
@@ -17,6 +17,8 @@
 
 const second = int64(time.Second)
 
+var testLimits = records.LimitsFor(1 << 16)
+
 var hashKey = [config.HashKeySize]byte{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16}
 
 func testKey(service, caller int) flow.Key {
@@ -68,7 +70,7 @@
 }
 
 func testEngine(c *config.Config, instances int) *Engine {
-	e := New(Options{Self: "i00", Records: records.LimitsFor(1 << 16)})
+	e := New(Options{Self: "i00", Records: testLimits})
 	e.SetView(0, testView("i00", instances, c.Version))
 	e.SetConfig(0, c)
 	return e
--- a/internal/placement/model_test.go
+++ b/internal/placement/model_test.go
@@ -10,7 +10,6 @@
 	"balsamfork/internal/config"
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/flow"
-	"balsamfork/internal/records"
 	"balsamfork/internal/table"
 )
 
@@ -99,7 +98,7 @@
 }
 
 func newEngineNode(id fleet.ID) (decider, *Engine) {
-	e := New(Options{Self: id, Records: records.LimitsFor(1 << 16)})
+	e := New(Options{Self: id, Records: testLimits})
 	return e, e
 }
 
