Bring the newest configuration into force at each instance

Change: two watchers per data centre, chosen by rendezvous, tell the others, who pull a delta from them; the store is read by the rest only when all peers are silent; the rates of the store are shared out by role. Audit entries hold a digest of the head instead of the whole state.

--- a/internal/confstore/apply.go
+++ b/internal/confstore/apply.go
@@ -144,7 +144,7 @@
 	if s.State == nil {
 		return nil
 	}
-	sum, err := stateDigest(s.State)
+	sum, err := s.Head.digest()
 	if err != nil {
 		return err
 	}
--- a/internal/confstore/layout.go
+++ b/internal/confstore/layout.go
@@ -72,9 +72,11 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// stateDigest returns the digest that an audit entry holds of a version.
-func stateDigest(s *config.State) (string, error) {
-	data, err := json.Marshal(s)
+// digest returns what the audit entry of a version holds of it: the SHA-256 of
+// the head without the entry. The head names the services by their digests.
+func (h Head) digest() (string, error) {
+	h.Entry = audit.Entry{}
+	data, err := json.Marshal(h)
 	if err != nil {
 		return "", Error.Wrap(err)
 	}
--- a/internal/confstore/settle.go
+++ b/internal/confstore/settle.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"balsamfork/internal/audit"
@@ -17,6 +18,10 @@
 	repository *Repository
 	who        string
 	now        func() time.Time
+
+	mu sync.Mutex
+	// last is the newest version read, so that only what changed is read again.
+	last Snapshot
 }
 
 // NewSettler returns a settler that signs the audit trail as who and takes the
@@ -41,10 +46,9 @@
 
 func (s *Settler) settle(ctx context.Context, what, service string, seen config.Version, rule settleRule) error {
 	id := fmt.Sprintf("%s %s at %d by %s", what, service, seen, s.who)
-	var base Snapshot
 	for range writeAttempts {
-		var err error
-		if base, err = s.repository.Read(ctx, base); err != nil {
+		base, err := s.read(ctx)
+		if err != nil {
 			return err
 		}
 		if base.Version() < seen {
@@ -69,3 +73,17 @@
 	}
 	return store.Unavailable.New("%s of service %q lost %d races", what, service, writeAttempts)
 }
+
+func (s *Settler) read(ctx context.Context) (Snapshot, error) {
+	s.mu.Lock()
+	known := s.last
+	s.mu.Unlock()
+	now, err := s.repository.Read(ctx, known)
+	if err != nil {
+		return now, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last = now
+	return now, nil
+}
--- a/internal/confstore/write.go
+++ b/internal/confstore/write.go
@@ -19,16 +19,14 @@
 // version, store.Unknown when it cannot be found out whether the write took
 // effect, and else the errors of the store.
 func (r *Repository) write(ctx context.Context, base Snapshot, next *config.State, entry audit.Entry) (Snapshot, error) {
-	sum, err := stateDigest(next)
+	head, blobs, err := r.plan(ctx, base, next)
 	if err != nil {
 		return Snapshot{}, err
 	}
-	entry.Version, entry.From, entry.Digest = next.Version, base.Version(), sum
-	entry.ChangeID = next.ChangeID()
-	head, blobs, err := r.plan(ctx, base, next)
-	if err != nil {
+	if entry.Digest, err = head.digest(); err != nil {
 		return Snapshot{}, err
 	}
+	entry.Version, entry.From, entry.ChangeID = next.Version, base.Version(), next.ChangeID()
 	head.Entry = audit.Seal(base.Head.Entry, entry)
 	for _, blob := range blobs {
 		if err := r.put(ctx, blob); err != nil {
--- /dev/null
+++ b/internal/confsync/role.go
@@ -0,0 +1,107 @@
+package confsync
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/zeebo/xxh3"
+
+	"balsamfork/internal/fleet"
+)
+
+// watchersPerDataCentre is how many instances of a data centre watch the store.
+const watchersPerDataCentre = 2
+
+// role is what an instance does for the configuration, by its view of the fleet.
+type role struct {
+	// watches is set for the instances that watch the store.
+	watches bool
+	// readers is the number of instances that share the reads of the store with
+	// this one, each with the same part.
+	readers int
+	// tell lists who is told of a new version.
+	tell []fleet.ID
+}
+
+// decideRole returns the role of view.Self. Largest is the largest number of
+// instances that it ever knew: after a partition the others still call the store.
+func decideRole(view *fleet.View, largest int) role {
+	r := role{readers: 2 * max(largest, 1)}
+	self, known := view.Get(view.Self)
+	if !known {
+		return r
+	}
+	watchers := watchersByDataCentre(view)
+	r.watches = slices.Contains(watchers[self.DataCentre], view.Self)
+	if !r.watches {
+		return r
+	}
+	// Half of the reads belongs to the watchers. On the smaller side of a
+	// partition there may be watchers beyond the number reckoned with.
+	if reachesMost(view, self.DataCentre) {
+		r.readers = 2 * watchersPerDataCentre * len(dataCentres(view))
+	}
+	r.tell = audience(view, self.DataCentre, watchers)
+	return r
+}
+
+// watchersByDataCentre ranks the usable instances of each data centre by
+// rendezvous hashing (Thaler and Ravishankar, 1998) and returns the first ones.
+func watchersByDataCentre(view *fleet.View) map[string][]fleet.ID {
+	ranked := map[string][]fleet.ID{}
+	for _, i := range view.Instances {
+		if i.Usable() {
+			ranked[i.DataCentre] = append(ranked[i.DataCentre], i.ID)
+		}
+	}
+	for name, ids := range ranked {
+		slices.SortFunc(ids, func(a, b fleet.ID) int {
+			return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a, b))
+		})
+		ranked[name] = ids[:min(len(ids), watchersPerDataCentre)]
+	}
+	return ranked
+}
+
+func rank(id fleet.ID) uint64 {
+	return xxh3.HashString("config watcher " + string(id))
+}
+
+func dataCentres(view *fleet.View) map[string]bool {
+	names := map[string]bool{}
+	for _, i := range view.Instances {
+		names[i.DataCentre] = true
+	}
+	return names
+}
+
+// reachesMost reports whether more than half of the instances of a data centre
+// are reachable.
+func reachesMost(view *fleet.View, dataCentre string) bool {
+	reachable, all := 0, 0
+	for _, i := range view.Instances {
+		if i.DataCentre != dataCentre {
+			continue
+		}
+		all++
+		if i.Reachable() {
+			reachable++
+		}
+	}
+	return 2*reachable > all
+}
+
+// audience returns whom a watcher tells: everyone reachable in its data centre,
+// and the watchers of the others, which may be cut off from the store.
+func audience(view *fleet.View, dataCentre string, watchers map[string][]fleet.ID) []fleet.ID {
+	var ids []fleet.ID
+	for _, i := range view.Instances {
+		if i.ID == view.Self || !i.Reachable() && i.State != fleet.Joining {
+			continue
+		}
+		if i.DataCentre == dataCentre || slices.Contains(watchers[i.DataCentre], i.ID) {
+			ids = append(ids, i.ID)
+		}
+	}
+	return ids
+}
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -10,12 +10,12 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/sony/gobreaker/v2"
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/time/rate"
 
 	"balsamfork/internal/store"
 )
@@ -61,6 +61,9 @@
 	breaker *gobreaker.CircuitBreaker[any]
 	log     *slog.Logger
 	metrics metrics
+
+	mu     sync.Mutex
+	random *rand.Rand
 }
 
 type metrics struct {
@@ -86,6 +89,7 @@
 		base:   strings.TrimSuffix(o.URL, "/"),
 		http:   &http.Client{Transport: o.Transport},
 		limits: newLimits(o.Fleet),
+		random: o.Random,
 		log:    o.Log.With("part", "store"),
 		metrics: metrics{
 			calls:    o.Scope.Counter("store_calls"),
@@ -105,7 +109,14 @@
 
 // SetFleetSize sets the number of instances that share the service's rates.
 func (c *Client) SetFleetSize(n int) {
-	c.limits.set(n)
+	c.limits.setReaders(n)
+	c.limits.setWriters(n)
+}
+
+// SetReaders sets the number of instances that share the rate of reads, where it
+// is not the whole fleet.
+func (c *Client) SetReaders(n int) {
+	c.limits.setReaders(n)
 }
 
 // Get implements store.Store. It tries again while its context lasts.
@@ -114,7 +125,7 @@
 	pause.InitialInterval, pause.MaxInterval = firstRetry, lastRetry
 	value, err := backoff.Retry(ctx, func() (store.Value, error) {
 		var value store.Value
-		err := c.guarded(ctx, c.limits.reads, call{method: http.MethodGet, path: "keys/" + key, into: &value})
+		err := c.guarded(ctx, call{method: http.MethodGet, path: "keys/" + key, into: &value})
 		if err != nil && !store.Unavailable.Has(err) {
 			return value, backoff.Permanent(err)
 		}
@@ -134,7 +145,7 @@
 	}
 	var value store.Value
 	query := url.Values{"revision": {fmt.Sprint(uint64(old))}}
-	err := c.guarded(ctx, c.limits.writes, call{method: http.MethodPut, path: "keys/" + key, query: query, body: data, into: &value})
+	err := c.guarded(ctx, call{method: http.MethodPut, path: "keys/" + key, query: query, body: data, into: &value})
 	return value.Revision, err
 }
 
@@ -146,7 +157,7 @@
 			c.metrics.refused.Inc(1)
 			return store.Value{}, store.Unavailable.New("%s: the circuit is open", key)
 		}
-		if err := wait(ctx, c.limits.reads); err != nil {
+		if err := c.await(ctx, false); err != nil {
 			return store.Value{}, err
 		}
 		var value store.Value
@@ -169,13 +180,13 @@
 		return store.Lease{}, store.Unavailable.Wrap(err)
 	}
 	var lease store.Lease
-	err = c.guarded(ctx, c.limits.writes, call{method: http.MethodPost, path: "leases/" + key, body: body, into: &lease})
+	err = c.guarded(ctx, call{method: http.MethodPost, path: "leases/" + key, body: body, into: &lease})
 	return lease, err
 }
 
 // guarded makes one call within the limits and through the circuit.
-func (c *Client) guarded(ctx context.Context, limiter *rate.Limiter, k call) error {
-	if err := wait(ctx, limiter); err != nil {
+func (c *Client) guarded(ctx context.Context, k call) error {
+	if err := c.await(ctx, k.isWrite()); err != nil {
 		return err
 	}
 	_, err := c.breaker.Execute(func() (any, error) {
@@ -188,13 +199,38 @@
 	return err
 }
 
-func wait(ctx context.Context, limiter *rate.Limiter) error {
+// await waits until the limits allow a call.
+func (c *Client) await(ctx context.Context, isWrite bool) error {
+	limiter := c.limits.reads
+	if isWrite {
+		limiter = c.limits.writes
+		if err := c.spread(ctx); err != nil {
+			return store.Unavailable.Wrap(err)
+		}
+	}
 	if err := limiter.Wait(ctx); err != nil {
 		return store.Unavailable.Wrap(err)
 	}
 	return nil
 }
 
+// spread waits for a random part of the time over which writes are spread.
+func (c *Client) spread(ctx context.Context) error {
+	over := c.limits.spread.Load()
+	if over == 0 {
+		return nil
+	}
+	c.mu.Lock()
+	pause := time.Duration(c.random.Int64N(over))
+	c.mu.Unlock()
+	select {
+	case <-time.After(pause):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // isAnswer reports whether the service answered as it should.
 func isAnswer(err error) bool {
 	return err == nil || store.NotFound.Has(err) || store.Conflict.Has(err) || store.TooLarge.Has(err)
--- a/internal/storeclient/limits.go
+++ b/internal/storeclient/limits.go
@@ -1,6 +1,9 @@
 package storeclient
 
 import (
+	"sync/atomic"
+	"time"
+
 	"golang.org/x/time/rate"
 )
 
@@ -18,23 +21,35 @@
 type limits struct {
 	reads  *rate.Limiter
 	writes *rate.Limiter
+	// spread is the time, in nanoseconds, over which the first writes of all
+	// instances are spread when there are more instances than writes a second.
+	spread atomic.Int64
 }
 
 func newLimits(fleet int) *limits {
 	l := &limits{reads: rate.NewLimiter(0, 1), writes: rate.NewLimiter(0, 1)}
-	l.set(fleet)
+	l.setReaders(fleet)
+	l.setWriters(fleet)
 	return l
 }
 
-// set shares the calls of the fleet out. Half of a share is the rate and half
-// the burst, so that no second sees more than the share.
-func (l *limits) set(fleet int) {
-	apply(l.reads, fleetReads, fleet)
-	apply(l.writes, fleetWrites, fleet)
+func (l *limits) setReaders(n int) {
+	share(l.reads, fleetReads, n)
+}
+
+func (l *limits) setWriters(n int) {
+	share(l.writes, fleetWrites, n)
+	spread := time.Duration(0)
+	if n > fleetWrites {
+		spread = time.Second * time.Duration(n) / fleetWrites
+	}
+	l.spread.Store(int64(spread))
 }
 
-func apply(l *rate.Limiter, total float64, fleet int) {
-	half := total / float64(max(fleet, 1)) / 2
+// share gives one of n instances its share of the calls of the fleet. Half of it
+// is the rate and half the burst, so that no second sees more than the share.
+func share(l *rate.Limiter, total float64, n int) {
+	half := total / float64(max(n, 1)) / 2
 	l.SetLimit(rate.Limit(half))
 	l.SetBurst(min(max(int(half), 1), maxBurst))
 }
