Add the declare library, its schema and two deployments

Cause: operators declare in Go or in another language, with one validation. Change: a typed builder that prints the document and refuses nonsense with all problems at once; a JSON schema generated from the decoded types and tested against the validation; the two deployments as programs and examples. Conclusion: the schema is a sound first check; sums over fields stay with the tool.

--- /dev/null
+++ b/examples/deployment/vitols.go
@@ -0,0 +1,32 @@
+package deployment
+
+import (
+	"time"
+
+	"balsamfork/declare"
+)
+
+// Vitols declares the order board and the pattern library of a co-operative of
+// broom-makers with three data centres in one region.
+func Vitols() *declare.Config {
+	c := declare.New()
+	dataCentres := []*declare.DataCentre{
+		c.DataCentre("Kuldīga", declare.Region("Kurzeme")),
+		c.DataCentre("Talsi", declare.Region("Kurzeme")),
+		c.DataCentre("Ventspils", declare.Region("Kurzeme")),
+	}
+	// Members keep the board open through the night.
+	board := c.TCP("order-board", "203.0.113.20:443",
+		declare.Slots(3),
+		declare.IdleLimit(15*time.Minute),
+		declare.Ramp(0.1, time.Minute),
+	)
+	spread(board, dataCentres, "board", 20, 14)
+	patterns := c.TCP("pattern-library", "203.0.113.21:443",
+		declare.Slots(3),
+		declare.IdleLimit(time.Minute),
+		declare.Ramp(0.1, time.Minute),
+	)
+	spread(patterns, dataCentres, "patterns", 21, 4)
+	return c
+}
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -15,15 +15,15 @@
 // Document is what an operator declares, as JSON.
 type Document struct {
 	// Format is DocumentFormat.
-	Format      int               `json:"format"`
-	DataCentres []DataCentreSpec  `json:"dataCentres"`
-	Services    []ServiceDocument `json:"services"`
+	Format      int               `json:"format" jsonschema:"enum=1"`
+	DataCentres []DataCentreSpec  `json:"dataCentres" jsonschema:"minItems=1,maxItems=100"`
+	Services    []ServiceDocument `json:"services" jsonschema:"maxItems=2000"`
 }
 
 // DataCentreSpec declares a data centre.
 type DataCentreSpec struct {
-	Name   string `json:"name"`
-	Region string `json:"region,omitempty"`
+	Name   string `json:"name" jsonschema:"minLength=1,maxLength=63,pattern=^[-_.\\p{L}\\p{Nd}]+$"`
+	Region string `json:"region,omitempty" jsonschema:"maxLength=63,pattern=^[-_.\\p{L}\\p{Nd}]*$"`
 	// Out takes the data centre out of service.
 	Out bool `json:"out,omitempty"`
 }
@@ -31,40 +31,40 @@
 // ServiceDocument declares a service and the backend servers behind it.
 type ServiceDocument struct {
 	ServiceSpec
-	BackendServers []ServerSpec `json:"backendServers"`
+	BackendServers []ServerSpec `json:"backendServers" jsonschema:"maxItems=1000"`
 }
 
 // ServiceSpec declares a service without its backend servers.
 type ServiceSpec struct {
-	Name     string         `json:"name"`
+	Name     string         `json:"name" jsonschema:"minLength=1,maxLength=63,pattern=^[-_.\\p{L}\\p{Nd}]+$"`
 	Address  netip.AddrPort `json:"address"`
 	Protocol Protocol       `json:"protocol"`
 	// IdleLimit is the longest silence after which a flow must still reach its
 	// backend server through a planned change. Zero means without limit.
 	IdleLimit Duration `json:"idleLimit,omitzero"`
 	// Slots is how many requests a backend server runs at once.
-	Slots int      `json:"slots"`
+	Slots int      `json:"slots" jsonschema:"minimum=1,maximum=10000"`
 	Ramp  RampSpec `json:"ramp,omitzero"`
 }
 
 // RampSpec declares how a backend server that has just started is loaded: its
 // share grows from Start, over 0 and up to 1, to 1 over Duration.
 type RampSpec struct {
-	Start    float64  `json:"start"`
+	Start    float64  `json:"start" jsonschema:"exclusiveMinimum=0,maximum=1"`
 	Duration Duration `json:"duration"`
 }
 
 // ServerSpec declares a backend server.
 type ServerSpec struct {
-	Name       string `json:"name"`
-	DataCentre string `json:"dataCentre"`
+	Name       string `json:"name" jsonschema:"minLength=1,maxLength=63,pattern=^[-_.\\p{L}\\p{Nd}]+$"`
+	DataCentre string `json:"dataCentre" jsonschema:"minLength=1,maxLength=63"`
 	// Packets takes flows as GRE in UDP, Requests takes JSON-RPC over TCP, Health
 	// is the URL that probes ask. The last two may be absent.
 	Packets  netip.AddrPort `json:"packets"`
 	Requests netip.AddrPort `json:"requests,omitzero"`
-	Health   string         `json:"health,omitempty"`
+	Health   string         `json:"health,omitempty" jsonschema:"maxLength=255,pattern=^$|^[hH][tT][tT][pP][sS]?://"`
 	// Weight is relative to those of the service's other backend servers.
-	Weight uint32 `json:"weight"`
+	Weight uint32 `json:"weight" jsonschema:"minimum=1,maximum=1000"`
 	// State is Active or Draining; absent means Active.
 	State ServerState `json:"state,omitzero"`
 }
@@ -78,10 +78,25 @@
 		problems = err.(strictjson.Problems)
 	}
 	doc.normalise()
+	problems.AddNew(doc.absent())
 	problems.AddNew(doc.Validate())
 	return doc, problems.Err()
 }
 
+// absent reports the lists that must be given even when they are empty.
+func (d Document) absent() strictjson.Problems {
+	var problems strictjson.Problems
+	if d.Services == nil {
+		problems.Add("services", "must be given")
+	}
+	for i, s := range d.Services {
+		if s.BackendServers == nil {
+			problems.Add(strictjson.Index("services", i)+".backendServers", "must be given")
+		}
+	}
+	return problems
+}
+
 // Marshal returns the document as indented JSON with a final newline.
 func (d Document) Marshal() ([]byte, error) {
 	data, err := json.MarshalIndent(d, "", "  ")
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -62,7 +62,11 @@
 		return
 	}
 	err := text.UnmarshalText([]byte(s))
+	if err == nil && s != "" {
+		return
+	}
 	if err == nil {
+		d.problems.Add(path, "must not be empty")
 		return
 	}
 	if v.Type() == addrPortType {
