Play the scenario of the demonstration over any instances

Cause: the product must be shown whole, under traffic, with every figure counted at the callers and the backend servers. Instances, operator, workers and senders come in as interfaces.

--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,135 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"balsamfork/internal/standin/caller"
+)
+
+// Options say what a demonstration runs.
+type Options struct {
+	Deployment Deployment
+	// Seed makes the traffic and the faults repeat.
+	Seed uint64
+	// FlowsPerServer is how many flows are kept open for each backend server.
+	FlowsPerServer int
+	// RequestsPerSecond is the rate of all requests.
+	RequestsPerSecond int
+	// Scale stretches the phases; 1 ends within a minute.
+	Scale float64
+	// Progress takes what goes on, a line at a time; nil means nobody looks.
+	Progress io.Writer
+}
+
+// The traffic of a demonstration unless set otherwise.
+const (
+	DefaultFlowsPerServer    = 1200
+	DefaultRequestsPerSecond = 150
+)
+
+const (
+	openTime   = 4 * time.Second
+	flowPause  = 4 * time.Second
+	shortShare = 0.3
+	shortLife  = 6 * time.Second
+)
+
+// Run runs the demonstration. The error says what kept it from going on; a
+// promise that was not kept is in the result.
+func Run(ctx context.Context, o Options, p Platform) (*Result, error) {
+	w, err := newWorld(o, p)
+	if err != nil {
+		return nil, err
+	}
+	r := &run{world: w, result: &Result{Deployment: o.Deployment.Name, Seed: o.Seed, Violations: []string{}}, began: time.Now()}
+	err = r.play(ctx)
+	if stopErr := w.close(context.WithoutCancel(ctx)); stopErr != nil {
+		r.result.violate("graceful shutdown: %v", stopErr)
+	}
+	if err != nil {
+		return nil, err
+	}
+	r.conclude()
+	return r.result, nil
+}
+
+// run is one demonstration under way.
+type run struct {
+	*world
+	result *Result
+	began  time.Time
+}
+
+// conclude adds up what the callers and the backend servers have counted.
+func (r *run) conclude() {
+	res := r.result
+	for _, c := range r.callers.Counts() {
+		res.BrokenFlows += c.Broken()
+		res.UnopenedFlows += c.Unopened
+		res.ExcusedFlows += c.Excused
+	}
+	res.WrongService = r.wrongService()
+	c := r.ledger.sum()
+	res.NonRepeatableRunTwice = c.RunTwice
+	res.FalseRefusals = c.FalseRefusals
+	res.LostAnswers = c.Lost
+	res.CrossedAnswers = c.Crossed
+	res.Unanswered = c.Unanswered
+	res.Refused = c.Refused
+	res.UnknownAfterCrash = c.UnknownAfterCrash
+	res.judge()
+}
+
+// totals returns the counts of all callers together.
+func (r *run) totals() caller.Counts {
+	var sum caller.Counts
+	if r.callers == nil {
+		return sum
+	}
+	for _, c := range r.callers.Counts() {
+		sum = sum.Plus(c)
+	}
+	return sum
+}
+
+// phase runs one part and notes what was tried in it.
+func (r *run) phase(name string, part func() error) error {
+	began, before, sent := time.Now(), r.totals(), r.ledger.sent()
+	r.say("%s", name)
+	err := part()
+	tried := r.totals().Since(before)
+	p := Phase{
+		Name: name, Seconds: time.Since(began).Seconds(), Flows: tried.Flows, Packets: tried.Packets,
+		Requests: r.ledger.sent() - sent, Broken: tried.Broken(), Retransmits: tried.Retransmits,
+	}
+	r.result.Phases = append(r.result.Phases, p)
+	r.say("  %d flows, %d packets, %d requests; %d flows live, %d broken", p.Flows, p.Packets, p.Requests, tried.Live, p.Broken)
+	return err
+}
+
+func (r *run) say(format string, args ...any) {
+	if r.options.Progress == nil {
+		return
+	}
+	fmt.Fprintf(r.options.Progress, "%5.1fs "+format+"\n", append([]any{time.Since(r.began).Seconds()}, args...)...)
+}
+
+// scaled returns a time of the scenario as the options stretch it.
+func (r *run) scaled(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * r.options.Scale)
+}
+
+// hold lets the traffic go on.
+func (r *run) hold(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(r.scaled(d))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -45,8 +45,9 @@
 	Unknown uint64
 	// WrongService counts packets to an address that is not the service's.
 	WrongService uint64
-	// Last is when the last packet came.
-	Last time.Time
+	// Last is when the last packet came, LastOpened when the last flow began.
+	Last       time.Time
+	LastOpened time.Time
 }
 
 // Server is a running backend server.
@@ -166,6 +167,7 @@
 	case in.Has(wire.SYN):
 		if !known {
 			s.counts.Opened++
+			s.counts.LastOpened = s.counts.Last
 			s.flows[in.From] = struct{}{}
 		}
 		return wire.SYN | wire.ACK
--- a/internal/standin/caller/answer.go
+++ b/internal/standin/caller/answer.go
@@ -59,6 +59,7 @@
 	counts.Opened++
 	counts.Live++
 	e.server = server
+	e.opened = now
 	e.state = open
 	l.rest(now, e)
 }
@@ -90,7 +91,7 @@
 func (l *line) broken(now time.Time, e *entry, cause *uint64) {
 	counts := l.counts[e.service.Name]
 	counts.Live--
-	if l.config.Excused != nil && l.config.Excused(e.server) {
+	if l.config.Excused != nil && l.config.Excused(e.server, e.opened) {
 		cause = &counts.Excused
 	}
 	*cause++
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -57,9 +57,9 @@
 	// begun anew; the others stay open.
 	ShortShare float64
 	ShortLife  time.Duration
-	// Excused reports whether flows may break at a backend server. Nil excuses
-	// none.
-	Excused func(server string) bool
+	// Excused reports whether a flow that was opened at that time may break at a
+	// backend server. Nil excuses none.
+	Excused func(server string, opened time.Time) bool
 }
 
 // Callers is the running traffic.
--- a/internal/standin/caller/counts.go
+++ b/internal/standin/caller/counts.go
@@ -37,7 +37,8 @@
 	}
 }
 
-func (c Counts) plus(o Counts) Counts {
+// Plus returns the sum of two counts.
+func (c Counts) Plus(o Counts) Counts {
 	return Counts{
 		Flows: c.Flows + o.Flows, Opened: c.Opened + o.Opened, Closed: c.Closed + o.Closed,
 		Packets: c.Packets + o.Packets, Retransmits: c.Retransmits + o.Retransmits,
@@ -60,6 +61,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, n := range l.counts {
-		sum[name] = sum[name].plus(*n)
+		sum[name] = sum[name].Plus(*n)
 	}
 }
--- a/internal/standin/caller/line.go
+++ b/internal/standin/caller/line.go
@@ -30,6 +30,7 @@
 	waiting  bool
 	attempts int
 	due      time.Time
+	opened   time.Time
 	ends     time.Time
 	server   string
 }
--- a/internal/standin/fabric/fabric.go
+++ b/internal/standin/fabric/fabric.go
@@ -45,6 +45,9 @@
 	f.change(func(live []Instance) []Instance { return without(live, id) })
 }
 
+// Live returns the instances that packets and requests go to.
+func (f *Fabric) Live() []Instance { return slices.Clone(*f.live.Load()) }
+
 func (f *Fabric) change(edit func([]Instance) []Instance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
