--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/goleak"
 
 	"balsamfork/internal/config"
+	"balsamfork/internal/fleet"
 	"balsamfork/internal/flow"
 	"balsamfork/internal/packet"
 	"balsamfork/internal/standin/backend"
@@ -345,3 +346,50 @@
 		w.writer.count = 0
 	}
 }
+
+// Instances with the same view choose the same keeper, each about as often, and
+// one that leaves changes only the choices that fell on it.
+func TestKeepersAgree(t *testing.T) {
+	is := is.New(t)
+	view := &fleet.View{}
+	all := make(map[fleet.ID]*Keepers)
+	for i, id := range []fleet.ID{"a", "b", "c", "d"} {
+		address := netip.AddrPortFrom(local.Addr(), uint16(i+1))
+		view.Instances = append(view.Instances, fleet.Instance{ID: id, State: fleet.Alive, Packets: address})
+		all[id] = NewKeepers(id)
+	}
+	_, elsewhere := all["a"].Gather(1)
+	is.True(!elsewhere) // without a view, this instance
+	choose := func(hash uint64) netip.AddrPort {
+		var chosen netip.AddrPort
+		for i, row := range view.Instances {
+			address, elsewhere := all[row.ID].Gather(hash)
+			is.Equal(elsewhere, address != row.Packets)
+			is.True(i == 0 || address == chosen) // all agree
+			chosen = address
+		}
+		return chosen
+	}
+	set := func() {
+		for _, k := range all {
+			k.SetView(view)
+		}
+	}
+	set()
+	before := make(map[uint64]netip.AddrPort)
+	counts := make(map[netip.AddrPort]int)
+	for hash := range uint64(4000) {
+		before[hash] = choose(mix(hash))
+		counts[before[hash]]++
+	}
+	for _, n := range counts {
+		is.True(n > 900 && n < 1100)
+	}
+	view.Instances[3].State = fleet.Leaving
+	gone := view.Instances[3].Packets
+	set()
+	for hash, chosen := range before {
+		now := choose(mix(hash))
+		is.True(now == chosen || chosen == gone && now != gone)
+	}
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -43,6 +43,10 @@
 	Time       time.Duration
 	ColdFactor int
 	Delay      time.Duration
+	// Began and Finished, if set, are told the params of each request that begins
+	// to run and of each that has run to its end.
+	Began    func(params json.RawMessage)
+	Finished func(params json.RawMessage)
 }
 
 // Counts are totals since the start. Exceeded counts requests that came while all
@@ -218,7 +222,11 @@
 	if !ok {
 		return requestpath.CodeNotRun, "all slots taken"
 	}
+	tell(w.opts.Began, p)
 	finished := wait(ctx, took)
+	if finished {
+		tell(w.opts.Finished, p)
+	}
 	w.end(p, finished)
 	if !finished {
 		return requestpath.CodeCancelled, "cancelled"
@@ -226,6 +234,12 @@
 	return 0, ""
 }
 
+func tell(observe func(json.RawMessage), p requestpath.ServerParams) {
+	if observe != nil {
+		observe(p.Params)
+	}
+}
+
 func (w *Worker) begin(p requestpath.ServerParams, cancel context.CancelFunc) (time.Duration, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
