Run the daemon, and the demonstration on it

Cause: the whole path has to stand before its parts are refined. Found: a starting instance was never answered, since its peers did not know its address; the unit tests route by name.

--- /dev/null
+++ b/internal/app/parts.go
@@ -0,0 +1,168 @@
+package app
+
+import (
+	"log/slog"
+	"math/rand/v2"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/fx"
+
+	"balsamfork/internal/admin"
+	"balsamfork/internal/confstore"
+	"balsamfork/internal/confsync"
+	"balsamfork/internal/fleet"
+	"balsamfork/internal/forward"
+	"balsamfork/internal/gossip"
+	"balsamfork/internal/keys"
+	"balsamfork/internal/link"
+	"balsamfork/internal/member"
+	"balsamfork/internal/placement"
+	"balsamfork/internal/records"
+	"balsamfork/internal/requestpath"
+	"balsamfork/internal/settings"
+	"balsamfork/internal/storeclient"
+	"balsamfork/internal/telemetry"
+)
+
+// Module provides every part of an instance and connects them.
+var Module = fx.Module("instance",
+	fx.Provide(
+		newSockets, newMetrics, newScope, newKeys, newBook, newLink, newGossip, newStoreClient, newRepository,
+		newSync, newEngine, newTrust, newKeepers, newForwarder, newRequests, newServing, newAdmin, newConfigured,
+	),
+	fx.Invoke(connect, run),
+)
+
+// parts are those that a Daemon uses itself.
+type parts struct {
+	Sockets   *Sockets
+	Gossip    *gossip.Gossip
+	Sync      *confsync.Syncer
+	Engine    *placement.Engine
+	Forwarder *forward.Forwarder
+	Requests  *requestpath.Path
+	Link      *link.Link
+	Serving   *serving
+	Admin     *admin.Server
+}
+
+// abort closes whatever others could notice.
+func (p *parts) abort() {
+	p.Serving.stop()
+	p.Forwarder.Abort()
+	p.Requests.Close()
+	_ = p.Link.Close()
+}
+
+// maxRecords bounds the flow records that an instance holds.
+const maxRecords = 1 << 19
+
+// initialFleet is the number of instances that share the store's rates until the
+// table of instances is known.
+const initialFleet = 16
+
+func newMetrics(s *settings.Valid) *telemetry.Metrics {
+	return telemetry.NewMetrics(string(s.Self.ID))
+}
+
+func newScope(m *telemetry.Metrics) tally.Scope { return m.Scope }
+
+// newKeys returns nil where settings ask for plain text.
+func newKeys(s *settings.Valid) (*keys.Reloader, error) {
+	if s.TLS == nil {
+		return nil, nil
+	}
+	return keys.Load(keys.Files{
+		Authorities: s.TLS.Authorities,
+		Certificate: s.TLS.Certificate,
+		Key:         s.TLS.Key,
+	})
+}
+
+func newLink(s *settings.Valid, k *keys.Reloader, sockets *Sockets, b *book, log *slog.Logger, scope tally.Scope) (*link.Link, error) {
+	options := link.Options{
+		Self:     s.Self.ID,
+		Listener: sockets.Control,
+		Keys:     k,
+		Resolve:  b.resolve,
+	}
+	return link.New(options, log, scope)
+}
+
+func newGossip(
+	s *settings.Valid, sockets *Sockets, f *forward.Forwarder, l *link.Link, b *book, log *slog.Logger, scope tally.Scope,
+) *gossip.Gossip {
+	self := s.Self
+	self.State = fleet.Joining
+	self.Packets = s.Packets.Reached(f.Addr())
+	self.Requests = s.Requests.Reached(sockets.requestsAddr())
+	self.Control = s.Control.Reached(sockets.controlAddr())
+	g := gossip.New(gossip.Options{Self: self, Params: member.Default(), Seed: seed()}, l, l, log, scope)
+	g.Seed(s.Peers)
+	b.use(g.Resolve)
+	return g
+}
+
+func newStoreClient(s *settings.Valid, log *slog.Logger, scope tally.Scope) *storeclient.Client {
+	return storeclient.New(storeclient.Options{
+		URL:    s.StoreURL,
+		Fleet:  initialFleet,
+		Random: random(),
+		Scope:  scope,
+		Log:    log,
+	})
+}
+
+func newRepository(c *storeclient.Client) *confstore.Repository { return confstore.New(c) }
+
+func newSync(
+	s *settings.Valid, r *confstore.Repository, c *storeclient.Client, l *link.Link, log *slog.Logger, scope tally.Scope,
+) *confsync.Syncer {
+	return confsync.New(confsync.Options{
+		Self:   s.Self.ID,
+		Store:  r,
+		Limits: c,
+		Peers:  l,
+		Random: random(),
+		Scope:  scope,
+		Log:    log,
+	}, l)
+}
+
+func newEngine(s *settings.Valid) *placement.Engine {
+	return placement.New(placement.Options{Self: s.Self.ID, Records: records.LimitsFor(maxRecords)})
+}
+
+func newKeepers(s *settings.Valid) *forward.Keepers { return forward.NewKeepers(s.Self.ID) }
+
+func newForwarder(
+	s *settings.Valid, e *placement.Engine, t *trust, k *forward.Keepers, log *slog.Logger, scope tally.Scope,
+) (*forward.Forwarder, error) {
+	c := forward.Config{Listen: s.Packets.Listen, Workers: s.Workers, Gather: k.Gather}
+	return forward.New(c, e, t.has, log, scope)
+}
+
+func newRequests(s *settings.Valid, g *gossip.Gossip, l *link.Link, log *slog.Logger, scope tally.Scope) *requestpath.Path {
+	self, _ := g.View().Get(s.Self.ID)
+	return requestpath.New(requestpath.Options{
+		Self:        self.ID,
+		Incarnation: self.Incarnation,
+		DataCentre:  self.DataCentre,
+		Region:      self.Region,
+		Listen:      s.Requests.Listen,
+	}, l, l, log, scope)
+}
+
+func newAdmin(s *settings.Valid, m *telemetry.Metrics, sv *serving, log *slog.Logger) (*admin.Server, error) {
+	return admin.Listen(admin.Options{
+		Listen:  s.Admin.Listen,
+		Metrics: m.Handler,
+		Ready:   sv.ready,
+		Pprof:   s.Pprof,
+	}, telemetry.Part(log, "admin"))
+}
+
+// random returns a source of chance that differs between instances.
+func random() *rand.Rand { return rand.New(rand.NewPCG(seed(), seed())) }
+
+func seed() uint64 { return rand.Uint64() }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -26,8 +26,9 @@
 
 // The classes of errors that commands return; each has an exit code.
 var (
-	usageError = errs.Class("usage")
-	refused    = errs.Class("refused")
+	usageError   = errs.Class("usage")
+	refused      = errs.Class("refused")
+	errViolation = errs.Class("promise not kept")
 )
 
 // Env is what commands read and write.
--- a/internal/cli/groups.go
+++ b/internal/cli/groups.go
@@ -14,6 +14,6 @@
 			drainCommand(env), undrainCommand(env), takeoutCommand(env), returnCommand(env),
 			statusCommand(env), auditCommand(env),
 		}},
-		{"other", []*command{keysCommand(env), versionCommand(env)}},
+		{"other", []*command{keysCommand(env), demoCommand(env), versionCommand(env)}},
 	}
 }
--- /dev/null
+++ b/internal/localfleet/localfleet.go
@@ -0,0 +1,149 @@
+// Package localfleet starts instances of the daemon in this process, on loopback,
+// with certificates that it makes for them. It serves the demonstration and
+// tests of the whole.
+package localfleet
+
+import (
+	"context"
+	"io"
+	"os"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"balsamfork/internal/app"
+	"balsamfork/internal/demo"
+	"balsamfork/internal/keys"
+	"balsamfork/internal/settings"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("local fleet")
+
+const (
+	// anyPort lets the system choose a free port of loopback.
+	anyPort = "127.0.0.1:0"
+	// readyTimeout bounds the wait for a started instance to serve.
+	readyTimeout = 10 * time.Second
+	readyPoll    = 5 * time.Millisecond
+	// certificateLife is how long the certificates are valid.
+	certificateLife = time.Hour
+	drainTimeout    = 10 * time.Second
+)
+
+// Fleet starts instances that trust one authority.
+type Fleet struct {
+	dir       string
+	authority *keys.Authority
+	trusted   string
+	log       io.Writer
+}
+
+// New makes an authority in a temporary directory. Logs of the instances go to
+// log, from warnings on. Close removes the directory.
+func New(log io.Writer) (*Fleet, error) {
+	dir, err := os.MkdirTemp("", "balsamfork-")
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	now := time.Now()
+	authority, err := keys.NewAuthority("balsamfork demonstration", now.Add(-time.Minute), now.Add(certificateLife))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	f := &Fleet{dir: dir, authority: authority, trusted: dir + "/authority.pem", log: log}
+	return f, Error.Wrap(authority.Write(f.trusted))
+}
+
+// Close removes the certificates.
+func (f *Fleet) Close() error { return Error.Wrap(os.RemoveAll(f.dir)) }
+
+// Files returns the certificate of a holder, which it makes.
+func (f *Fleet) Files(holder keys.Identity) (keys.Files, error) {
+	base := f.dir + "/" + holder.Role.String() + "-" + holder.Name
+	files := keys.Files{Authorities: []string{f.trusted}, Certificate: base + ".pem", Key: base + ".key"}
+	now := time.Now()
+	err := f.authority.Issue(holder, now.Add(-time.Minute), now.Add(certificateLife), files.Certificate, files.Key)
+	return files, Error.Wrap(err)
+}
+
+// Start starts an instance and waits until it serves. It is a demo.StartDaemon.
+func (f *Fleet) Start(ctx context.Context, i demo.Instance) (demo.Daemon, error) {
+	s, err := f.settings(i)
+	if err != nil {
+		return nil, err
+	}
+	daemon, err := app.New(s, app.Logger(s, f.log))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if err := daemon.Start(ctx); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return instance{daemon}, awaitReady(ctx, daemon)
+}
+
+func (f *Fleet) settings(i demo.Instance) (*settings.Valid, error) {
+	files, err := f.Files(keys.Identity{Role: keys.Instance, Name: i.ID})
+	if err != nil {
+		return nil, err
+	}
+	s := settings.Settings{
+		ID:           i.ID,
+		DataCentre:   i.DataCentre,
+		Region:       i.Region,
+		Packets:      settings.Packets{Listener: settings.Listener{Listen: anyPort}},
+		Requests:     settings.Listener{Listen: anyPort},
+		Control:      settings.Control{Listener: settings.Listener{Listen: anyPort}, TLS: tlsOf(files)},
+		Admin:        settings.Admin{Listener: settings.Listener{Listen: anyPort}},
+		Store:        settings.Store{URL: i.StoreURL},
+		Log:          settings.Log{Level: "warn"},
+		DrainTimeout: drainTimeout.String(),
+	}
+	for _, p := range i.Peers {
+		s.Peers = append(s.Peers, settings.Peer{
+			ID: p.ID, DataCentre: p.DataCentre, Region: p.Region, Control: p.Control.String(),
+		})
+	}
+	valid, err := s.Validate()
+	return valid, Error.Wrap(err)
+}
+
+func tlsOf(f keys.Files) *settings.TLS {
+	return &settings.TLS{Certificate: f.Certificate, Key: f.Key, Authorities: f.Authorities}
+}
+
+func awaitReady(ctx context.Context, d *app.Daemon) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for {
+		ready, reason := d.Ready()
+		if ready {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return Error.New("instance is not ready: %s", reason)
+		case <-ticker.C:
+		}
+	}
+}
+
+// instance is a running daemon as the demonstration sees it.
+type instance struct {
+	*app.Daemon
+}
+
+// Addresses implements demo.Daemon.
+func (i instance) Addresses() demo.Addresses {
+	a := i.Daemon.Addresses()
+	return demo.Addresses{Packets: a.Packets, Requests: a.Requests, Control: a.Control}
+}
+
+// Ready implements demo.Daemon.
+func (i instance) Ready() bool {
+	ready, _ := i.Daemon.Ready()
+	return ready
+}
--- a/internal/member/repair.go
+++ b/internal/member/repair.go
@@ -90,7 +90,9 @@
 	if len(lost) == 0 {
 		return
 	}
-	t.send(lost[t.random.IntN(len(lost))], Message{Kind: Ping})
+	// The receiver may not know where to answer yet.
+	self := Update{Kind: Whole, Instance: t.self.Instance}
+	t.send(lost[t.random.IntN(len(lost))], Message{Kind: Ping, Updates: []Update{self}})
 }
 
 func (t *Table) lost() []fleet.ID {
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -47,6 +47,15 @@
 	problems strictjson.Problems
 }
 
+// Validate checks every field. The error is a strictjson.Problems of class Error.
+func (s Settings) Validate() (*Valid, error) {
+	v, problems := s.validate()
+	if err := problems.Err(); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return v, nil
+}
+
 // validate checks every field and returns all problems at once.
 func (s Settings) validate() (*Valid, strictjson.Problems) {
 	var c check
