Let the last instance leave without a handover

Cause: when all instances stop, none is left to take records, and each waited for its timeout. Change: a leaving instance looks for a usable one first.

--- a/internal/app/connect.go
+++ b/internal/app/connect.go
@@ -15,6 +15,7 @@
 	"balsamfork/internal/flow"
 	"balsamfork/internal/forward"
 	"balsamfork/internal/gossip"
+	"balsamfork/internal/handover"
 	"balsamfork/internal/keys"
 	"balsamfork/internal/link"
 	"balsamfork/internal/placement"
@@ -32,6 +33,7 @@
 	Trust    *trust
 	Keepers  *forward.Keepers
 	Requests *requestpath.Path
+	Handover *handover.Handover
 	Ready    *configured
 }
 
@@ -51,6 +53,7 @@
 		w.Trust.setView(v)
 		w.Keepers.SetView(v)
 		w.Engine.SetView(now(), v)
+		w.Handover.SetView(v)
 		w.Requests.SetView(v)
 		w.Sync.SetView(v)
 	})
@@ -62,6 +65,7 @@
 	})
 	w.Sync.OnChange(func(c *config.Config) {
 		w.Engine.SetConfig(now(), c)
+		w.Handover.SetConfig(c)
 		w.Requests.SetConfig(c)
 		w.Gossip.SetApplied(c.Version)
 		w.Ready.note()
@@ -83,6 +87,7 @@
 	Forwarder *forward.Forwarder
 	Requests  *requestpath.Path
 	Serving   *serving
+	Handover  *handover.Handover
 	Ready     *configured
 }
 
@@ -101,6 +106,7 @@
 func (s started) background() {
 	s.Serving.run(s.Gossip.Run)
 	s.Serving.run(s.syncConfiguration)
+	s.Serving.run(s.Handover.Run)
 	s.Serving.run(s.watchKeys)
 	s.Serving.run(func(ctx context.Context) { s.Serving.begin(ctx, s.Ready.done) })
 }
--- a/internal/app/parts.go
+++ b/internal/app/parts.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
@@ -13,6 +14,7 @@
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/forward"
 	"balsamfork/internal/gossip"
+	"balsamfork/internal/handover"
 	"balsamfork/internal/keys"
 	"balsamfork/internal/link"
 	"balsamfork/internal/member"
@@ -28,7 +30,7 @@
 var Module = fx.Module("instance",
 	fx.Provide(
 		newSockets, newMetrics, newScope, newKeys, newBook, newLink, newGossip, newStoreClient, newRepository,
-		newSync, newEngine, newTrust, newKeepers, newForwarder, newRequests, newServing, newAdmin, newConfigured,
+		newSync, newEngine, newTrust, newKeepers, newForwarder, newRequests, newServing, newAdmin, newConfigured, newSettler, newHandover,
 	),
 	fx.Invoke(connect, run),
 )
@@ -129,6 +131,23 @@
 	}, l)
 }
 
+func newSettler(s *settings.Valid, r *confstore.Repository) handover.Settler {
+	return confstore.NewSettler(r, string(s.Self.ID), time.Now)
+}
+
+func newHandover(
+	s *settings.Valid, e *placement.Engine, l *link.Link, settler handover.Settler, log *slog.Logger, scope tally.Scope,
+) *handover.Handover {
+	return handover.New(handover.Options{
+		Self:    s.Self.ID,
+		Engine:  e,
+		Caller:  l,
+		Settler: settler,
+		Log:     log,
+		Scope:   scope,
+	}, l)
+}
+
 func newEngine(s *settings.Valid) *placement.Engine {
 	return placement.New(placement.Options{Self: s.Self.ID, Records: records.LimitsFor(maxRecords)})
 }
--- a/internal/app/serving.go
+++ b/internal/app/serving.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"balsamfork/internal/confsync"
+	"balsamfork/internal/fleet"
 	"balsamfork/internal/forward"
 	"balsamfork/internal/gossip"
 	"balsamfork/internal/placement"
@@ -118,10 +120,22 @@
 	return s.handOver(ctx)
 }
 
+// last reports whether no other instance may take over.
+func (s *serving) last() bool {
+	view := s.gossip.View()
+	return !slices.ContainsFunc(view.Instances, func(i fleet.Instance) bool {
+		return i.ID != view.Self && i.Usable()
+	})
+}
+
 func (s *serving) handOver(ctx context.Context) error {
 	ticker := time.NewTicker(handoverPoll)
 	defer ticker.Stop()
 	for !s.engine.HandedOver() {
+		if s.last() {
+			s.log.Warn("No instance is left to hand records over to")
+			return nil
+		}
 		select {
 		case <-ctx.Done():
 			s.log.Warn("Records were left behind", "counts", s.engine.Counts())
