--- a/internal/config/accept.go
+++ b/internal/config/accept.go
@@ -103,13 +103,14 @@
 // following returns the header with the next version, made by the change.
 func (h StateHeader) following(changeID string) StateHeader {
 	h.Version++
-	h.Recent = append(slices.Clone(h.Recent), AcceptedChange{ID: changeID, Version: h.Version})
-	if len(h.Recent) > maxRecent {
-		h.Recent = h.Recent[len(h.Recent)-maxRecent:]
-	}
+	h.Recent = newestChanges(append(slices.Clone(h.Recent), AcceptedChange{ID: changeID, Version: h.Version}))
 	return h
 }
 
+func newestChanges(all []AcceptedChange) []AcceptedChange {
+	return all[max(0, len(all)-maxRecent):]
+}
+
 // dataCentreRecords puts the declarations into the records of the same names.
 func dataCentreRecords(old []DataCentreRecord, declared []DataCentreSpec) []DataCentreRecord {
 	known := make(map[string]DataCentreRecord, len(old))
--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -8,6 +8,7 @@
 
 // Delta is what an instance that holds one version lacks of a later one.
 type Delta struct {
+	// Header has only those recent changes that the instance lacks.
 	Header StateHeader `json:"header"`
 	// Names lists the services in order. It is absent if the order is the one
 	// that the instance has.
@@ -33,6 +34,7 @@
 // for none, with the given digest of its services' names.
 func (s *State) DeltaFrom(have Version, names uint64) Delta {
 	d := Delta{Header: s.StateHeader}
+	d.Header.Recent = slices.DeleteFunc(slices.Clone(s.Recent), func(c AcceptedChange) bool { return c.Version <= have })
 	if have == 0 || names != s.NamesDigest() {
 		for i := range s.Services {
 			d.Names = append(d.Names, s.Services[i].Name)
@@ -66,6 +68,9 @@
 		records[r.Name] = r
 	}
 	next := &State{StateHeader: d.Header}
+	if base != nil {
+		next.Recent = newestChanges(append(slices.Clone(base.Recent), d.Header.Recent...))
+	}
 	for _, name := range names {
 		record, known := records[name]
 		if !known {
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -111,6 +111,32 @@
 	return len(s.keys)
 }
 
+// Peek returns the value of a key, past all limits and faults.
+func (s *Server) Peek(key string) (store.Value, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.keys[key]
+	if e == nil {
+		return store.Value{}, false
+	}
+	return e.now, true
+}
+
+// Poke swaps the value of a key past all limits. An answer to be lost is
+// reported as store.Unknown.
+func (s *Server) Poke(key string, old store.Revision, data []byte) (store.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	revision, swapped := s.swap(key, old, data)
+	if !swapped {
+		return 0, store.Conflict.New("%s", key)
+	}
+	if s.faults.lose() {
+		return 0, store.Unknown.New("%s", key)
+	}
+	return revision, nil
+}
+
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	value, found := s.look(r.PathValue("key"))
--- /dev/null
+++ b/internal/storeclient/client_test.go
@@ -0,0 +1,186 @@
+package storeclient
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	standin "balsamfork/internal/standin/store"
+	"balsamfork/internal/store"
+)
+
+func newClient(transport http.RoundTripper, url string, fleet int) *Client {
+	return New(Options{URL: url, Transport: transport, Fleet: fleet, Random: rand.New(rand.NewPCG(1, 2))})
+}
+
+// TestClasses lets the service misbehave in every way, in fake time, and checks
+// what the client makes of it.
+func TestClasses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		server := standin.New()
+		c := newClient(server, "http://store", 1)
+		ctx := t.Context()
+		_, err := c.Get(ctx, "k")
+		is.True(store.NotFound.Has(err))
+		one, err := c.CompareAndSwap(ctx, "k", 0, []byte("a"))
+		is.NoErr(err)
+		_, err = c.CompareAndSwap(ctx, "k", 0, []byte("b"))
+		is.True(store.Conflict.Has(err))
+		_, err = c.CompareAndSwap(ctx, "k", one, make([]byte, store.MaxValue+1))
+		is.True(store.TooLarge.Has(err))
+
+		server.LoseAnswers(1)
+		_, err = c.CompareAndSwap(ctx, "k", one, []byte("b"))
+		is.True(store.Unknown.Has(err) && !store.Unavailable.Has(err))
+		value, err := c.Get(ctx, "k")
+		is.NoErr(err)
+		is.Equal(string(value.Data), "b") // it took effect all the same
+
+		server.AnswerOld(1)
+		value, err = c.Get(ctx, "k")
+		is.NoErr(err)
+		is.Equal(string(value.Data), "a")
+
+		server.SetDelay(time.Minute)
+		began := time.Now()
+		_, err = c.CompareAndSwap(ctx, "k", value.Revision, nil)
+		is.True(store.Unknown.Has(err))
+		_, err = c.Get(ctx, "k")
+		is.True(store.Unavailable.Has(err))
+		is.True(time.Since(began) < 4*callTimeout+2*lastRetry)
+		server.SetDelay(0)
+
+		ended, cancel := context.WithCancel(ctx)
+		cancel()
+		_, err = c.Get(ended, "k")
+		is.True(store.Unavailable.Has(err))
+	})
+}
+
+// TestCircuit counts the calls that reach a service which is down.
+func TestCircuit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		server := standin.New()
+		server.SetDown(true)
+		c := newClient(server, "http://store", 1)
+		for range 600 {
+			_, err := c.CompareAndSwap(t.Context(), "k", 0, nil)
+			is.True(store.Unavailable.Has(err)) // refused before it ran
+			_, err = c.Watch(t.Context(), "k", 0)
+			is.True(store.Unavailable.Has(err))
+			time.Sleep(100 * time.Millisecond)
+		}
+		calls := server.Counts().Writes + server.Counts().Reads
+		is.True(calls <= tripAfter+2*60) // of 1,200 in a minute; two for each time it tries
+		server.SetDown(false)
+		time.Sleep(2 * openFor)
+		_, err := c.CompareAndSwap(t.Context(), "k", 0, nil)
+		is.NoErr(err)
+	})
+}
+
+func TestWatchAndLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		server := standin.New()
+		c := newClient(server, "http://store", 1)
+		ctx := t.Context()
+		go func() {
+			time.Sleep(3 * watchWait)
+			_, _ = c.CompareAndSwap(ctx, "k", 0, []byte("a"))
+		}()
+		value, err := c.Watch(ctx, "k", 0)
+		is.NoErr(err)
+		is.Equal(string(value.Data), "a")
+		is.True(server.Counts().Reads <= 4) // long polls
+		go func() {
+			time.Sleep(time.Second)
+			server.SetDown(true)
+		}()
+		_, err = c.Watch(ctx, "k", value.Revision)
+		is.True(store.Unavailable.Has(err))
+		server.SetDown(false)
+		time.Sleep(2 * openFor)
+
+		first, err := c.Lease(ctx, "l", "a", time.Minute)
+		is.NoErr(err)
+		_, err = c.Lease(ctx, "l", "b", time.Minute)
+		is.True(store.Conflict.Has(err))
+		again, err := c.Lease(ctx, "l", "a", time.Minute)
+		is.NoErr(err)
+		is.Equal(again.Fence, first.Fence)
+		server.LapseLeases()
+		second, err := c.Lease(ctx, "l", "b", time.Minute)
+		is.NoErr(err)
+		is.True(second.Fence > first.Fence)
+	})
+}
+
+// TestBoundRates lets clients of fleets of several sizes call without end, for a minute of
+// fake time, and counts each second.
+func TestBoundRates(t *testing.T) {
+	for _, fleet := range []int{1, 18, 100, 410} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			server := standin.New()
+			for i := range fleet {
+				c := New(Options{URL: "http://store", Transport: server, Fleet: fleet, Random: rand.New(rand.NewPCG(1, uint64(i)))})
+				go func() {
+					for ctx.Err() == nil {
+						_, _ = c.Get(ctx, "k")
+					}
+				}()
+				go func() {
+					for ctx.Err() == nil {
+						_, _ = c.CompareAndSwap(ctx, "k", 1, nil)
+					}
+				}()
+			}
+			reads, writes := 0, 0
+			for range 60 {
+				before := server.Counts()
+				time.Sleep(time.Second)
+				now := server.Counts()
+				reads, writes = max(reads, now.Reads-before.Reads), max(writes, now.Writes-before.Writes)
+			}
+			synctest.Wait()
+			t.Logf("fleet of %d: at most %d reads and %d writes a second", fleet, reads, writes)
+			is.True(reads <= fleetReads)
+			is.True(writes <= fleetWrites)
+			is.Equal(server.Counts().Refused, 0)
+		})
+	}
+}
+
+// TestSockets speaks over loopback, and to a port where nobody listens.
+func TestSockets(t *testing.T) {
+	is := is.New(t)
+	handler := standin.New()
+	server := httptest.NewServer(handler)
+	c := newClient(nil, server.URL, 1)
+	revision, err := c.CompareAndSwap(t.Context(), "a/b c", 0, []byte{0, 1})
+	is.NoErr(err)
+	value, err := c.Watch(t.Context(), "a/b c", revision-1)
+	is.NoErr(err)
+	is.Equal(value.Data, []byte{0, 1})
+	handler.LoseAnswers(1)
+	_, err = c.CompareAndSwap(t.Context(), "a/b c", revision, nil)
+	is.True(store.Unknown.Has(err))
+	server.Close()
+	_, err = c.CompareAndSwap(t.Context(), "a/b c", revision, nil)
+	is.True(store.Unavailable.Has(err))
+	var refused *net.OpError
+	is.True(errors.As(err, &refused))
+}
--- a/internal/storeclient/limits.go
+++ b/internal/storeclient/limits.go
@@ -17,6 +17,10 @@
 // maxBurst bounds the calls that an instance of a small fleet makes at once.
 const maxBurst = 100
 
+// spreadFactor is by how much the first writes of a large fleet stay under its
+// rate, since a random spread is not an even one.
+const spreadFactor = 3
+
 // limits bounds the calls of one client.
 type limits struct {
 	reads  *rate.Limiter
@@ -41,7 +45,7 @@
 	share(l.writes, fleetWrites, n)
 	spread := time.Duration(0)
 	if n > fleetWrites {
-		spread = time.Second * time.Duration(n) / fleetWrites
+		spread = spreadFactor * time.Second * time.Duration(n) / fleetWrites
 	}
 	l.spread.Store(int64(spread))
 }
