Count the callers' events in one table

Change: caller.Counts is an array by kind of event; wire takes TCP flags as they stand in the header; a phase counts from where the last one ended.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -61,6 +61,9 @@
 	*world
 	result *Result
 	began  time.Time
+	// counted and sent are what earlier phases have accounted for.
+	counted caller.Counts
+	sent    int
 }
 
 // conclude adds up what the callers and the backend servers have counted.
@@ -68,8 +71,8 @@
 	res := r.result
 	for _, c := range r.callers.Counts() {
 		res.BrokenFlows += c.Broken()
-		res.UnopenedFlows += c.Unopened
-		res.ExcusedFlows += c.Excused
+		res.UnopenedFlows += c[caller.Unopened]
+		res.ExcusedFlows += c[caller.Excused]
 	}
 	res.WrongService = r.wrongService()
 	c := r.ledger.sum()
@@ -97,16 +100,18 @@
 
 // phase runs one part and notes what was tried in it.
 func (r *run) phase(name string, part func() error) error {
-	began, before, sent := time.Now(), r.totals(), r.ledger.sent()
+	began := time.Now()
 	r.say("%s", name)
 	err := part()
-	tried := r.totals().Since(before)
+	total, sent := r.totals(), r.ledger.sent()
+	tried := total.Since(r.counted)
 	p := Phase{
-		Name: name, Seconds: time.Since(began).Seconds(), Flows: tried.Flows, Packets: tried.Packets,
-		Requests: r.ledger.sent() - sent, Broken: tried.Broken(), Retransmits: tried.Retransmits,
+		Name: name, Seconds: time.Since(began).Seconds(), Flows: tried[caller.Flows], Packets: tried[caller.Packets],
+		Requests: sent - r.sent, Broken: tried.Broken(), Retransmits: tried[caller.Retransmits],
 	}
 	r.result.Phases = append(r.result.Phases, p)
-	r.say("  %d flows, %d packets, %d requests; %d flows live, %d broken", p.Flows, p.Packets, p.Requests, tried.Live, p.Broken)
+	r.counted, r.sent = total, sent
+	r.say("  %d flows, %d packets, %d requests; %d flows live, %d broken", p.Flows, p.Packets, p.Requests, total.Live(), p.Broken)
 	return err
 }
 
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -177,7 +177,7 @@
 	is.True(packets > flows)
 	is.True(requests > 0)
 	is.True(strings.Contains(progress.String(), "data centre out"))
-	is.NoErr(r.Print(&table))
+	r.Text(&table)
 	is.True(strings.Contains(table.String(), "Every promise was kept."))
 	encoded, err := json.Marshal(r)
 	is.NoErr(err)
--- a/internal/demo/phases.go
+++ b/internal/demo/phases.go
@@ -93,10 +93,10 @@
 	limited, cancel := context.WithTimeout(ctx, r.scaled(openTimeout))
 	defer cancel()
 	err = r.callers.Wait(limited, func(map[string]caller.Counts) bool {
-		return float64(r.totals().Live) >= openShare*float64(want)
+		return float64(r.totals().Live()) >= openShare*float64(want)
 	})
 	if err != nil {
-		r.result.violate("%d of %d flows are open after %s", r.totals().Live, want, r.scaled(openTimeout))
+		r.result.violate("%d of %d flows are open after %s", r.totals().Live(), want, r.scaled(openTimeout))
 	}
 	return ctx.Err()
 }
--- a/internal/demo/result.go
+++ b/internal/demo/result.go
@@ -108,8 +108,8 @@
 	r.Violations = append(r.Violations, fmt.Sprintf(format, args...))
 }
 
-// Print writes the result as a table.
-func (r *Result) Print(out io.Writer) error {
+// Text writes the result as a table.
+func (r *Result) Text(out io.Writer) {
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(t, "%s, seed %d\n\n", r.Deployment, r.Seed)
 	fmt.Fprintln(t, "phase\tseconds\tflows\tpackets\trequests\tbroken\trepeated")
@@ -127,7 +127,7 @@
 	if len(r.Violations) == 0 {
 		fmt.Fprintln(t, "Every promise was kept.")
 	}
-	return t.Flush()
+	_ = t.Flush()
 }
 
 func (r *Result) rows() [][2]string {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -130,13 +130,13 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
 	is.NoErr(callers.Wait(ctx, func(c map[string]caller.Counts) bool {
-		return c["desk"].Closed >= 600 && c["sheets"].Closed >= 200
+		return c["desk"][caller.Closed] >= 600 && c["sheets"][caller.Closed] >= 200
 	}))
 	callers.Close()
 	for name, c := range callers.Counts() {
-		t.Logf("%s: %+v", name, c)
-		is.Equal(c.Broken()+c.Unopened+c.Excused, uint64(0))
-		is.True(c.Answers >= 3*c.Closed) // opened, used, closed
+		t.Logf("%s: %v", name, c)
+		is.Equal(c.Broken()+c[caller.Unopened]+c[caller.Excused], uint64(0))
+		is.True(c[caller.Answers] >= 3*c[caller.Closed]) // opened, used, closed
 	}
 	for _, s := range append(deskServers, sheets...) {
 		c := s.Counts()
--- a/internal/standin/caller/answer.go
+++ b/internal/standin/caller/answer.go
@@ -28,25 +28,24 @@
 		return
 	}
 	e := &l.entries[i]
-	counts := l.counts[e.service.Name]
-	counts.Answers++
+	l.count(e, Answers)
 	reset := in.Has(wire.RST)
 	switch {
 	case reset && e.state == closing:
 		// The answer to the closing packet was lost, and this is to its copy.
 		l.closed(now, e)
 	case reset && e.state == opening:
-		counts.Unopened++
+		l.count(e, Unopened)
 		l.end(now, e)
 	case reset:
-		l.broken(now, e, &counts.Reset)
+		l.broken(now, e, Reset)
 	case e.state == opening:
 		l.opened(now, e, string(in.Data))
 	case in.Has(wire.SYN):
 		// A copy of the opening packet may have reached another backend server; the
 		// flow is at the one that answered first.
 	case string(in.Data) != e.server:
-		l.broken(now, e, &counts.Moved)
+		l.broken(now, e, Moved)
 	case e.state == closing && in.Has(wire.FIN):
 		l.closed(now, e)
 	case e.state == open:
@@ -55,9 +54,7 @@
 }
 
 func (l *line) opened(now time.Time, e *entry, server string) {
-	counts := l.counts[e.service.Name]
-	counts.Opened++
-	counts.Live++
+	l.count(e, Opened)
 	e.server = server
 	e.opened = now
 	e.state = open
@@ -71,30 +68,25 @@
 }
 
 func (l *line) closed(now time.Time, e *entry) {
-	counts := l.counts[e.service.Name]
-	counts.Closed++
-	counts.Live--
+	l.count(e, Closed)
 	l.end(now, e)
 }
 
 // giveUp ends a flow that got no answer.
 func (l *line) giveUp(now time.Time, e *entry) {
-	counts := l.counts[e.service.Name]
 	if e.state == opening {
-		counts.Unopened++
+		l.count(e, Unopened)
 		l.end(now, e)
 		return
 	}
-	l.broken(now, e, &counts.Silent)
+	l.broken(now, e, Silent)
 }
 
-func (l *line) broken(now time.Time, e *entry, cause *uint64) {
-	counts := l.counts[e.service.Name]
-	counts.Live--
+func (l *line) broken(now time.Time, e *entry, cause Count) {
 	if l.config.Excused != nil && l.config.Excused(e.server, e.opened) {
-		cause = &counts.Excused
+		cause = Excused
 	}
-	*cause++
+	l.count(e, cause)
 	l.end(now, e)
 }
 
--- a/internal/standin/caller/line.go
+++ b/internal/standin/caller/line.go
@@ -115,7 +115,7 @@
 	case e.waiting && e.attempts >= maxAttempts:
 		l.giveUp(now, e)
 	case e.waiting:
-		l.counts[e.service.Name].Retransmits++
+		l.count(e, Retransmits)
 		l.send(now, e)
 	case e.state == idle:
 		l.begin(now, i, e)
@@ -141,7 +141,7 @@
 	if l.random.Float64() < l.config.ShortShare {
 		e.ends = now.Add(l.around(l.config.ShortLife))
 	}
-	l.counts[e.service.Name].Flows++
+	l.count(e, Flows)
 	l.start(now, e, opening)
 }
 
@@ -155,7 +155,7 @@
 	wait := min(firstRetransmit<<e.attempts, maxRetransmit)
 	e.due = now.Add(wait)
 	e.attempts++
-	l.counts[e.service.Name].Packets++
+	l.count(e, Packets)
 	instance, ok := l.picker.Pick()
 	if !ok {
 		return
@@ -184,6 +184,8 @@
 	return s
 }
 
+func (l *line) count(e *entry, c Count) { l.counts[e.service.Name][c]++ }
+
 // around returns a time between half and one and a half of mean.
 func (l *line) around(mean time.Duration) time.Duration {
 	return time.Duration((0.5 + l.random.Float64()) * float64(mean))
--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -15,17 +15,21 @@
 // hopLimit is the time to live of the packets, in hops.
 const hopLimit = 64
 
-// Flag is a flag of TCP.
+// Flag is a flag of TCP, with its bit in the header.
 type Flag uint8
 
 // The flags that the stand-ins use.
 const (
-	SYN Flag = 1 << iota
-	ACK
-	FIN
+	FIN Flag = 1 << iota
+	SYN
 	RST
+	_
+	ACK
 )
 
+// flagsOffset is where the TCP header holds the flags.
+const flagsOffset = 13
+
 // Segment is one packet of a flow.
 type Segment struct {
 	From     netip.AddrPort
@@ -114,7 +118,7 @@
 			From:     netip.AddrPortFrom(from, uint16(c.tcp.SrcPort)),
 			To:       netip.AddrPortFrom(to, uint16(c.tcp.DstPort)),
 			Protocol: config.TCP,
-			Flags:    c.flags(),
+			Flags:    Flag(c.tcp.Contents[flagsOffset]),
 			Data:     c.tcp.Payload,
 		}, true
 	case layers.LayerTypeUDP:
@@ -132,16 +136,3 @@
 		return Segment{}, false
 	}
 }
-
-func (c *Codec) flags() Flag {
-	var flags Flag
-	for _, f := range []struct {
-		set  bool
-		flag Flag
-	}{{c.tcp.SYN, SYN}, {c.tcp.ACK, ACK}, {c.tcp.FIN, FIN}, {c.tcp.RST, RST}} {
-		if f.set {
-			flags |= f.flag
-		}
-	}
-	return flags
-}
