--- a/internal/standin/caller/line.go
+++ b/internal/standin/caller/line.go
@@ -25,6 +25,7 @@
 // packet that waits for an answer was sent.
 type entry struct {
 	service  *Service
+	short    bool
 	port     uint16
 	state    state
 	waiting  bool
@@ -81,7 +82,8 @@
 		l.counts[service.Name] = &Counts{}
 		for n := index; n < service.Flows; n += l.config.Sockets {
 			wait := time.Duration(l.random.Float64() * float64(l.config.OpenTime))
-			l.entries = append(l.entries, entry{service: service, due: now.Add(wait)})
+			short := l.random.Float64() < l.config.ShortShare
+			l.entries = append(l.entries, entry{service: service, short: short, due: now.Add(wait)})
 		}
 	}
 }
@@ -138,7 +140,7 @@
 	l.byPort[e.port] = i
 	e.server = ""
 	e.ends = time.Time{}
-	if l.random.Float64() < l.config.ShortShare {
+	if e.short {
 		e.ends = now.Add(l.around(l.config.ShortLife))
 	}
 	l.count(e, Flows)
