--- a/internal/app/connect.go
+++ b/internal/app/connect.go
@@ -33,7 +33,6 @@
 	Trust    *trust
 	Keepers  *forward.Keepers
 	Requests *requestpath.Path
-	Handover *handover.Handover
 	Ready    *configured
 }
 
@@ -53,7 +52,6 @@
 		w.Trust.setView(v)
 		w.Keepers.SetView(v)
 		w.Engine.SetView(now(), v)
-		w.Handover.SetView(v)
 		w.Requests.SetView(v)
 		w.Sync.SetView(v)
 	})
@@ -65,7 +63,6 @@
 	})
 	w.Sync.OnChange(func(c *config.Config) {
 		w.Engine.SetConfig(now(), c)
-		w.Handover.SetConfig(c)
 		w.Requests.SetConfig(c)
 		w.Gossip.SetApplied(c.Version)
 		w.Ready.note()
@@ -87,7 +84,8 @@
 	Forwarder *forward.Forwarder
 	Requests  *requestpath.Path
 	Serving   *serving
-	Handover  *handover.Handover
+	Exchanger *handover.Exchanger
+	Settling  *handover.Coordinator
 	Ready     *configured
 }
 
@@ -106,7 +104,8 @@
 func (s started) background() {
 	s.Serving.run(s.Gossip.Run)
 	s.Serving.run(s.syncConfiguration)
-	s.Serving.run(s.Handover.Run)
+	s.Serving.run(s.Exchanger.Run)
+	s.Serving.run(s.Settling.Run)
 	s.Serving.run(s.watchKeys)
 	s.Serving.run(func(ctx context.Context) { s.Serving.begin(ctx, s.Ready.done) })
 }
--- a/internal/app/parts.go
+++ b/internal/app/parts.go
@@ -9,6 +9,7 @@
 	"go.uber.org/fx"
 
 	"balsamfork/internal/admin"
+	"balsamfork/internal/config"
 	"balsamfork/internal/confstore"
 	"balsamfork/internal/confsync"
 	"balsamfork/internal/fleet"
@@ -30,7 +31,7 @@
 var Module = fx.Module("instance",
 	fx.Provide(
 		newSockets, newMetrics, newScope, newKeys, newBook, newLink, newGossip, newStoreClient, newRepository,
-		newSync, newEngine, newTrust, newKeepers, newForwarder, newRequests, newServing, newAdmin, newConfigured, newSettler, newHandover,
+		newSync, newEngine, newTrust, newKeepers, newForwarder, newRequests, newServing, newAdmin, newConfigured, newSettler, newExchanger, newCoordinator,
 	),
 	fx.Invoke(connect, run),
 )
@@ -135,17 +136,27 @@
 	return confstore.NewSettler(r, string(s.Self.ID), time.Now)
 }
 
-func newHandover(
-	s *settings.Valid, e *placement.Engine, l *link.Link, settler handover.Settler, log *slog.Logger, scope tally.Scope,
-) *handover.Handover {
-	return handover.New(handover.Options{
-		Self:    s.Self.ID,
-		Engine:  e,
-		Caller:  l,
-		Settler: settler,
-		Log:     log,
-		Scope:   scope,
-	}, l)
+func newExchanger(e *placement.Engine, l *link.Link, log *slog.Logger, scope tally.Scope) *handover.Exchanger {
+	return handover.NewExchanger(e, l, l, scope, log)
+}
+
+// newest gives the coordinator what this instance knows.
+type newest struct {
+	gossip *gossip.Gossip
+	sync   *confsync.Syncer
+}
+
+// Config implements handover.Source.
+func (n newest) Config() *config.Config { return n.sync.Current() }
+
+// View implements handover.Source.
+func (n newest) View() *fleet.View { return n.gossip.View() }
+
+func newCoordinator(
+	s *settings.Valid, e *placement.Engine, l *link.Link, g *gossip.Gossip, cs *confsync.Syncer, settler handover.Settler,
+	log *slog.Logger, scope tally.Scope,
+) *handover.Coordinator {
+	return handover.NewCoordinator(s.Self.ID, e, l, newest{gossip: g, sync: cs}, settler, scope, log)
 }
 
 func newEngine(s *settings.Valid) *placement.Engine {
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 
 	"balsamfork/internal/demo"
 	"balsamfork/internal/localfleet"
@@ -63,12 +62,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return demonstration{result}, violated(result)
+	return result, violated(result)
 }
-
-type demonstration struct {
-	*demo.Result
-}
-
-// Text prints the figures as a table.
-func (d demonstration) Text(w io.Writer) { _ = d.Print(w) }
