--- a/internal/standin/caller/line.go
+++ b/internal/standin/caller/line.go
@@ -25,11 +25,13 @@
 // packet that waits for an answer was sent.
 type entry struct {
 	service  *Service
+	short    bool
 	port     uint16
 	state    state
 	waiting  bool
 	attempts int
 	due      time.Time
+	opened   time.Time
 	ends     time.Time
 	server   string
 }
@@ -80,7 +82,8 @@
 		l.counts[service.Name] = &Counts{}
 		for n := index; n < service.Flows; n += l.config.Sockets {
 			wait := time.Duration(l.random.Float64() * float64(l.config.OpenTime))
-			l.entries = append(l.entries, entry{service: service, due: now.Add(wait)})
+			short := l.random.Float64() < l.config.ShortShare
+			l.entries = append(l.entries, entry{service: service, short: short, due: now.Add(wait)})
 		}
 	}
 }
@@ -114,7 +117,7 @@
 	case e.waiting && e.attempts >= maxAttempts:
 		l.giveUp(now, e)
 	case e.waiting:
-		l.counts[e.service.Name].Retransmits++
+		l.count(e, Retransmits)
 		l.send(now, e)
 	case e.state == idle:
 		l.begin(now, i, e)
@@ -137,10 +140,10 @@
 	l.byPort[e.port] = i
 	e.server = ""
 	e.ends = time.Time{}
-	if l.random.Float64() < l.config.ShortShare {
+	if e.short {
 		e.ends = now.Add(l.around(l.config.ShortLife))
 	}
-	l.counts[e.service.Name].Flows++
+	l.count(e, Flows)
 	l.start(now, e, opening)
 }
 
@@ -154,7 +157,7 @@
 	wait := min(firstRetransmit<<e.attempts, maxRetransmit)
 	e.due = now.Add(wait)
 	e.attempts++
-	l.counts[e.service.Name].Packets++
+	l.count(e, Packets)
 	instance, ok := l.picker.Pick()
 	if !ok {
 		return
@@ -183,6 +186,8 @@
 	return s
 }
 
+func (l *line) count(e *entry, c Count) { l.counts[e.service.Name][c]++ }
+
 // around returns a time between half and one and a half of mean.
 func (l *line) around(mean time.Duration) time.Duration {
 	return time.Duration((0.5 + l.random.Float64()) * float64(mean))
