Pass the authority over a bucket on from owner to owner

Change: one instance has the authority over a bucket. The next owner gets it when all see the same instances, it has the records, and the one before has let go; the second compares with it afterwards. Who lacks a record and the authority searches for it in an order that is the same in every view, else sends to the base. The model gives a joining instance the rows that it missed, as gossip does.

--- a/internal/handover/doc.go
+++ b/internal/handover/doc.go
@@ -15,7 +15,7 @@
 	// callTimeout bounds one call to a peer.
 	callTimeout = 2 * time.Second
 	// maxCalls bounds the calls that are under way at once.
-	maxCalls = 8
+	maxCalls = 32
 	// tickInterval is the time between two looks at what is to be sent.
 	tickInterval = 100 * time.Millisecond
 	// settleInterval is the time between two looks at unsettled services.
--- a/internal/handover/exchanger.go
+++ b/internal/handover/exchanger.go
@@ -103,7 +103,8 @@
 	return s, nil
 }
 
-// Run sends what the Engine has to send until the context ends.
+// Run sends what the Engine has to send until the context ends. While maxCalls are
+// under way it waits, so that no request is made twice.
 func (x *Exchanger) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -117,7 +118,7 @@
 		case <-ticker.C:
 		}
 		for _, ask := range x.engine.Tick(time.Now().UnixNano()).Asks {
-			calls.TryGo(func() error {
+			calls.Go(func() error {
 				x.ask(ctx, ask)
 				return nil
 			})
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -71,7 +71,7 @@
 	}
 	if p.Hops >= MaxHops {
 		d.engine.counts.hops.Add(1)
-		return d.unrecorded(false)
+		return d.derive()
 	}
 	if d.state.behind {
 		return d.pass()
@@ -79,18 +79,29 @@
 	if !d.service.isUnsettled(d.bucket) {
 		return forward(d.service.baseOf(d.bucket))
 	}
-	rank := d.state.ring.rankOf(d.bucket)
-	if owner := d.state.ring.at(d.bucket, 0); rank != 0 && p.Origin != flow.Delegated && owner != nil {
+	ring := d.state.ring
+	steered := p.Origin != flow.Delegated
+	if owner := ring.at(d.bucket, 0); steered && p.Hops < maxSteered && owner != nil && owner.ID != d.engine.self {
 		return relay(owner, flow.Steered)
 	}
-	if d.engine.complete[d.bucket] {
-		return d.unrecorded(d.mayAct())
+	if d.engine.buckets[d.bucket].authority {
+		return d.unrecorded(d.state.confirmed >= d.service.since)
 	}
-	if next := d.state.ring.at(d.bucket, rank+1); next != nil {
+	if next := ring.next(d.bucket, steered); next != nil {
 		return relay(next, flow.Delegated)
 	}
 	d.engine.counts.alone.Add(1)
-	return d.unrecorded(false)
+	return d.derive()
+}
+
+// derive decides on the spot when no authority was found, without a record: the
+// base, which is where every instance looks for a flow that has none. If the flow
+// is an older one, it was not noted, and the service settles later.
+func (d *decision) derive() flow.Verdict {
+	if d.observes() && !d.opening {
+		d.service.overflow.Store(d.now)
+	}
+	return forward(d.oldBase())
 }
 
 // recorded returns the flow's record and its backend server, or nil if there is
@@ -257,22 +268,12 @@
 // pass hands a packet on to an instance that serves by a newer version.
 func (d *decision) pass() flow.Verdict {
 	ring := d.state.ring
-	for k := range ranks {
+	for k := range holders {
 		if i := ring.at(d.bucket, k); i != nil && i.ID != d.engine.self {
 			return relay(i, flow.Steered)
 		}
 	}
-	return d.unrecorded(false)
-}
-
-// mayAct reports whether every instance in reach knows the version and this
-// instance's place, so that none decides about the bucket on older grounds.
-func (d *decision) mayAct() bool {
-	if d.state.confirmed < d.service.since {
-		return false
-	}
-	ring := d.state.ring
-	return ring.agreement.reached.Load() || ring.steady.Has(d.bucket)
+	return d.derive()
 }
 
 // gone reports whether a backend server must get no more packets.
--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -10,7 +10,10 @@
 const (
 	// MaxHops bounds how many instances relay a packet before the next one
 	// decides on the spot.
-	MaxHops = 8
+	MaxHops = 14
+	// maxSteered bounds how many instances steer a packet to the owner of their
+	// own view. Two whose views differ would go on for ever; the next one searches.
+	maxSteered = 3
 	// actDelay is the age at which an announced condition is known everywhere.
 	actDelay = time.Second
 	// goneDelay bounds how long a backend server that is gone still gets packets
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -27,9 +27,8 @@
 	records *records.Table
 	state   atomic.Pointer[state]
 	counts  counts
-	// complete is guarded by the locks of the buckets in records: whether this
-	// instance knows all records of the bucket.
-	complete [table.Buckets]bool
+	// buckets is guarded by the locks of the buckets in records.
+	buckets [table.Buckets]duty
 
 	mu            sync.Mutex
 	compiler      *compiler
@@ -38,6 +37,15 @@
 	sweptAt       int64
 }
 
+// duty is what this instance may do for a bucket.
+type duty struct {
+	// complete is set while it knows all records of the bucket.
+	complete bool
+	// authority is set while it alone decides about flows without a record. It is
+	// passed on when a new owner has told this instance that it is done.
+	authority bool
+}
+
 // state is what one decision is made by. It is immutable but for the clocks and
 // the agreement that it points to.
 type state struct {
@@ -78,7 +86,7 @@
 		compiler: newCompiler(),
 	}
 	empty := newRing(&fleet.View{Self: o.Self}, o.Self, nil)
-	empty.agreement = newAgreement(nil, nil)
+	empty.agreement = newAgreement(nil)
 	e.state.Store(&state{ring: empty})
 	return e
 }
@@ -120,11 +128,11 @@
 	if st.ring.digest == old.digest && len(old.rows) > 0 {
 		st.ring.agreement = old.agreement.limit(st.ring.peers)
 	} else {
-		st.ring.agreement = newAgreement(st.ring.peers, e.lacking(st.ring))
-		st.ring.agreement.fresh = e.blank()
+		st.ring.agreement = newAgreement(st.ring.peers)
+		e.plan(st.ring)
 	}
 	e.publish(now, st)
-	e.conclude(now)
+	e.conclude()
 }
 
 // publish works out what depends on plan and ring together, and makes the state
@@ -157,30 +165,35 @@
 	}
 }
 
-// lacking returns the buckets whose records this instance must hold by a ring,
-// and does not know to be complete.
-func (e *Engine) lacking(r *ring) *table.Bitmap {
-	m := &table.Bitmap{}
+// plan works out what to ask for under a new ring: the records of the buckets that
+// this instance must hold and does not know to be complete, and a comparison of the
+// others that it has no authority over.
+func (e *Engine) plan(r *ring) {
+	a := r.agreement
+	a.fresh = true
 	for bucket := range table.Buckets {
-		if !r.holds(bucket) {
-			continue
-		}
 		b := e.records.Lock(bucket)
-		if !e.complete[bucket] {
-			m.Set(bucket)
-		}
+		own := e.buckets[bucket]
 		b.Unlock()
+		a.fresh = a.fresh && !own.complete
+		rank := r.rankOf(bucket)
+		switch {
+		case rank >= 0 && !own.complete:
+			a.wanted.Set(bucket)
+		case rank >= 0 && !own.authority:
+			a.claims.Set(bucket)
+		}
 	}
-	return m
 }
 
-// blank reports whether no bucket is complete.
-func (e *Engine) blank() bool {
+// idle reports that no bucket is complete, and none under this instance's
+// authority.
+func (e *Engine) idle() bool {
 	for bucket := range table.Buckets {
 		b := e.records.Lock(bucket)
-		complete := e.complete[bucket]
+		own := e.buckets[bucket]
 		b.Unlock()
-		if complete {
+		if own != (duty{}) {
 			return false
 		}
 	}
--- a/internal/placement/exchange.go
+++ b/internal/placement/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -25,23 +26,33 @@
 type Request struct {
 	// Digest identifies the usable instances that the sender sees.
 	Digest uint64 `json:"digest,string"`
-	// Buckets are those that the sender must hold and does not yet, as package
+	// Buckets are those that the sender must hold and knows nothing of, as package
 	// records encodes them.
 	Buckets []byte `json:"buckets,omitempty"`
-	// Sums are, for each of the buckets in order, the sum of the sender's own
-	// records in 4 bytes; buckets with an equal sum are left out of the reply.
-	// Without Sums, all are sent.
-	Sums []byte `json:"sums,omitempty"`
-	// Done says that the sender now has the records of all buckets that it asked for.
-	Done bool `json:"done,omitempty"`
+	// Claims are buckets that the sender must hold, whose records it should know
+	// and whose authority it has not. Sums are the sums of its records in each of
+	// them, in order and of 4 bytes; those with an equal sum are left out of the
+	// reply.
+	Claims []byte `json:"claims,omitempty"`
+	Sums   []byte `json:"sums,omitempty"`
+	// Done says that the sender has the records of all buckets that it owns. The
+	// receiver's authority over them ends with it. Final says the same of all
+	// buckets that it asked for, so that the receiver may forget them.
+	Done  bool `json:"done,omitempty"`
+	Final bool `json:"final,omitempty"`
 }
 
 // Reply answers a Request. Without the same digest it carries nothing else.
 type Reply struct {
 	Digest uint64 `json:"digest,string"`
 	// Holds says that the receiver of the request knows the records of some of
-	// the buckets, and waits for Done before it forgets them.
+	// the buckets, and waits for Done before it lets go of them.
 	Holds bool `json:"holds,omitempty"`
+	// Later says that the receiver of the request owns some of the buckets and has
+	// no authority over them yet: the sender has to compare with it once more.
+	Later bool `json:"later,omitempty"`
+	// Again answers a Done for a request that the receiver does not remember.
+	Again bool `json:"again,omitempty"`
 	// Records are the flow records, as package records encodes them.
 	Records []byte `json:"records,omitempty"`
 	// Version is what the sender serves by, Watched since when it has seen every
@@ -63,12 +74,18 @@
 	// reached is set once every reachable peer saw the same usable instances.
 	reached atomic.Bool
 	wanted  *table.Bitmap
+	claims  *table.Bitmap
 	pending map[fleet.ID]*retry
-	// holders are the peers to tell when done.
+	// holders are the peers to tell when done. Once all of them have let go, this
+	// instance takes the authority over the buckets that it owns: taken.
 	holders map[fleet.ID]*retry
-	// asked and told are the buckets that peers asked this instance for, and the
-	// peers that are done.
+	taken   bool
+	// later are the owners to compare with again when they have the authority.
+	later map[fleet.ID]*retry
+	// asked are the buckets that peers asked this instance for, claimed those that
+	// they claim, and told are the peers that are done.
 	asked   map[fleet.ID]*table.Bitmap
+	claimed map[fleet.ID]*table.Bitmap
 	told    map[fleet.ID]bool
 	watched map[string]int64
 	replies int
@@ -84,9 +101,11 @@
 type retry struct {
 	at   int64
 	wait time.Duration
-	// compare holds the buckets to compare with the peer, or is nil to fetch all
-	// that are wanted.
+	// compare holds the buckets to compare with the peer, or is nil to ask for all
+	// that are wanted or claimed.
 	compare *table.Bitmap
+	// yielded is set once a holder has let go of its authority.
+	yielded bool
 }
 
 // due reports whether to ask now, and moves to the next time.
@@ -102,15 +121,15 @@
 	return true
 }
 
-func newAgreement(peers []fleet.ID, wanted *table.Bitmap) *agreement {
-	if wanted == nil {
-		wanted = &table.Bitmap{}
-	}
+func newAgreement(peers []fleet.ID) *agreement {
 	a := &agreement{
-		wanted:  wanted,
+		wanted:  &table.Bitmap{},
+		claims:  &table.Bitmap{},
 		pending: map[fleet.ID]*retry{},
 		holders: map[fleet.ID]*retry{},
+		later:   map[fleet.ID]*retry{},
 		asked:   map[fleet.ID]*table.Bitmap{},
+		claimed: map[fleet.ID]*table.Bitmap{},
 		told:    map[fleet.ID]bool{},
 	}
 	for _, p := range peers {
@@ -121,15 +140,8 @@
 
 // limit forgets peers that are no longer reachable, under the same digest.
 func (a *agreement) limit(peers []fleet.ID) *agreement {
-	for p := range a.pending {
-		if !slices.Contains(peers, p) {
-			delete(a.pending, p)
-		}
-	}
-	for p := range a.holders {
-		if !slices.Contains(peers, p) {
-			delete(a.holders, p)
-		}
+	for _, m := range []map[fleet.ID]*retry{a.pending, a.holders, a.later} {
+		maps.DeleteFunc(m, func(p fleet.ID, _ *retry) bool { return !slices.Contains(peers, p) })
 	}
 	return a
 }
@@ -140,6 +152,10 @@
 	if err != nil {
 		return Reply{}, err
 	}
+	claims, err := records.DecodeBuckets(r.Claims)
+	if err != nil {
+		return Reply{}, err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	st := e.state.Load()
@@ -152,39 +168,105 @@
 		p.at, p.wait = 0, 0
 	}
 	if r.Done {
-		a.told[from], a.released = true, false
+		out.Again = !e.letGo(st.ring, from, r.Final)
 		return out, nil
 	}
-	a.asked[from], a.released = wanted, false
-	delete(a.told, from)
-	if err := e.exportBuckets(wanted, r.Sums, &out); err != nil {
+	a.ask(from, wanted, claims)
+	e.exportBuckets(wanted, &out)
+	if err := e.exportClaims(claims, r.Sums, &out); err != nil {
 		return Reply{}, err
 	}
 	if out.Holds {
 		out.Watched = st.plan.watched()
 	}
+	if !out.Holds {
+		a.told[from] = true
+	}
+	out.Later = e.rulesLater(st.ring, wanted, claims)
 	return out, nil
 }
 
-func (e *Engine) exportBuckets(wanted *table.Bitmap, sums []byte, out *Reply) error {
-	if len(sums) > 0 && len(sums) != sumBytes*wanted.Count() {
-		return records.Invalid.New("%d bytes of sums for %d buckets", len(sums), wanted.Count())
+// ask notes what a peer asks for beside what it has asked for before.
+func (a *agreement) ask(from fleet.ID, wanted, claims *table.Bitmap) {
+	if a.asked[from] == nil {
+		a.asked[from], a.claimed[from] = &table.Bitmap{}, &table.Bitmap{}
 	}
+	a.asked[from].Add(wanted)
+	a.claimed[from].Add(claims)
+	a.released = false
+	delete(a.told, from)
+}
+
+// rulesLater reports whether this instance owns a bucket that a peer asks for, and
+// has no authority over it yet.
+func (e *Engine) rulesLater(r *ring, asked, claimed *table.Bitmap) bool {
+	for bucket := range table.Buckets {
+		if r.rankOf(bucket) != 0 || !asked.Has(bucket) && !claimed.Has(bucket) {
+			continue
+		}
+		b := e.records.Lock(bucket)
+		authority := e.buckets[bucket].authority
+		b.Unlock()
+		if !authority {
+			return true
+		}
+	}
+	return false
+}
+
+// letGo ends this instance's authority over the buckets that a peer owns and has
+// asked for or claimed. It returns false if the peer has done neither.
+func (e *Engine) letGo(r *ring, to fleet.ID, final bool) bool {
+	a := r.agreement
+	asked, claimed := a.asked[to], a.claimed[to]
+	if asked == nil {
+		return false
+	}
+	if final {
+		a.told[to], a.released = true, false
+	}
+	for bucket := range table.Buckets {
+		owner := r.at(bucket, 0)
+		if !asked.Has(bucket) && !claimed.Has(bucket) || owner == nil || owner.ID != to {
+			continue
+		}
+		b := e.records.Lock(bucket)
+		e.buckets[bucket].authority = false
+		b.Unlock()
+	}
+	return true
+}
+
+func (e *Engine) exportBuckets(wanted *table.Bitmap, out *Reply) {
 	for bucket := range table.Buckets {
 		if !wanted.Has(bucket) {
 			continue
 		}
 		b := e.records.Lock(bucket)
-		if e.complete[bucket] || b.Len() > 0 {
+		if e.buckets[bucket].complete || b.Len() > 0 {
 			out.Holds = true
 		}
-		if len(sums) == 0 || binary.LittleEndian.Uint32(sums) != b.Sum() {
+		out.Records = b.Append(out.Records)
+		b.Unlock()
+	}
+}
+
+func (e *Engine) exportClaims(claims *table.Bitmap, sums []byte, out *Reply) error {
+	if len(sums) != sumBytes*claims.Count() {
+		return records.Invalid.New("%d bytes of sums for %d buckets", len(sums), claims.Count())
+	}
+	for bucket := range table.Buckets {
+		if !claims.Has(bucket) {
+			continue
+		}
+		b := e.records.Lock(bucket)
+		own := e.buckets[bucket]
+		out.Holds = out.Holds || own.authority
+		if own.complete && binary.LittleEndian.Uint32(sums) != b.Sum() {
 			out.Records = b.Append(out.Records)
 		}
 		b.Unlock()
-		if len(sums) > 0 {
-			sums = sums[sumBytes:]
-		}
+		sums = sums[sumBytes:]
 	}
 	return nil
 }
@@ -229,22 +311,44 @@
 		return nil
 	}
 	if sent.Done {
-		delete(a.holders, from)
+		e.answered(from, sent, r)
 		return nil
 	}
-	if a.pending[from] == nil {
+	if a.pending[from] == nil && a.later[from] == nil {
 		return nil
 	}
 	e.merge(found)
 	delete(a.pending, from)
+	delete(a.later, from)
 	if r.Holds {
 		a.holders[from] = &retry{}
 		a.mergeWatched(r.Watched)
 	}
-	e.conclude(now)
+	if r.Later {
+		a.later[from] = &retry{compare: e.state.Load().ring.secondTo(from)}
+	}
+	e.conclude()
 	return nil
 }
 
+// answered takes a peer's answer to Done.
+func (e *Engine) answered(from fleet.ID, sent Request, r Reply) {
+	ring := e.state.Load().ring
+	a := ring.agreement
+	h := a.holders[from]
+	switch {
+	case h == nil:
+	case r.Again:
+		delete(a.holders, from)
+		a.pending[from] = &retry{}
+	case sent.Final:
+		delete(a.holders, from)
+	default:
+		*h = retry{yielded: true}
+	}
+	e.take(ring)
+}
+
 // merge keeps records that a peer holds. One that this instance holds itself is
 // newer, since it came with a packet.
 func (e *Engine) merge(found []records.Record) {
@@ -274,7 +378,7 @@
 
 // conclude ends the agreement when no peer is left to ask: the buckets asked for
 // are complete from then on.
-func (e *Engine) conclude(now int64) {
+func (e *Engine) conclude() {
 	st := e.state.Load()
 	a := st.ring.agreement
 	if len(a.pending) > 0 || st.ring.self == noRow {
@@ -283,13 +387,36 @@
 	for bucket := range table.Buckets {
 		if a.wanted.Has(bucket) {
 			b := e.records.Lock(bucket)
-			e.complete[bucket] = true
+			e.buckets[bucket].complete = true
 			b.Unlock()
 		}
 	}
 	if !a.reached.Swap(true) {
 		st.plan.adopt(a.watched, a.fresh)
 	}
+	e.take(st.ring)
+}
+
+// take gives this instance the authority over the buckets that it owns, once all
+// peers that may have had it have let go.
+func (e *Engine) take(r *ring) {
+	a := r.agreement
+	if a.taken || !a.reached.Load() || len(a.pending) > 0 {
+		return
+	}
+	for _, h := range a.holders {
+		if !h.yielded {
+			return
+		}
+	}
+	a.taken = true
+	for bucket := range table.Buckets {
+		if r.rankOf(bucket) == 0 {
+			b := e.records.Lock(bucket)
+			e.buckets[bucket].authority = true
+			b.Unlock()
+		}
+	}
 }
 
 // adopt takes over since when the owners before have seen every packet. An
--- a/internal/placement/schedule_test.go
+++ b/internal/placement/schedule_test.go
@@ -235,6 +235,13 @@
 		m.tell(row, 0, 2*time.Second)
 	})
 	m.every(n, 200*time.Millisecond)
+	for i := range 3 {
+		m.after(time.Duration(i+1)*time.Second, func() {
+			for _, o := range m.nodes {
+				m.sync(n, o)
+			}
+		})
+	}
 }
 
 // settle takes the steps that the summaries allow.
--- a/internal/placement/settle.go
+++ b/internal/placement/settle.go
@@ -56,7 +56,7 @@
 	return Summary{
 		Service:  name,
 		Version:  st.plan.config.Version,
-		Complete: a.reached.Load() && len(a.pending) == 0 && st.confirmed >= s.since,
+		Complete: a.taken && len(a.pending)+len(a.later) == 0 && st.confirmed >= s.since,
 		Watched:  !s.moves || s.lost || s.watchedAt() != 0 && a.full >= s.watchedAt(),
 		Ramping:  s.ramping(now),
 		Away:     e.away(s),
--- a/internal/placement/tick.go
+++ b/internal/placement/tick.go
@@ -45,7 +45,8 @@
 	return work
 }
 
-// asks returns the requests that are due, in order of peer.
+// asks returns the requests that are due, in order of peer: first to all peers,
+// then to those that must let go of something, and to owners that were not ready.
 func (e *Engine) asks(now int64, ring *ring) []Ask {
 	var out []Ask
 	a := ring.agreement
@@ -55,21 +56,40 @@
 		}
 	}
 	if len(a.pending) == 0 {
-		for id, r := range a.holders {
-			if r.due(now) {
-				out = append(out, Ask{Peer: id, Request: Request{Digest: ring.digest, Done: true}})
-			}
-		}
+		out = append(out, e.followUps(now, ring)...)
 	}
 	slices.SortFunc(out, func(x, y Ask) int { return strings.Compare(string(x.Peer), string(y.Peer)) })
 	return out
 }
 
+func (e *Engine) followUps(now int64, ring *ring) []Ask {
+	var out []Ask
+	a := ring.agreement
+	for id, r := range a.later {
+		if r.due(now) {
+			out = append(out, Ask{Peer: id, Request: e.request(ring, r)})
+		}
+	}
+	final := len(a.later) == 0
+	for id, r := range a.holders {
+		if (final || !r.yielded) && r.due(now) {
+			out = append(out, Ask{Peer: id, Request: Request{Digest: ring.digest, Done: true, Final: final}})
+		}
+	}
+	return out
+}
+
 func (e *Engine) request(ring *ring, r *retry) Request {
-	if r.compare == nil {
-		return Request{Digest: ring.digest, Buckets: records.AppendBuckets(nil, ring.agreement.wanted)}
+	a := ring.agreement
+	if r.compare != nil {
+		return Request{Digest: ring.digest, Claims: records.AppendBuckets(nil, r.compare), Sums: e.sums(r.compare)}
+	}
+	return Request{
+		Digest:  ring.digest,
+		Buckets: records.AppendBuckets(nil, a.wanted),
+		Claims:  records.AppendBuckets(nil, a.claims),
+		Sums:    e.sums(a.claims),
 	}
-	return Request{Digest: ring.digest, Buckets: records.AppendBuckets(nil, r.compare), Sums: e.sums(r.compare)}
 }
 
 // refresh begins to compare all buckets held with their other holders when a
@@ -134,13 +154,14 @@
 func (e *Engine) releaseBucket(r *ring, bucket int) bool {
 	b := e.records.Lock(bucket)
 	defer b.Unlock()
-	if !e.complete[bucket] && b.Len() == 0 {
+	own := &e.buckets[bucket]
+	if *own == (duty{}) && b.Len() == 0 {
 		return true
 	}
-	if !r.handedOver(bucket) {
+	if own.authority || !r.handedOver(bucket) {
 		return false
 	}
-	e.complete[bucket] = false
+	own.complete = false
 	b.Sweep(func(records.Record) bool { return true })
 	return true
 }
@@ -149,7 +170,7 @@
 // knows of it: they did not ask for it, or are done.
 func (r *ring) handedOver(bucket int) bool {
 	held := false
-	for k := range 2 {
+	for k := range holders {
 		i := r.at(bucket, k)
 		if i == nil {
 			continue
@@ -175,7 +196,7 @@
 	if !st.ring.leaving || !st.ring.agreement.reached.Load() {
 		return false
 	}
-	return e.records.Total() == 0 && e.blank()
+	return e.records.Total() == 0 && e.idle()
 }
 
 // sweep forgets the records of some buckets that have ended.
--- a/internal/records/bucket.go
+++ b/internal/records/bucket.go
@@ -182,12 +182,11 @@
 	return to
 }
 
-// Sum returns a sum over the flows that are established and open, with their
-// backend servers. Equal contents have equal sums; others differ but by chance.
+// Sum returns a sum over the flows that are not closed, with their backend servers. Equal contents have equal sums; others differ but by chance.
 func (b *Bucket) Sum() uint32 {
 	sum := uint32(0)
 	b.Each(func(r Record) bool {
-		if !r.Closed() && r.Kind() != Opening {
+		if !r.Closed() {
 			sum += uint32(table.Mix(r.Flow ^ table.Mix(uint64(r.Server()))))
 		}
 		return true
--- a/internal/table/bitmap.go
+++ b/internal/table/bitmap.go
@@ -19,6 +19,13 @@
 	m[bucket/64] |= 1 << (bucket % 64)
 }
 
+// Add sets the bits that another bitmap has.
+func (m *Bitmap) Add(other *Bitmap) {
+	for i := range m {
+		m[i] |= other[i]
+	}
+}
+
 // Count returns how many bits are set.
 func (m *Bitmap) Count() int {
 	n := 0
