Gather settlements at one instance

Cause: a takeout settles all services at once. Reading keeps an index of known records. Fuzzers for every stored value and for deltas.

--- /dev/null
+++ b/internal/confstore/fuzz_test.go
@@ -0,0 +1,80 @@
+package confstore
+
+import (
+	"encoding/json"
+	"testing"
+
+	"balsamfork/internal/config"
+	standin "balsamfork/internal/standin/store"
+	"balsamfork/internal/storeclient"
+)
+
+// FuzzRead puts arbitrary bytes where the head, a value, the allocations and a
+// page of the trail are. Reading and writing may fail, and must not panic.
+func FuzzRead(f *testing.F) {
+	server := standin.New()
+	r := New(storeclient.New(storeclient.Options{URL: "http://store", Transport: server, Fleet: 1}))
+	doc := document(2, 2)
+	if _, err := r.Apply(f.Context(), doc, change("first", 0)); err != nil {
+		f.Fatal(err)
+	}
+	keys := []string{headKey, valueKey(1), allocationKey, auditPrefix + "/0"}
+	original := map[string][]byte{}
+	for i, key := range keys {
+		value, _ := server.Peek(key)
+		original[key] = value.Data
+		f.Add(i, value.Data)
+	}
+	f.Add(0, []byte(`{"header":{"version":1},"services":[{"name":"x","value":1}]}`))
+	f.Fuzz(func(t *testing.T, which int, data []byte) {
+		server := standin.New()
+		r := New(storeclient.New(storeclient.Options{URL: "http://store", Transport: server, Fleet: 1}))
+		for i, key := range keys {
+			stored := original[key]
+			if i == which {
+				stored = data
+			}
+			if _, err := server.Poke(key, 0, stored); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if s, err := r.Read(t.Context(), Snapshot{}); err == nil && s.State != nil {
+			_, _ = s.State.Config()
+		}
+		_, _ = r.Audit(t.Context(), 0)
+		_, _ = r.Apply(t.Context(), doc, config.Change{ID: "next", Seen: 1})
+		_, _ = r.Apply(t.Context(), drained(t, doc, 0, 0), config.Change{ID: "after", Seen: 1})
+	})
+}
+
+// FuzzDelta applies arbitrary deltas, as a peer of another release or a broken
+// one might send them.
+func FuzzDelta(f *testing.F) {
+	base, _, err := config.Accept(nil, document(2, 2), change("first", 0))
+	if err != nil {
+		f.Fatal(err)
+	}
+	next, _, err := config.Accept(base, drained(f, document(2, 2), 0, 0), change("second", 1))
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, have := range []*config.State{nil, base} {
+		var from config.Version
+		if have != nil {
+			from = have.Version
+		}
+		data, _ := json.Marshal(next.DeltaFrom(from, have.NamesDigest()))
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var d config.Delta
+		if json.Unmarshal(data, &d) != nil {
+			return
+		}
+		for _, have := range []*config.State{nil, base} {
+			if got, err := d.Apply(have); err == nil {
+				_, _ = got.Config()
+			}
+		}
+	})
+}
--- a/internal/confstore/read.go
+++ b/internal/confstore/read.go
@@ -88,8 +88,9 @@
 	}
 	state := &config.State{StateHeader: s.Head.Header}
 	values := map[uint64]map[string]config.ServiceRecord{}
+	held := known.records()
 	for _, ref := range s.Head.Services {
-		if have := known.record(ref); have != nil {
+		if have := held[ref.Name]; have != nil && have.Written == ref.Written {
 			state.Services = append(state.Services, *have)
 			continue
 		}
@@ -110,16 +111,16 @@
 	return s, true, nil
 }
 
-// record returns the record that ref means, if the snapshot has it.
-func (s Snapshot) record(ref ServiceRef) *config.ServiceRecord {
+// records returns the records of the snapshot by name.
+func (s Snapshot) records() map[string]*config.ServiceRecord {
 	if s.State == nil {
 		return nil
 	}
-	record := s.State.Service(ref.Name)
-	if record == nil || record.Written != ref.Written {
-		return nil
+	byName := make(map[string]*config.ServiceRecord, len(s.State.Services))
+	for i := range s.State.Services {
+		byName[s.State.Services[i].Name] = &s.State.Services[i]
 	}
-	return record
+	return byName
 }
 
 // value reads one value and reports false if it is not the one that head means.
--- a/internal/confstore/settle.go
+++ b/internal/confstore/settle.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -12,8 +13,7 @@
 	"balsamfork/internal/store"
 )
 
-// Settler writes the versions in which a service settles. An instance has one
-// each.
+// Settler writes the versions in which services settle. An instance has one.
 type Settler struct {
 	repository *Repository
 	who        string
@@ -30,60 +30,81 @@
 	return &Settler{repository: r, who: who, now: now}
 }
 
-// Rebase makes the current target of a service its base, if no version after
-// seen has changed the service. It returns config.Conflict if one has, and else
-// the errors of the store.
-func (s *Settler) Rebase(ctx context.Context, service string, seen config.Version) error {
-	return s.settle(ctx, "rebase", service, seen, config.Rebase)
-}
-
-// Clear forgets the past sets of a service, under the same conditions.
-func (s *Settler) Clear(ctx context.Context, service string, seen config.Version) error {
-	return s.settle(ctx, "clear", service, seen, config.Clear)
-}
-
-type settleRule func(old *config.State, service, changeID string) (*config.State, error)
-
-func (s *Settler) settle(ctx context.Context, what, service string, seen config.Version, rule settleRule) error {
-	id := fmt.Sprintf("%s %s at %d by %s", what, service, seen, s.who)
+// Settle writes all settlements as one version. It returns the outcome of each,
+// as config.Settle does, or one error of the store for all of them; after
+// store.Unknown they may have been written.
+func (s *Settler) Settle(ctx context.Context, all []config.Settlement) ([]error, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := fmt.Sprintf("settle by %s at %d", s.who, s.now().UnixNano())
+	var outcomes []error
 	for range writeAttempts {
-		base, err := s.read(ctx)
+		base, err := s.repository.Read(ctx, s.last)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		if base.Version() < seen {
-			return store.Unavailable.New("the store answers with version %d, after version %d was seen", base.Version(), seen)
+		s.last = base
+		if err := recentEnough(base, all); err != nil {
+			return nil, err
 		}
 		if _, accepted := base.State.AcceptedAs(id); accepted {
-			return nil
+			return outcomes, nil
 		}
-		record := base.State.Service(service)
-		if record == nil || record.Written > seen {
-			return config.Conflict.New("service %q has changed since version %d", service, seen)
-		}
-		next, err := rule(base.State, service, id)
+		var next *config.State
+		next, outcomes, err = config.Settle(base.State, all, id)
 		if err != nil || next == base.State {
-			return err
+			return outcomes, err
+		}
+		written, err := s.repository.write(ctx, base, next, s.entry(all))
+		if err == nil {
+			s.last = written
+			return outcomes, nil
 		}
-		entry := audit.Entry{Who: s.who, When: s.now(), What: what + " " + service}
-		_, err = s.repository.write(ctx, base, next, entry)
 		if !errors.Is(err, errLost) {
-			return err
+			return nil, err
 		}
 	}
-	return store.Unavailable.New("%s of service %q lost %d races", what, service, writeAttempts)
+	return nil, store.Unavailable.New("settling lost %d races", writeAttempts)
 }
 
-func (s *Settler) read(ctx context.Context) (Snapshot, error) {
-	s.mu.Lock()
-	known := s.last
-	s.mu.Unlock()
-	now, err := s.repository.Read(ctx, known)
+// recentEnough returns store.Unavailable if the store answers with a version
+// before one that a settlement was decided by.
+func recentEnough(base Snapshot, all []config.Settlement) error {
+	for _, one := range all {
+		if one.Seen > base.Version() {
+			return store.Unavailable.New("the store answers with version %d, after version %d was seen", base.Version(), one.Seen)
+		}
+	}
+	if base.State == nil {
+		return store.Unavailable.New("the store has no configuration")
+	}
+	return nil
+}
+
+func (s *Settler) entry(all []config.Settlement) audit.Entry {
+	var parts []string
+	for _, one := range all {
+		parts = append(parts, fmt.Sprintf("%s %s", one.Action, one.Service))
+	}
+	return audit.Entry{Who: s.who, When: s.now(), What: strings.Join(parts, ", ")}
+}
+
+// Rebase makes the current target of a service its base. Errors are
+// config.Conflict if the service has changed since the version seen, and those
+// of the store.
+func (s *Settler) Rebase(ctx context.Context, service string, seen config.Version) error {
+	return s.one(ctx, config.Settlement{Service: service, Action: config.RebaseService, Seen: seen})
+}
+
+// Clear forgets the past sets of a service, under the same conditions.
+func (s *Settler) Clear(ctx context.Context, service string, seen config.Version) error {
+	return s.one(ctx, config.Settlement{Service: service, Action: config.ClearService, Seen: seen})
+}
+
+func (s *Settler) one(ctx context.Context, settlement config.Settlement) error {
+	outcomes, err := s.Settle(ctx, []config.Settlement{settlement})
 	if err != nil {
-		return now, err
+		return err
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.last = now
-	return now, nil
+	return outcomes[0]
 }
--- a/internal/confsync/role.go
+++ b/internal/confsync/role.go
@@ -38,8 +38,8 @@
 	}
 	// Half of the reads belongs to the watchers. On the smaller side of a
 	// partition there may be watchers beyond the number reckoned with.
-	if reachesMost(view, self.DataCentre) {
-		r.readers = 2 * watchersPerDataCentre * len(dataCentres(view))
+	if ReachesMost(view, self.DataCentre) {
+		r.readers = 2 * watchersPerDataCentre * DataCentres(view)
 	}
 	r.tell = audience(view, self.DataCentre, watchers)
 	return r
@@ -67,17 +67,18 @@
 	return xxh3.HashString("config watcher " + string(id))
 }
 
-func dataCentres(view *fleet.View) map[string]bool {
+// DataCentres returns the number of data centres that a view has instances of.
+func DataCentres(view *fleet.View) int {
 	names := map[string]bool{}
 	for _, i := range view.Instances {
 		names[i.DataCentre] = true
 	}
-	return names
+	return len(names)
 }
 
-// reachesMost reports whether more than half of the instances of a data centre
-// are reachable.
-func reachesMost(view *fleet.View, dataCentre string) bool {
+// ReachesMost reports whether more than half of the instances of a data centre
+// are reachable: at most one side of a partition does.
+func ReachesMost(view *fleet.View, dataCentre string) bool {
 	reachable, all := 0, 0
 	for _, i := range view.Instances {
 		if i.DataCentre != dataCentre {
--- a/internal/confsync/syncer.go
+++ b/internal/confsync/syncer.go
@@ -33,9 +33,9 @@
 	Watch(ctx context.Context, known confstore.Snapshot) (confstore.Snapshot, error)
 }
 
-// Limiter shares the rates of the store out.
+// Limiter shares the rate of the store's reads out.
 type Limiter interface {
-	SetFleetSize(n int)
+	// SetReaders sets the number of instances that have a part like this one's.
 	SetReaders(n int)
 }
 
@@ -128,7 +128,6 @@
 	s.view = view
 	s.largest = max(s.largest, len(view.Instances))
 	s.role = decideRole(view, s.largest)
-	s.limits.SetFleetSize(s.largest)
 	s.limits.SetReaders(s.role.readers)
 	s.mu.Unlock()
 	s.releaseWatch()
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -109,16 +109,22 @@
 
 // SetFleetSize sets the number of instances that share the service's rates.
 func (c *Client) SetFleetSize(n int) {
-	c.limits.setReaders(n)
-	c.limits.setWriters(n)
+	c.SetReaders(n)
+	c.SetWriters(n)
 }
 
-// SetReaders sets the number of instances that share the rate of reads, where it
-// is not the whole fleet.
+// SetReaders sets the number of instances that share the rate of reads, where
+// this is not the whole fleet.
 func (c *Client) SetReaders(n int) {
 	c.limits.setReaders(n)
 }
 
+// SetWriters sets the number of instances that share the rate of writes, where
+// this is not the whole fleet.
+func (c *Client) SetWriters(n int) {
+	c.limits.setWriters(n)
+}
+
 // Get implements store.Store. It tries again while its context lasts.
 func (c *Client) Get(ctx context.Context, key string) (store.Value, error) {
 	pause := backoff.NewExponentialBackOff()
