Send all of a version to whoever holds another history

Cause: a store that was restored from a backup grows another history; a delta by version numbers alone would have mixed the two. Change: an instance names the change that made its version, and gets a delta only if the newer version is known to descend from it. Figures: TestRestoredStore: 6 instances at version 5 keep it while the store is at 4, and have the other history whole at 6. Conclusion: restoring stays an interruption, but ends in one configuration.

--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -10,6 +10,8 @@
 type Delta struct {
 	// Header has only those recent changes that the instance lacks.
 	Header StateHeader `json:"header"`
+	// Whole is set if the version that the instance holds is of no use.
+	Whole bool `json:"whole,omitempty"`
 	// Names lists the services in order. It is absent if the order is the one
 	// that the instance has.
 	Names []string `json:"names,omitempty"`
@@ -17,11 +19,23 @@
 	Changed []ServiceRecord `json:"changed,omitempty"`
 }
 
-// NamesDigest returns a digest of the names of the services in order.
-func (s *State) NamesDigest() uint64 {
+// Held says which version an instance holds; zero for none.
+type Held struct {
+	Version  Version `json:"version"`
+	ChangeID string  `json:"changeID,omitempty"`
+	// Names is a digest of the names of the services in order.
+	Names uint64 `json:"names,string,omitempty"`
+}
+
+// Held returns what a nil or other State amounts to.
+func (s *State) Held() Held {
 	if s == nil {
-		return 0
+		return Held{}
 	}
+	return Held{Version: s.Version, ChangeID: s.ChangeID(), Names: s.namesDigest()}
+}
+
+func (s *State) namesDigest() uint64 {
 	h := xxh3.New()
 	for i := range s.Services {
 		_, _ = h.WriteString(s.Services[i].Name)
@@ -30,12 +44,23 @@
 	return h.Sum64()
 }
 
-// DeltaFrom returns what an instance lacks that holds the version have, zero
-// for none, with the given digest of its services' names.
-func (s *State) DeltaFrom(have Version, names uint64) Delta {
-	d := Delta{Header: s.StateHeader}
+// Follows reports whether the version is known to descend from another, by the
+// recent changes. A store that was restored may hold a version that does not.
+func (h *StateHeader) Follows(other Held) bool {
+	version, accepted := h.AcceptedAs(other.ChangeID)
+	return accepted && version == other.Version
+}
+
+// DeltaFrom returns what an instance lacks that holds another version: all,
+// unless this one is known to descend from it.
+func (s *State) DeltaFrom(held Held) Delta {
+	have := held.Version
+	if !s.Follows(held) {
+		have = 0
+	}
+	d := Delta{Header: s.StateHeader, Whole: have == 0}
 	d.Header.Recent = slices.DeleteFunc(slices.Clone(s.Recent), func(c AcceptedChange) bool { return c.Version <= have })
-	if have == 0 || names != s.NamesDigest() {
+	if have == 0 || held.Names != s.namesDigest() {
 		for i := range s.Services {
 			d.Names = append(d.Names, s.Services[i].Name)
 		}
@@ -51,6 +76,9 @@
 // Apply returns the version that the delta leads to from base, which may be nil,
 // or Invalid if the delta was made for another base.
 func (d Delta) Apply(base *State) (*State, error) {
+	if d.Whole {
+		base = nil
+	}
 	records := map[string]ServiceRecord{}
 	names := d.Names
 	if base != nil {
--- a/internal/confstore/read.go
+++ b/internal/confstore/read.go
@@ -88,7 +88,10 @@
 	}
 	state := &config.State{StateHeader: s.Head.Header}
 	values := map[uint64]map[string]config.ServiceRecord{}
-	held := known.records()
+	held := map[string]*config.ServiceRecord{}
+	if s.Head.Header.Follows(known.State.Held()) {
+		held = known.records()
+	}
 	for _, ref := range s.Head.Services {
 		if have := held[ref.Name]; have != nil && have.Written == ref.Written {
 			state.Services = append(state.Services, *have)
@@ -113,9 +116,6 @@
 
 // records returns the records of the snapshot by name.
 func (s Snapshot) records() map[string]*config.ServiceRecord {
-	if s.State == nil {
-		return nil
-	}
 	byName := make(map[string]*config.ServiceRecord, len(s.State.Services))
 	for i := range s.State.Services {
 		byName[s.State.Services[i].Name] = &s.State.Services[i]
--- a/internal/confsync/confsync_test.go
+++ b/internal/confsync/confsync_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"balsamfork/internal/config"
+	"balsamfork/internal/confstore"
 	"balsamfork/internal/fleet"
 )
 
@@ -111,6 +112,46 @@
 	})
 }
 
+// TestRestoredStore restores the store from a backup at an older version, after
+// which another history is accepted. Instances keep theirs until the other is
+// newer, and then take all of it.
+func TestRestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b, backup := newBed(t, 2, 3), newBed(t, 1, 1)
+		defer b.stopAll()
+		for step := 1; step <= 5; step++ {
+			_, err := b.apply(b.operator(), step)
+			is.NoErr(err)
+		}
+		b.startAll()
+		time.Sleep(5 * time.Second)
+		for step := 1; step <= 4; step++ {
+			_, err := backup.apply(backup.operator(), 100+step)
+			is.NoErr(err)
+		}
+		b.mu.Lock()
+		old := b.store
+		b.store = backup.store
+		b.mu.Unlock()
+		old.SetDown(true)
+		time.Sleep(time.Minute)
+		low, count := b.lowest()
+		is.Equal(low, config.Version(5))
+		is.Equal(count, 6)
+		for step := 5; step <= 6; step++ {
+			_, err := backup.apply(backup.operator(), 100+step)
+			is.NoErr(err)
+		}
+		time.Sleep(time.Minute)
+		want, err := backup.operator().Read(t.Context(), confstore.Snapshot{})
+		is.NoErr(err)
+		for _, n := range b.nodes {
+			is.Equal(n.sync.State(), want.State)
+		}
+	})
+}
+
 // TestFaults draws faults, alone and in pairs: the store down, slow, losing
 // answers or answering old values, instances killed and restarted, a data centre cut off
 // from the others, from the store or from both. No instance may ever go back,
--- a/internal/confsync/pull.go
+++ b/internal/confsync/pull.go
@@ -77,14 +77,10 @@
 func (s *Syncer) pullFrom(ctx context.Context, id fleet.ID) bool {
 	s.holder.metrics.pulls.Inc(1)
 	base := s.State()
-	ask := getParams{Names: base.NamesDigest()}
-	if base != nil {
-		ask.Have = base.Version
-	}
 	callCtx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	var result getResult
-	if err := s.peers.Call(callCtx, id, MethodGet, ask, &result); err != nil {
+	if err := s.peers.Call(callCtx, id, MethodGet, base.Held(), &result); err != nil {
 		s.holder.metrics.failures.Inc(1)
 		s.offers.fail(id, time.Now())
 		return false
--- a/internal/confsync/syncer.go
+++ b/internal/confsync/syncer.go
@@ -194,12 +194,6 @@
 	}
 }
 
-// getParams is what an instance says of the version that it has.
-type getParams struct {
-	Have  config.Version `json:"have"`
-	Names uint64         `json:"names,string"`
-}
-
 // getResult is empty unless the peer has a newer version.
 type getResult struct {
 	Version config.Version `json:"version"`
@@ -211,18 +205,18 @@
 }
 
 func (s *Syncer) answerGet(_ context.Context, from fleet.ID, params json.RawMessage) (any, error) {
-	var ask getParams
+	var ask config.Held
 	if err := json.Unmarshal(params, &ask); err != nil {
 		return nil, config.Invalid.New("%s from %s: %w", MethodGet, from, err)
 	}
-	s.PeerVersion(from, ask.Have)
+	s.PeerVersion(from, ask.Version)
 	state := s.State()
 	if state == nil {
 		return getResult{}, nil
 	}
 	result := getResult{Version: state.Version}
-	if state.Version > ask.Have {
-		delta := state.DeltaFrom(ask.Have, ask.Names)
+	if state.Version > ask.Version {
+		delta := state.DeltaFrom(ask)
 		result.Delta = &delta
 	}
 	return result, nil
