Measure what following a change costs, and share the test documents

Change: benchmarks at 290 services and 3,300 backend servers; package configtest; watchers are found without sorting; decoding of strings and booleans is one function; tests of the strict decoder.

--- a/internal/config/main_test.go
+++ b/internal/config/main_test.go
@@ -29,7 +29,7 @@
 	for i, size := range sizes {
 		s := ServiceDocument{ServiceSpec: ServiceSpec{
 			Name: fmt.Sprintf("service-%d", i), Protocol: TCP, Slots: 4,
-			Address:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{203, 0, 113, byte(i + 1)}), 443),
+			Address:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{203, 0, byte(113 + i>>8), byte(i)}), 443),
 			IdleLimit: Duration(time.Hour),
 			Ramp:      RampSpec{Start: 0.1, Duration: Duration(time.Minute)},
 		}}
@@ -42,7 +42,7 @@
 }
 
 func machine(service, index int, dataCentre string) ServerSpec {
-	addr := netip.AddrFrom4([4]byte{127, byte(service + 1), byte(index >> 8), byte(index)})
+	addr := netip.AddrFrom4([4]byte{byte(60 + service>>8), byte(service), byte(index >> 8), byte(index)})
 	return ServerSpec{
 		Name: fmt.Sprintf("s%d-%d", service, index), DataCentre: dataCentre, Weight: 100, State: Active,
 		Packets: netip.AddrPortFrom(addr, 4754), Requests: netip.AddrPortFrom(addr, 8080),
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -66,7 +66,7 @@
 	Servers []Server
 	// Settled gives each bucket its base, Current its target. Past holds the
 	// targets between the two, oldest first: a bucket on which all of them agree
-	// needs no owner.
+	// needs no owner. An empty set in Past agrees with no other.
 	Settled Set
 	Past    []Set
 	Current Set
--- a/internal/confsettle/settler_test.go
+++ b/internal/confsettle/settler_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"balsamfork/internal/config"
+	"balsamfork/internal/configtest"
 	"balsamfork/internal/confstore"
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/peer"
@@ -49,24 +49,6 @@
 
 func (l link) Notify(context.Context, fleet.ID, string, any) error { return nil }
 
-func document(services int) config.Document {
-	doc := config.Document{Format: config.DocumentFormat, DataCentres: []config.DataCentreSpec{{Name: "a"}, {Name: "b"}}}
-	for i := range services {
-		s := config.ServiceDocument{ServiceSpec: config.ServiceSpec{
-			Name: fmt.Sprintf("service-%d", i), Protocol: config.TCP, Slots: 4,
-			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 443),
-		}}
-		for j, dc := range []string{"a", "b"} {
-			s.BackendServers = append(s.BackendServers, config.ServerSpec{
-				Name: fmt.Sprintf("server-%d", j), DataCentre: dc, Weight: 100, State: config.Active,
-				Packets: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(i >> 8), byte(i), byte(j + 1)}), 4754),
-			})
-		}
-		doc.Services = append(doc.Services, s)
-	}
-	return doc
-}
-
 // bed is a store with a data centre just taken out of all services, and the settlers of a
 // fleet.
 type bed struct {
@@ -81,7 +63,7 @@
 	is := is.New(t)
 	b := &bed{server: standin.New(), network: &network{handlers: map[fleet.ID]peer.Handler{}, dead: map[fleet.ID]bool{}}}
 	b.operator = confstore.New(b.client(0, 1))
-	doc := document(services)
+	doc := configtest.Document(services, 2, "a", "b")
 	change := config.Change{ID: "first", When: time.Now()}
 	_, err := b.operator.Apply(t.Context(), doc, change)
 	is.NoErr(err)
--- a/internal/confstore/confstore_test.go
+++ b/internal/confstore/confstore_test.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"net/netip"
 	"os"
 	"strings"
 	"sync"
@@ -18,6 +17,7 @@
 	"pgregory.net/rapid"
 
 	"balsamfork/internal/config"
+	"balsamfork/internal/configtest"
 	standin "balsamfork/internal/standin/store"
 	"balsamfork/internal/store"
 	"balsamfork/internal/storeclient"
@@ -30,23 +30,8 @@
 	os.Exit(m.Run())
 }
 
-// document returns services of the given number of backend servers each.
 func document(services, servers int) config.Document {
-	doc := config.Document{Format: config.DocumentFormat, DataCentres: []config.DataCentreSpec{{Name: "a"}, {Name: "b"}}}
-	for i := range services {
-		s := config.ServiceDocument{ServiceSpec: config.ServiceSpec{
-			Name: fmt.Sprintf("service-%d", i), Protocol: config.TCP, Slots: 4,
-			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 443),
-		}}
-		for j := range servers {
-			s.BackendServers = append(s.BackendServers, config.ServerSpec{
-				Name: fmt.Sprintf("server-%d", j), DataCentre: doc.DataCentres[j%2].Name, Weight: 100, State: config.Active,
-				Packets: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(i >> 8), byte(i), byte(j + 1)}), 4754),
-			})
-		}
-		doc.Services = append(doc.Services, s)
-	}
-	return doc
+	return configtest.Document(services, servers, "a", "b")
 }
 
 // bed is a stand-in with clients of it.
--- a/internal/confsync/fleet_test.go
+++ b/internal/confsync/fleet_test.go
@@ -6,13 +6,13 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"net/netip"
 	"os"
 	"sync"
 	"testing"
 	"time"
 
 	"balsamfork/internal/config"
+	"balsamfork/internal/configtest"
 	"balsamfork/internal/confstore"
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/peer"
@@ -204,31 +204,13 @@
 		URL: "http://store", Transport: b.store, Fleet: 1, Random: rand.New(rand.NewPCG(4, 4))}))
 }
 
-func document(services, servers int) config.Document {
-	doc := config.Document{Format: config.DocumentFormat, DataCentres: []config.DataCentreSpec{{Name: "dc0"}}}
-	for i := range services {
-		s := config.ServiceDocument{ServiceSpec: config.ServiceSpec{
-			Name: fmt.Sprintf("service-%d", i), Protocol: config.TCP, Slots: 4,
-			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 443),
-		}}
-		for j := range servers {
-			s.BackendServers = append(s.BackendServers, config.ServerSpec{
-				Name: fmt.Sprintf("server-%d", j), DataCentre: "dc0", Weight: 100, State: config.Active,
-				Packets: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(i >> 8), byte(i), byte(j + 1)}), 4754),
-			})
-		}
-		doc.Services = append(doc.Services, s)
-	}
-	return doc
-}
-
 // apply makes the next version by a change of one weight.
 func (b *bed) apply(r *confstore.Repository, step int) (config.Version, error) {
 	now, err := r.Read(b.ctx, confstore.Snapshot{})
 	if err != nil {
 		return 0, err
 	}
-	doc := document(4, 11)
+	doc := configtest.Document(4, 11, "dc0")
 	if now.State != nil {
 		doc = now.State.Document()
 	}
--- a/internal/confsync/role.go
+++ b/internal/confsync/role.go
@@ -45,22 +45,36 @@
 	return r
 }
 
-// watchersByDataCentre ranks the usable instances of each data centre by
-// rendezvous hashing (Thaler and Ravishankar, 1998) and returns the first ones.
+// watchersByDataCentre returns the first usable instances of each data centre by
+// rendezvous hashing (Thaler and Ravishankar, 1998).
 func watchersByDataCentre(view *fleet.View) map[string][]fleet.ID {
-	ranked := map[string][]fleet.ID{}
+	first := map[string][]ranked{}
 	for _, i := range view.Instances {
 		if i.Usable() {
-			ranked[i.DataCentre] = append(ranked[i.DataCentre], i.ID)
+			first[i.DataCentre] = insert(first[i.DataCentre], ranked{i.ID, rank(i.ID)})
 		}
 	}
-	for name, ids := range ranked {
-		slices.SortFunc(ids, func(a, b fleet.ID) int {
-			return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a, b))
-		})
-		ranked[name] = ids[:min(len(ids), watchersPerDataCentre)]
+	ids := make(map[string][]fleet.ID, len(first))
+	for name, list := range first {
+		for _, r := range list {
+			ids[name] = append(ids[name], r.id)
+		}
 	}
-	return ranked
+	return ids
+}
+
+type ranked struct {
+	id   fleet.ID
+	rank uint64
+}
+
+// insert keeps the list in order of rank, and no longer than there are watchers.
+func insert(list []ranked, r ranked) []ranked {
+	at, _ := slices.BinarySearchFunc(list, r, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.id, b.id))
+	})
+	list = slices.Insert(list, at, r)
+	return list[:min(len(list), watchersPerDataCentre)]
 }
 
 func rank(id fleet.ID) uint64 {
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -27,7 +27,10 @@
 	problems Problems
 }
 
-var addrPortType = reflect.TypeFor[netip.AddrPort]()
+var (
+	addrPortType = reflect.TypeFor[netip.AddrPort]()
+	numberType   = reflect.TypeFor[json.Number]()
+)
 
 func (d *decoder) fill(path string, n node, v reflect.Value) {
 	if n.value == nil {
@@ -47,9 +50,9 @@
 		v.Set(reflect.New(v.Type().Elem()))
 		d.fill(path, n, v.Elem())
 	case reflect.String:
-		d.fillString(path, n, v)
+		d.fillScalar(path, n, v, "a string")
 	case reflect.Bool:
-		d.fillBool(path, n, v)
+		d.fillScalar(path, n, v, "true or false")
 	default:
 		d.fillNumber(path, n, v)
 	}
@@ -112,22 +115,13 @@
 	v.Set(slice)
 }
 
-func (d *decoder) fillString(path string, n node, v reflect.Value) {
-	s, ok := n.value.(string)
-	if !ok {
-		d.problems.Add(path, "must be a string")
-		return
-	}
-	v.SetString(s)
-}
-
-func (d *decoder) fillBool(path string, n node, v reflect.Value) {
-	b, ok := n.value.(bool)
-	if !ok {
-		d.problems.Add(path, "must be true or false")
+func (d *decoder) fillScalar(path string, n node, v reflect.Value, kind string) {
+	value := reflect.ValueOf(n.value)
+	if value.Kind() != v.Kind() || value.Type() == numberType {
+		d.problems.Add(path, "must be %s", kind)
 		return
 	}
-	v.SetBool(b)
+	v.Set(value.Convert(v.Type()))
 }
 
 func (d *decoder) fillNumber(path string, n node, v reflect.Value) {
