Let two operators race under every fault of the store

Cause: the test of faults had one writer at a time and never met an outcome that could not be found out; an answer lost before the head's swap was reported as an unknown outcome although nothing had changed. Change: two operators race in every step, the store may go down with the answer to the head's swap, and the test fails unless each kind of outcome was met. Errors before the swap are reported as unavailable. Conclusion: a lost answer is found out, or said to be unknown, and never applied twice.

--- a/internal/confstore/confstore_test.go
+++ b/internal/confstore/confstore_test.go
@@ -6,9 +6,11 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,6 +40,22 @@
 type bed struct {
 	server *standin.Server
 	ctx    context.Context
+	// crash has the store go down for a while after the next swap of the head,
+	// without an answer.
+	crash atomic.Bool
+}
+
+// RoundTrip carries a call to the stand-in.
+func (b *bed) RoundTrip(request *http.Request) (*http.Response, error) {
+	isSwap := request.Method == http.MethodPut && strings.HasSuffix(request.URL.Path, headKey)
+	if !isSwap || !b.crash.CompareAndSwap(true, false) {
+		return b.server.RoundTrip(request)
+	}
+	b.server.LoseAnswers(1)
+	answer, err := b.server.RoundTrip(request)
+	b.server.SetDown(true)
+	time.AfterFunc(10*time.Second, func() { b.server.SetDown(false) })
+	return answer, err
 }
 
 func newBed(t *testing.T) *bed {
@@ -46,7 +64,7 @@
 
 func (b *bed) client() *storeclient.Client {
 	return storeclient.New(storeclient.Options{
-		URL: "http://store", Transport: b.server, Fleet: 1, Random: rand.New(rand.NewPCG(1, 2)),
+		URL: "http://store", Transport: b, Fleet: 1, Random: rand.New(rand.NewPCG(1, 2)),
 	})
 }
 
@@ -178,34 +196,30 @@
 	return p.Store.CompareAndSwap(ctx, key, old, data)
 }
 
-// TestFaults applies random changes by several writers under every fault of the
-// store, alone and in pairs, while a reader follows. Whatever was reported must be so, nothing may be
-// applied twice, and no reader may see a version that was not accepted whole.
+// TestFaults has two operators race with random changes under every fault of
+// the store, alone and in pairs, while a reader follows. Whatever was reported
+// must be so, nothing may be applied twice, and no reader may see a version that
+// was not accepted whole.
 func TestFaults(t *testing.T) {
+	seen := map[string]int{}
 	rapid.Check(t, func(rt *rapid.T) {
 		synctest.Test(t, func(t *testing.T) {
 			b := newBed(t)
-			doc := document(4, 3)
-			if _, err := b.repository().Apply(b.ctx, doc, change("first", 0)); err != nil {
+			if _, err := b.repository().Apply(b.ctx, document(4, 3), change("first", 0)); err != nil {
 				rt.Fatal(err)
 			}
-			settled := map[string]config.Version{}
+			reported := map[string]config.Version{}
 			clients := []*Repository{b.repository(), b.repository()}
 			var last Snapshot
 			for step := range rapid.IntRange(1, 25).Draw(rt, "steps") {
 				b.inject(rt)
-				r := clients[rapid.IntRange(0, 1).Draw(rt, "client")]
-				id := fmt.Sprint("change-", step)
-				outcome, err := r.applyOne(b.ctx, rt, id)
-				switch {
-				case err == nil && outcome.Already && outcome.Diff != nil: // nothing to change
-				case err == nil:
-					settled[id] = outcome.Version
-				case store.Unknown.Has(err):
-				default:
-					settled[id] = 0
+				for _, a := range race(b.ctx, clients, drawAttempts(rt, step)) {
+					seen[a.kind()]++
+					if version, known := a.reported(); known {
+						reported[a.id] = version
+					}
 				}
-				time.Sleep(time.Second)
+				time.Sleep(time.Duration(rapid.IntRange(1, 10).Draw(rt, "pause")) * time.Second)
 				if now, err := clients[0].Read(b.ctx, last); err == nil && now.Version() >= last.Version() {
 					if err := verifyState(now); err != nil {
 						rt.Fatal(err)
@@ -214,25 +228,86 @@
 				}
 			}
 			b.heal()
-			b.judge(rt, settled)
+			b.judge(rt, reported)
 		})
 	})
+	t.Logf("attempts by outcome: %v", seen)
+	for _, kind := range []string{"accepted", "conflict", "unknown", "unavailable"} {
+		if seen[kind] == 0 {
+			t.Errorf("no attempt ended %s", kind)
+		}
+	}
 }
 
-func (r *Repository) applyOne(ctx context.Context, rt *rapid.T, id string) (Outcome, error) {
+// attempt is one change by one operator, and what became of it.
+type attempt struct {
+	id              string
+	service, server int
+	weight          uint32
+	outcome         Outcome
+	err             error
+}
+
+func drawAttempts(rt *rapid.T, step int) []attempt {
+	var all []attempt
+	for operator := range 2 {
+		all = append(all, attempt{
+			id:      fmt.Sprintf("change-%d-%d", step, operator),
+			service: rapid.IntRange(0, 3).Draw(rt, "service"),
+			server:  rapid.IntRange(0, 2).Draw(rt, "server"),
+			weight:  rapid.Uint32Range(1, 1000).Draw(rt, "weight"),
+		})
+	}
+	return all
+}
+
+// race has each operator read the configuration and change it, at the same time.
+func race(ctx context.Context, clients []*Repository, all []attempt) []attempt {
+	var group sync.WaitGroup
+	for i := range all {
+		group.Go(func() { all[i].run(ctx, clients[i]) })
+	}
+	group.Wait()
+	return all
+}
+
+func (a *attempt) run(ctx context.Context, r *Repository) {
 	now, err := r.Read(ctx, Snapshot{})
 	if err != nil {
-		return Outcome{}, err
+		a.err = err
+		return
 	}
 	doc := now.State.Document()
-	server := &doc.Services[rapid.IntRange(0, 3).Draw(rt, "service")].BackendServers[rapid.IntRange(0, 2).Draw(rt, "server")]
-	server.Weight = rapid.Uint32Range(1, 1000).Draw(rt, "weight")
-	return r.Apply(ctx, doc, change(id, now.Version()))
+	doc.Services[a.service].BackendServers[a.server].Weight = a.weight
+	a.outcome, a.err = r.Apply(ctx, doc, change(a.id, now.Version()))
+}
+
+func (a *attempt) kind() string {
+	switch {
+	case a.err == nil:
+		return "accepted"
+	case store.Unknown.Has(a.err):
+		return "unknown"
+	case config.Conflict.Has(a.err):
+		return "conflict"
+	case store.Unavailable.Has(a.err):
+		return "unavailable"
+	}
+	return "other"
+}
+
+// reported returns the version that the operator was told of, zero for none, and
+// false if the operator was told that it is not known, or that there was nothing to change.
+func (a *attempt) reported() (config.Version, bool) {
+	if a.kind() == "unknown" || a.err == nil && a.outcome.Already && a.outcome.Diff != nil {
+		return 0, false
+	}
+	return a.outcome.Version, true
 }
 
 func (b *bed) inject(rt *rapid.T) {
 	for range rapid.IntRange(0, 2).Draw(rt, "faults") {
-		switch rapid.IntRange(0, 4).Draw(rt, "fault") {
+		switch rapid.IntRange(0, 6).Draw(rt, "fault") {
 		case 0:
 			b.server.LoseAnswers(rapid.IntRange(1, 3).Draw(rt, "lost"))
 		case 1:
@@ -243,14 +318,25 @@
 			b.server.SetDown(rapid.Bool().Draw(rt, "down"))
 		case 4:
 			b.server.LapseLeases()
+		case 5:
+			b.crash.Store(true)
+		case 6: // in the middle of a write
+			b.server.SetDelay(time.Duration(rapid.IntRange(50, 500).Draw(rt, "delay")) * time.Millisecond)
+			b.server.LoseEvery(rapid.IntRange(0, 3).Draw(rt, "lost"))
+			in := time.Duration(rapid.IntRange(0, 3000).Draw(rt, "in")) * time.Millisecond
+			time.AfterFunc(in, func() { b.server.SetDown(true) })
+			time.AfterFunc(in+2*time.Second, func() { b.server.SetDown(false) })
 		}
 	}
 }
 
 func (b *bed) heal() {
+	b.crash.Store(false)
 	b.server.LoseAnswers(0)
+	b.server.LoseEvery(0)
 	b.server.AnswerOld(0)
 	b.server.SetDelay(0)
+	time.Sleep(time.Minute) // what goes down later is up again
 	b.server.SetDown(false)
 	time.Sleep(time.Minute)
 }
--- a/internal/confstore/write.go
+++ b/internal/confstore/write.go
@@ -21,7 +21,7 @@
 func (r *Repository) write(ctx context.Context, base Snapshot, next *config.State, entry audit.Entry) (Snapshot, error) {
 	head, blobs, err := r.plan(ctx, base, next)
 	if err != nil {
-		return Snapshot{}, err
+		return Snapshot{}, unchanged(err)
 	}
 	if entry.Digest, err = head.digest(); err != nil {
 		return Snapshot{}, err
@@ -30,12 +30,12 @@
 	head.Entry = audit.Seal(base.Head.Entry, entry)
 	for _, blob := range blobs {
 		if err := r.put(ctx, blob); err != nil {
-			return Snapshot{}, err
+			return Snapshot{}, unchanged(err)
 		}
 	}
 	// A trail that was tampered with must not stop changes: Audit shows it.
 	if err := r.Trail().Append(ctx, base.Head.Entry); err != nil && !audit.Tampered.Has(err) {
-		return Snapshot{}, err
+		return Snapshot{}, unchanged(err)
 	}
 	revision, err := r.swap(ctx, base.Revision, head)
 	if err != nil {
@@ -46,6 +46,15 @@
 	return Snapshot{State: next, Head: head, Revision: revision}, nil
 }
 
+// unchanged returns the error of a write before the head's. Whether that write
+// took effect does not matter to the configuration.
+func unchanged(err error) error {
+	if store.Unknown.Has(err) || store.Conflict.Has(err) {
+		return store.Unavailable.New("nothing was changed: %v", err)
+	}
+	return err
+}
+
 // blob is a value to write under the number allocated for it.
 type blob struct {
 	number uint64
--- a/internal/standin/store/faults.go
+++ b/internal/standin/store/faults.go
@@ -13,9 +13,17 @@
 	// are yet to be answered by the value before.
 	lost int
 	old  int
+	// Every everyLost-th of the writes that took effect loses its answer; zero
+	// loses none.
+	everyLost int
+	writes    int
 }
 
 func (f *faults) lose() bool {
+	f.writes++
+	if f.everyLost > 0 && f.writes%f.everyLost == 0 {
+		return true
+	}
 	if f.lost == 0 {
 		return false
 	}
@@ -46,6 +54,13 @@
 	s.faults.lost = n
 }
 
+// LoseEvery does the same with every nth write, and with none if n is zero.
+func (s *Server) LoseEvery(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults.everyLost = n
+}
+
 // AnswerOld answers the next n reads of keys that were overwritten by the value
 // before.
 func (s *Server) AnswerOld(n int) {
