--- a/internal/config/accept_test.go
+++ b/internal/config/accept_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"maps"
 	"math"
+	"net/netip"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -217,3 +219,26 @@
 	is.Equal(diff.Services[0].BucketsUnsettled, 0.2)
 	is.True(math.Abs(diff.Services[0].WeightMoved-5.0/14) < 1e-9)
 }
+
+// TestCompare names every field that changed, as people wrote it.
+func TestCompare(t *testing.T) {
+	is := is.New(t)
+	doc := deployment(2)
+	next := doc.Clone()
+	next.Services[0].IdleLimit = Duration(time.Minute)
+	next.Services[0].Ramp.Start = 0.5
+	next.Services[0].BackendServers[0].Weight = 7
+	next.Services[0].BackendServers[1].Health = "http://127.0.0.1/"
+	one := must(t, nil, doc, false)
+	diff := Compare(one, must(t, one, next, false))
+	is.Equal(diff.Services[0].Steps, []Step{
+		{Action: Modify, Name: "service-0", Detail: "idleLimit 1h0m0s becomes 1m0s, ramp {0.1 1m0s} becomes {0.5 1m0s}"},
+		{Action: Reweight, Name: "s0-0", Detail: "weight 100 becomes 7"},
+		{Action: Modify, Name: "s0-1", Detail: "health http://60.0.0.1:8081/health becomes http://127.0.0.1/"},
+	})
+	is.Equal(len(diff.Cuts()), 0)
+	moved := doc.Clone()
+	moved.Services[0].Address = netip.MustParseAddrPort("203.0.113.99:443")
+	is.Equal(len(Compare(one, must(t, one, moved, false)).Cuts()), 1)
+	is.Equal(len(Compare(one, nil).Cuts()), 1)
+}
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -196,15 +196,25 @@
 	if old.Address != next.Address || old.Protocol != next.Protocol {
 		d.Cuts = append(d.Cuts, fmt.Sprintf("the address %v/%v is given up, with all its flows", old.Address, old.Protocol))
 	}
+	if detail := changedFields(old, next); detail != "" {
+		d.Steps = append(d.Steps, Step{Action: Modify, Name: d.Name, Detail: detail})
+	}
+}
+
+// changedFields says which fields of two structs of one type differ, by their
+// JSON names.
+func changedFields(old, next any) string {
 	before, after := reflect.ValueOf(old), reflect.ValueOf(next)
+	var parts []string
 	for i := range before.NumField() {
 		was, is := before.Field(i).Interface(), after.Field(i).Interface()
 		if was == is {
 			continue
 		}
-		name := before.Type().Field(i).Name
-		d.Steps = append(d.Steps, Step{Action: Modify, Name: d.Name, Detail: fmt.Sprintf("%s %v becomes %v", name, was, is)})
+		name, _, _ := strings.Cut(before.Type().Field(i).Tag.Get("json"), ",")
+		parts = append(parts, fmt.Sprintf("%s %v becomes %v", name, was, is))
 	}
+	return strings.Join(parts, ", ")
 }
 
 // server adds the step from one record of a backend server to the next.
@@ -236,11 +246,9 @@
 	case next.State != Draining && old.State == Draining:
 		step.Action = Undrain
 	case old.Weight != next.Weight:
-		step.Action = Reweight
-		step.Detail = fmt.Sprintf("weight %d becomes %d", old.Weight, next.Weight)
+		step.Action, step.Detail = Reweight, changedFields(old.ServerSpec, next.ServerSpec)
 	default:
-		step.Action = Modify
-		step.Detail = fmt.Sprintf("%+v becomes %+v", old.ServerSpec, next.ServerSpec)
+		step.Action, step.Detail = Modify, changedFields(old.ServerSpec, next.ServerSpec)
 	}
 	if was != 0 && was != Gone && is == Gone {
 		d.Cuts = append(d.Cuts, fmt.Sprintf("the flows of backend server %s in %s end", next.Name, next.DataCentre))
--- a/internal/config/text.go
+++ b/internal/config/text.go
@@ -13,9 +13,12 @@
 // Duration is a time span, written as a string such as "90s" or "12h".
 type Duration time.Duration
 
+// String returns the span as time.Duration writes it.
+func (d Duration) String() string { return time.Duration(d).String() }
+
 // MarshalText returns the span as time.Duration writes it.
 func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
+	return []byte(d.String()), nil
 }
 
 // UnmarshalText reads a span as time.ParseDuration does.
