--- a/internal/app/parts.go
+++ b/internal/app/parts.go
@@ -33,7 +33,7 @@
 		newSockets, newMetrics, newScope, newKeys, newBook, newLink, newGossip, newStoreClient, newRepository,
 		newSync, newEngine, newTrust, newKeepers, newForwarder, newRequests, newServing, newAdmin, newConfigured, newSettler, newExchanger, newCoordinator,
 	),
-	fx.Invoke(connect, run),
+	fx.Invoke(connect, report, run),
 )
 
 // parts are those that a Daemon uses itself.
