Keep the packet path open until the fabric has noticed a departure

Cause: the fabric hands packets to a leaving instance until it has noticed; closing at once would lose them. Change: after the handover the instance waits until no packet has come for 0.5 s, at most 5 s.

--- a/internal/app/serving.go
+++ b/internal/app/serving.go
@@ -21,6 +21,14 @@
 // held by others.
 const handoverPoll = 20 * time.Millisecond
 
+// The fabric goes on handing packets to a leaving instance until it has noticed:
+// the packet path stays open until none has come for quietTime, or lingerTime has
+// passed.
+const (
+	quietTime  = 500 * time.Millisecond
+	lingerTime = 5 * time.Second
+)
+
 // phase is how far an instance has come.
 type phase int32
 
@@ -117,7 +125,31 @@
 	if err := s.requests.Drain(ctx); err != nil {
 		s.log.Warn("Requests were still in progress at the end", "error", err)
 	}
-	return s.handOver(ctx)
+	if err := s.handOver(ctx); err != nil {
+		return err
+	}
+	return s.linger(ctx)
+}
+
+// linger waits until the fabric sends no more packets.
+func (s *serving) linger(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, lingerTime)
+	defer cancel()
+	ticker := time.NewTicker(quietTime)
+	defer ticker.Stop()
+	for seen := s.forwarder.Totals().Received; ; {
+		select {
+		case <-ctx.Done():
+			s.log.Warn("Packets still came at the end")
+			return nil
+		case <-ticker.C:
+		}
+		now := s.forwarder.Totals().Received
+		if now == seen {
+			return nil
+		}
+		seen = now
+	}
 }
 
 // last reports whether no other instance may take over.
