--- a/client/client.go
+++ b/client/client.go
@@ -140,6 +140,10 @@
 	sent := false
 	for {
 		res, out, err := c.once(ctx, m)
+		if sent && m.Repeatable && res.Status == request.Refused {
+			// The refusal is about the last copy alone.
+			res.Status = request.Unknown
+		}
 		sent = sent || out
 		if Invalid.Has(err) || err == nil && !again(res) {
 			return res, err
--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -25,7 +25,7 @@
 	// warmSamples is how many answers make the usual latency known.
 	warmSamples = 10
 	// maxRelapses bounds how often the climb is made slower.
-	maxRelapses = 3
+	maxRelapses = 2
 )
 
 // Guard holds what one backend server may get. The zero value is warm.
--- /dev/null
+++ b/internal/keyowner/model_test.go
@@ -0,0 +1,555 @@
+package keyowner_test
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"balsamfork/internal/admission"
+	"balsamfork/internal/atmostonce"
+	"balsamfork/internal/config"
+	"balsamfork/internal/fleet"
+	"balsamfork/internal/flow"
+	"balsamfork/internal/keyowner"
+	"balsamfork/internal/quorum"
+	"balsamfork/internal/request"
+)
+
+// The model runs the systems of several instances, and backend servers that count
+// what they get, in fake time. Every message may be delayed, lost or doubled.
+
+const ms = int64(time.Millisecond)
+
+var timing = admission.Timing{
+	Settle: time.Second, Hold: time.Second, Renew: 300 * time.Millisecond,
+	MaxRun: time.Second, Margin: 100 * time.Millisecond,
+}
+
+var membership = quorum.Timing{Settle: timing.Settle, DeadMemory: 10 * time.Minute, LeaveMemory: 4 * time.Second}
+
+const epoch = int64(1_700_000_000) * int64(time.Second)
+
+type event struct {
+	at  int64
+	seq int
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(e[i].at, e[j].at), e[i].seq-e[j].seq) < 0
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+type node struct {
+	m       *model
+	id      fleet.ID
+	dc      string
+	inc     uint64
+	up      bool
+	leaving bool
+	paused  int64
+	offset  int64
+	cut     int
+	members *quorum.Electorate
+	claims  *atmostonce.Claims
+	owner   *keyowner.System
+	adm     *admission.System
+	seq     uint64
+	results map[uint64]func(request.Result)
+	ends    map[uint64]func(admission.Outcome)
+}
+
+type backend struct {
+	row     admission.Server
+	offset  int64
+	took    time.Duration
+	cold    func(now int64) float64
+	running map[admission.AttemptID]func()
+	keys    map[string]int
+	// used is the slot time used so far, in nanoseconds.
+	used     float64
+	usedAt   int64
+	starts   int
+	exceeded int
+	done     int
+}
+
+type outcome struct {
+	id       string
+	once     bool
+	deadline int64
+	began    int64
+	result   request.Result
+	got      bool
+	doneAt   int64
+	copies   int
+}
+
+type model struct {
+	now      int64
+	rng      *rand.Rand
+	queue    events
+	seq      int
+	nodes    []*node
+	servers  []*backend
+	requests []*outcome
+	loss     float64
+	double   float64
+	slow     float64
+	messages int
+}
+
+func newModel(seed uint64, dcs []int, perDC, slots int) *model {
+	m := &model{now: epoch, rng: rand.New(rand.NewPCG(seed, 1))}
+	for d, n := range dcs {
+		dc := fmt.Sprint("dc", d)
+		for i := range n {
+			m.nodes = append(m.nodes, &node{m: m, id: fleet.ID(fmt.Sprint(dc, "-", i)), dc: dc})
+		}
+		for range perDC {
+			m.servers = append(m.servers, &backend{
+				row: admission.Server{
+					Number: config.Number(len(m.servers) + 1), Service: "orders", DataCentre: dc, Region: "r", Slots: slots,
+					Ramp: config.Ramp{Start: 0.1, Duration: 4 * time.Second}, State: config.Active,
+				},
+				took:    20 * time.Millisecond,
+				running: make(map[admission.AttemptID]func()),
+				keys:    make(map[string]int),
+			})
+		}
+	}
+	for _, n := range m.nodes {
+		n.boot()
+	}
+	for _, n := range m.nodes {
+		n.look()
+	}
+	return m
+}
+
+func (m *model) after(d time.Duration, f func()) {
+	m.seq++
+	heap.Push(&m.queue, event{at: m.now + int64(d), seq: m.seq, run: f})
+}
+
+func (m *model) runUntil(t int64) {
+	for len(m.queue) > 0 && m.queue[0].at <= t {
+		e := heap.Pop(&m.queue).(event)
+		m.now = e.at
+		e.run()
+	}
+	m.now = t
+}
+
+func (m *model) delay() time.Duration {
+	if m.rng.Float64() < m.slow {
+		return time.Duration(m.rng.Int64N(600 * ms))
+	}
+	return time.Duration(ms/2 + m.rng.Int64N(ms))
+}
+
+// boot starts a new run of an instance, which has forgotten everything.
+func (n *node) boot() {
+	n.inc++
+	n.up, n.leaving = true, false
+	n.offset = n.m.rng.Int64N(20*ms) - 10*ms
+	now := n.now()
+	self := quorum.Holder{ID: n.id, Incarnation: n.inc}
+	n.members = quorum.New(membership)
+	n.claims = atmostonce.NewClaims(now, timing.Settle, 4096)
+	n.adm = admission.New(now, self, timing, n.members)
+	n.owner = keyowner.New(keyowner.Options{
+		Self: self, Members: n.members, Claims: n.claims, Table: atmostonce.NewTable(4096, 1<<20),
+		Rand: rand.New(rand.NewPCG(n.m.rng.Uint64(), 2)), MaxRun: timing.MaxRun,
+	})
+	n.results = make(map[uint64]func(request.Result))
+	n.ends = make(map[uint64]func(admission.Outcome))
+	n.tick(n.inc)
+}
+
+func (n *node) now() int64 { return n.m.now + n.offset }
+
+func (n *node) tick(inc uint64) {
+	n.m.after(10*time.Millisecond, func() {
+		if !n.up || n.inc != inc {
+			return
+		}
+		if n.m.now >= n.paused {
+			n.adm.Tick(n.now())
+			n.owner.Tick(n.now())
+			n.flush()
+		}
+		n.tick(inc)
+	})
+}
+
+// reaches reports whether messages pass between two instances.
+func (n *node) reaches(o *node) bool { return o.up && n.up && (n == o || n.cut == o.cut) }
+
+// look gives an instance the view that it can have now.
+func (n *node) look() {
+	if !n.up {
+		return
+	}
+	v := &fleet.View{Self: n.id}
+	for _, o := range n.m.nodes {
+		state := fleet.Alive
+		switch {
+		case !n.reaches(o):
+			state = fleet.Dead
+		case o.leaving:
+			state = fleet.Leaving
+		}
+		v.Instances = append(v.Instances, fleet.Instance{ID: o.id, DataCentre: o.dc, Region: "r", State: state, Incarnation: o.inc})
+	}
+	n.members.Update(n.now(), v)
+	n.tables()
+}
+
+func (n *node) tables() {
+	var rows []admission.Server
+	var all []keyowner.Candidate
+	for _, b := range n.m.servers {
+		id, found := n.members.First(admission.ServerName(b.row.Number), b.row.DataCentre, "r", 0)
+		if b.row.DataCentre == n.dc || id == n.id {
+			rows = append(rows, b.row)
+		}
+		if found && b.row.State == config.Active && b.row.Condition != flow.Down {
+			all = append(all, keyowner.Candidate{Server: b.row.Number, Admitter: id, Slots: b.row.Slots})
+		}
+	}
+	n.adm.SetServers(n.now(), rows)
+	n.owner.SetServices(map[string][]keyowner.Candidate{"orders": all})
+	n.flush()
+}
+
+// news lets every instance learn of a change, each at its own time.
+func (m *model) news() {
+	for _, n := range m.nodes {
+		m.after(time.Duration(m.rng.Int64N(int64(timing.Settle)/2)), func() { n.on(n.inc, n.look) })
+	}
+}
+
+// on runs something at an instance, later if it is paused, never if that run of it
+// has ended.
+func (n *node) on(inc uint64, f func()) {
+	switch {
+	case !n.up || n.inc != inc:
+	case n.m.now < n.paused:
+		n.m.after(time.Duration(n.paused-n.m.now), func() { n.on(inc, f) })
+	default:
+		f()
+	}
+}
+
+// send delivers a message; the receiver may have been started anew meanwhile.
+func (n *node) send(to fleet.ID, f func(o *node)) {
+	m := n.m
+	at := slices.IndexFunc(m.nodes, func(o *node) bool { return o.id == to })
+	o := m.nodes[at]
+	if o == n {
+		inc := n.inc
+		m.after(0, func() { n.on(inc, func() { f(n) }) })
+		return
+	}
+	m.messages++
+	copies := 1
+	if m.rng.Float64() < m.double {
+		copies = 2
+	}
+	for range copies {
+		if m.rng.Float64() < m.loss {
+			continue
+		}
+		m.after(m.delay(), func() {
+			if n.cut == o.cut {
+				o.on(o.inc, func() { f(o); o.flush() })
+			}
+		})
+	}
+}
+
+// back answers a message of a run of n.
+func (n *node) back(from *node, inc uint64, f func()) {
+	from.send(n.id, func(o *node) {
+		if o.inc == inc {
+			f()
+		}
+	})
+}
+
+func (n *node) flush() {
+	for {
+		own, adm := n.owner.Effects(), n.adm.Effects()
+		if len(own)+len(adm) == 0 {
+			return
+		}
+		for _, e := range own {
+			n.ownerEffect(e)
+		}
+		for _, e := range adm {
+			n.admitterEffect(e)
+		}
+	}
+}
+
+func (n *node) ownerEffect(e keyowner.Effect) {
+	inc := n.inc
+	switch e.Kind {
+	case keyowner.Claim:
+		n.send(e.To, func(o *node) {
+			v, by := o.claims.Claim(o.now(), e.Hash, e.Created, e.Claimant)
+			n.back(o, inc, func() { n.owner.Claimed(n.now(), e.Key, e.Claimant, e.To, v, by) })
+		})
+	case keyowner.Admit:
+		id := e.Attempt.ID
+		n.send(e.To, func(o *node) {
+			o.seq++
+			o.ends[o.seq] = func(out admission.Outcome) {
+				n.back(o, inc, func() { n.owner.Outcome(n.now(), id, out) })
+			}
+			o.adm.Admit(o.now(), o.seq, e.Attempt)
+		})
+		n.m.after(time.Duration(e.Attempt.Deadline-n.now())+timing.Margin, func() {
+			n.on(inc, func() {
+				n.owner.Outcome(n.now(), id, admission.Outcome{Result: request.Unsure(request.Unreachable)})
+				n.flush()
+			})
+		})
+	case keyowner.Cancel:
+		n.send(e.To, func(o *node) { o.adm.Cancel(o.now(), e.Attempt.ID) })
+	case keyowner.Ask:
+		n.send(e.To, func(o *node) {
+			o.seq++
+			o.results[o.seq] = func(r request.Result) {
+				n.back(o, inc, func() { n.owner.Told(n.now(), e.Key, e.Claimant, r) })
+			}
+			o.owner.Join(o.seq, e.Request)
+		})
+	case keyowner.Answer:
+		if f := n.results[e.Waiter]; f != nil {
+			delete(n.results, e.Waiter)
+			f(e.Result)
+		}
+	}
+}
+
+func (n *node) admitterEffect(e admission.Effect) {
+	inc := n.inc
+	switch e.Kind {
+	case admission.Dispatch:
+		n.m.arrive(n, e.Attempt)
+	case admission.CancelRun:
+		b := n.m.servers[e.Attempt.Server-1]
+		n.m.after(n.m.delay(), func() {
+			if stop := b.running[e.Attempt.ID]; stop != nil {
+				stop()
+			}
+		})
+	case admission.Reply:
+		if f := n.ends[e.Waiter]; f != nil {
+			delete(n.ends, e.Waiter)
+			f(e.Outcome)
+		}
+	case admission.AskGrant:
+		self := quorum.Holder{ID: n.id, Incarnation: n.inc}
+		ask := slices.Clone(e.Servers)
+		n.send(e.To, func(o *node) {
+			granted := o.adm.Ask(o.now(), self, ask, e.SentAt)
+			n.back(o, inc, func() { n.adm.Granted(n.now(), e.To, e.SentAt, granted) })
+		})
+	case admission.ReleaseGrant:
+		self := quorum.Holder{ID: n.id, Incarnation: n.inc}
+		n.send(e.To, func(o *node) { o.adm.Release(self, e.Servers, e.SentAt) })
+	}
+}
+
+// arrive brings an attempt to its backend server.
+func (m *model) arrive(n *node, a admission.Attempt) {
+	b := m.servers[a.Server-1]
+	inc := n.inc
+	key := a.Request.Key.ID
+	once := !a.Request.Repeatable
+	end := func(r admission.Run) {
+		m.after(m.delay(), func() {
+			n.on(inc, func() { n.adm.Done(n.now(), a.ID, r); n.flush() })
+		})
+	}
+	if m.rng.Float64() < m.loss {
+		end(admission.Run{Result: request.Unsure(request.Lost)})
+		return
+	}
+	m.after(m.delay(), func() {
+		left := time.Duration(a.Deadline - m.now - b.offset)
+		if left <= 0 {
+			end(admission.Run{Result: request.Refuse(request.TooLate), Shed: true, Ended: true})
+			return
+		}
+		b.start(m, a.ID, key, once, left, end)
+	})
+}
+
+func (b *backend) use(now int64) {
+	b.used += float64(len(b.running)) * float64(now-b.usedAt)
+	b.usedAt = now
+}
+
+func (b *backend) start(m *model, id admission.AttemptID, key string, once bool, left time.Duration, end func(admission.Run)) {
+	if len(b.running) >= b.row.Slots {
+		b.exceeded++
+		end(admission.Run{Result: request.Refuse(request.Overloaded), Shed: true, Ended: true})
+		return
+	}
+	b.use(m.now)
+	b.keys[key]++
+	took := time.Duration(float64(b.took) * (0.5 + m.rng.Float64()))
+	if b.cold != nil {
+		took = time.Duration(float64(took) * b.cold(m.now))
+	}
+	ended := false
+	finish := func(r admission.Run) {
+		if ended {
+			return
+		}
+		ended = true
+		b.use(m.now)
+		delete(b.running, id)
+		if m.rng.Float64() < m.loss {
+			r = admission.Run{Result: request.Unsure(request.Lost)}
+		}
+		end(r)
+	}
+	b.running[id] = func() { finish(admission.Run{Result: request.Unsure(request.Cancelled), Ended: true}) }
+	b.starts++
+	if took > left {
+		m.after(left, func() { finish(admission.Run{Result: request.Unsure(request.TooLate), Ended: true}) })
+		return
+	}
+	m.after(took, func() {
+		if !ended {
+			b.done++
+		}
+		finish(admission.Run{Result: request.Result{Status: request.Answered, Value: []byte(`"` + key + `"`)}, Ended: true})
+	})
+}
+
+// call lets a caller send a request, and again through other instances until it
+// has a result or its time is up.
+func (m *model) call(timeout time.Duration, once bool, patience time.Duration) {
+	o := &outcome{id: fmt.Sprint("k", len(m.requests)), once: once, began: m.now, deadline: m.now + int64(timeout)}
+	m.requests = append(m.requests, o)
+	first := m.nodes[m.rng.IntN(len(m.nodes))]
+	key := request.Key{ID: o.id, Created: (m.now + m.rng.Int64N(20*ms) - 10*ms) / ms, Home: first.dc}
+	m.copy(o, key, first, patience)
+}
+
+func (m *model) copy(o *outcome, key request.Key, via *node, patience time.Duration) {
+	if o.got || m.now >= o.deadline {
+		return
+	}
+	o.copies++
+	via.on(via.inc, func() { via.enter(o, key, 0) })
+	m.after(patience, func() { m.copy(o, key, m.nodes[m.rng.IntN(len(m.nodes))], patience) })
+}
+
+// enter passes a copy on to the owner that the instance sees.
+func (n *node) enter(o *outcome, key request.Key, skip int) {
+	to, found := n.members.First(quorum.Name(key.ID), key.Home, "", skip)
+	if !found {
+		return
+	}
+	inc := n.inc
+	r := &request.Request{Key: key, Service: "orders", Method: "add", Repeatable: !o.once, Deadline: o.deadline + n.offset}
+	n.send(to, func(w *node) {
+		w.seq++
+		w.results[w.seq] = func(res request.Result) {
+			n.back(w, inc, func() {
+				if res.Reason == request.Stopping && skip < 2 {
+					n.enter(o, key, skip+1)
+					return
+				}
+				o.take(n.m, res)
+			})
+		}
+		w.owner.Run(w.now(), w.seq, r)
+	})
+}
+
+func (o *outcome) take(m *model, r request.Result) {
+	if o.got || m.now > o.deadline {
+		return
+	}
+	if r.Status == request.Refused && !o.once && o.copies > 1 {
+		// The refusal of a request that may be repeated is about one copy.
+		r = request.Unsure(r.Reason)
+	}
+	o.got, o.result, o.doneAt = true, r, m.now
+}
+
+// faults in what was seen, by name.
+func (m *model) check() map[string]int {
+	bad := make(map[string]int)
+	runs := make(map[string]int)
+	for _, b := range m.servers {
+		bad["slots exceeded"] += b.exceeded
+		for k, n := range b.keys {
+			runs[k] += n
+		}
+	}
+	for _, o := range m.requests {
+		if o.once && runs[o.id] > 1 {
+			bad["run twice"]++
+		}
+		if o.got && o.result.Status == request.Refused && runs[o.id] > 0 {
+			bad["false refusals"]++
+		}
+		if o.got && o.result.Status == request.Answered && string(o.result.Value) != `"`+o.id+`"` {
+			bad["crossed answers"]++
+		}
+	}
+	for k, n := range bad {
+		if n == 0 {
+			delete(bad, k)
+		}
+	}
+	return bad
+}
+
+// tally counts the requests by what their callers know.
+func (m *model) tally() map[request.Status]int {
+	t := make(map[request.Status]int)
+	for _, o := range m.requests {
+		if o.got {
+			t[o.result.Status]++
+			continue
+		}
+		t["none"]++
+	}
+	return t
+}
+
+func (m *model) counts() keyowner.Counts {
+	var sum keyowner.Counts
+	for _, n := range m.nodes {
+		c := n.owner.Counts()
+		sum.Requests += c.Requests
+		sum.Attempts += c.Attempts
+		sum.Retries += c.Retries
+		sum.Joined += c.Joined
+		sum.Claims += c.Claims
+	}
+	return sum
+}
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -69,11 +69,9 @@
 func (e *Electorate) update(now int64, in fleet.Instance) {
 	at, found := slices.BinarySearchFunc(e.members, in.ID, func(m member, id fleet.ID) int { return cmp.Compare(m.ID, id) })
 	if !found {
-		if in.State == fleet.Dead || in.State == fleet.Leaving {
-			return
-		}
+		// One that is dead when first heard of may be on the other side of a
+		// partition.
 		e.members = slices.Insert(e.members, at, member{Instance: in})
-		return
 	}
 	m := &e.members[at]
 	left := m.State == fleet.Leaving
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -52,7 +52,8 @@
 type Status string
 
 // The statuses of a Result. Refused means that no copy of the request has run or
-// will run; the key is used up. Unknown means that it may have run, or may still.
+// will run; the key is used up. For a request that may be repeated it means that
+// of this copy alone. Unknown means that it may have run, or may still.
 const (
 	Answered Status = "answered"
 	Refused  Status = "refused"
