--- a/internal/keyowner/model_test.go
+++ b/internal/keyowner/model_test.go
@@ -110,6 +110,11 @@
 	double   float64
 	slow     float64
 	messages int
+	// skew is the part of the requests that come through the first instance.
+	skew float64
+	// via replaces the systems under test, changed is called with news.
+	via     func(*outcome, *node)
+	changed func()
 }
 
 func newModel(seed uint64, dcs []int, perDC, slots int) *model {
@@ -238,6 +243,9 @@
 
 // news lets every instance learn of a change, each at its own time.
 func (m *model) news() {
+	if m.changed != nil {
+		m.changed()
+	}
 	for _, n := range m.nodes {
 		m.after(time.Duration(m.rng.Int64N(int64(timing.Settle)/2)), func() { n.on(n.inc, n.look) })
 	}
@@ -452,6 +460,14 @@
 	o := &outcome{id: fmt.Sprint("k", len(m.requests)), once: once, began: m.now, deadline: m.now + int64(timeout)}
 	m.requests = append(m.requests, o)
 	first := m.nodes[m.rng.IntN(len(m.nodes))]
+	if m.rng.Float64() < m.skew {
+		first = m.nodes[0]
+	}
+	if m.via != nil {
+		o.copies++
+		m.via(o, first)
+		return
+	}
 	key := request.Key{ID: o.id, Created: (m.now + m.rng.Int64N(20*ms) - 10*ms) / ms, Home: first.dc}
 	m.copy(o, key, first, patience)
 }
--- a/internal/keyowner/overload_test.go
+++ b/internal/keyowner/overload_test.go
@@ -12,11 +12,11 @@
 
 // load is what a model with a steady load showed.
 type load struct {
-	goodput, attempts, late float64
-	sum                     map[request.Status]int
-	exceeded                int
-	p99                     time.Duration
-	messages                float64
+	goodput, attempts float64
+	sum               map[request.Status]int
+	exceeded          int
+	p99               time.Duration
+	messages          float64
 }
 
 // offer sends times the capacity of the backend servers for ten seconds.
