Test the request path's adapter under spoiled answers, vanished callers, drains and a crash

Cause: the adapter had one test of the straight path. Change: seven tests in fake time over pipes; the client and the stand-in drop the library's log lines. A run whose end is not known keeps its slot until its deadline, so later requests may be refused: the test of spoiled answers counts runs and unknown results against each other.

--- a/client/client.go
+++ b/client/client.go
@@ -8,6 +8,8 @@
 	"crypto/rand"
 	"encoding/json"
 	"errors"
+	"io"
+	"log"
 	"net"
 	"slices"
 	"sync"
@@ -267,7 +269,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s = &session{conn: jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(nc), nobody{})}
+	s = &session{conn: jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(nc), nobody{}, quiet)}
 	if err := s.greet(ctx); err != nil {
 		s.conn.Close()
 		return nil, err
@@ -297,6 +299,9 @@
 	return nil
 }
 
+// quiet drops what the library logs: the caller gets every error as a result.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 type nobody struct{}
 
 // Handle drops what an instance sends on its own.
--- /dev/null
+++ b/internal/requestpath/faults_test.go
@@ -0,0 +1,300 @@
+package requestpath_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"balsamfork/client"
+	"balsamfork/internal/config"
+	"balsamfork/internal/fleet"
+	"balsamfork/internal/request"
+	"balsamfork/internal/standin/worker"
+)
+
+// within runs a test on a ready site in fake time.
+func within(t *testing.T, instances, servers int, f func(t *testing.T, is *is.I, s *site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(instances, servers)
+		defer s.close()
+		time.Sleep(12 * time.Second)
+		f(t, is.New(t), s)
+	})
+}
+
+func (s *site) counts() (sum worker.Counts) {
+	for _, w := range s.workers {
+		c := w.Counts()
+		sum.Started += c.Started
+		sum.Finished += c.Finished
+		sum.Cancelled += c.Cancelled
+		sum.Exceeded += c.Exceeded
+		sum.Twice += c.Twice
+	}
+	return sum
+}
+
+var line = client.Request{Service: "orders", Method: "order.add", Params: map[string]int{"line": 1}}
+
+// TestAnswersAreWholeOrUnknown lets backend servers spoil their answers in every
+// way: a caller gets its own whole answer, or Unknown. A run whose end is not known
+// keeps its slot until its deadline; what finds no slot is refused and has not run.
+func TestAnswersAreWholeOrUnknown(t *testing.T) {
+	for fault, answered := range map[worker.Fault]bool{
+		worker.None: true, worker.Delay: true, worker.Double: true,
+		worker.Lose: false, worker.Cross: false, worker.Cut: false, worker.Oversize: false,
+	} {
+		t.Run(fmt.Sprint(fault), func(t *testing.T) {
+			within(t, 3, 2, func(t *testing.T, is *is.I, s *site) {
+				for _, w := range s.workers {
+					w.SetFault(fault)
+				}
+				c := s.client(0)
+				defer c.Close()
+				kinds := make(map[string]int)
+				for i := range 10 {
+					ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+					var v worker.Value
+					err := c.Do(ctx, client.Request{Service: "orders", Method: "m", Params: []int{i}}, &v)
+					cancel()
+					if answered {
+						is.NoErr(err)
+						is.Equal(string(v.Params), fmt.Sprintf("[%d]", i))
+						continue
+					}
+					kinds[kind(err)]++
+				}
+				if !answered {
+					is.Equal(kinds["unknown"], s.counts().Started)
+					is.Equal(kinds["unknown"]+kinds["refused"], 10)
+					is.True(kinds["unknown"] >= 5)
+				}
+				is.Equal(s.counts().Twice, 0)
+				is.Equal(s.counts().Exceeded, 0)
+			})
+		})
+	}
+}
+
+// TestCopiesMeet sends copies of one request through all instances at once: it runs
+// once and all get the same answer, also those that come later.
+func TestCopiesMeet(t *testing.T) {
+	within(t, 3, 2, func(t *testing.T, is *is.I, s *site) {
+		var wg sync.WaitGroup
+		results := make([]request.Result, 9)
+		do := func(i int) {
+			r := request.Request{
+				Key:     request.Key{ID: "same", Created: time.Now().UnixMilli(), Home: "a"},
+				Service: "orders", Method: "m", TimeoutMs: 1000,
+			}
+			results[i] = s.paths[i%3].Do(t.Context(), &r)
+		}
+		for i := range 6 {
+			wg.Go(func() { do(i) })
+		}
+		wg.Wait()
+		for i := 6; i < 9; i++ {
+			do(i)
+		}
+		for _, r := range results {
+			is.Equal(r, results[0])
+			is.Equal(r.Status, request.Answered)
+		}
+		is.Equal(s.counts().Started, 1)
+		late := request.Request{Key: request.Key{ID: "same", Created: time.Now().UnixMilli(), Home: "a"}, Service: "orders", Method: "other", TimeoutMs: 1000}
+		is.Equal(s.paths[0].Do(t.Context(), &late).Status, request.Refused)
+		old := request.Request{Key: request.Key{ID: "old", Created: time.Now().Add(-3 * time.Minute).UnixMilli(), Home: "a"}, Service: "orders", Method: "m", TimeoutMs: 1000}
+		is.Equal(s.paths[0].Do(t.Context(), &old), request.Unsure(request.Expired))
+		is.Equal(s.counts().Started, 1)
+	})
+}
+
+// TestVanishedCallerIsCancelled closes a caller's connection, and lets a deadline
+// pass: the backend server is told to stop.
+func TestVanishedCallerIsCancelled(t *testing.T) {
+	for name, end := range map[string]func(c *client.Client, cancel func()){
+		"connection": func(c *client.Client, _ func()) { c.Close() },
+		"context":    func(_ *client.Client, cancel func()) { cancel() },
+		"deadline":   func(*client.Client, func()) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			within(t, 3, 1, func(t *testing.T, is *is.I, s *site) {
+				s.workers[0].SetCold(true)
+				c := client.New(address(0))
+				c.Dial = s.dial
+				ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+				defer cancel()
+				done := make(chan error)
+				go func() { done <- c.Do(ctx, line, nil) }()
+				time.Sleep(20 * time.Millisecond)
+				is.Equal(s.workers[0].Running(), 1)
+				end(c, cancel)
+				time.Sleep(350 * time.Millisecond)
+				is.Equal(s.workers[0].Running(), 0)
+				is.Equal(s.counts().Cancelled, 1)
+				is.True(<-done != nil)
+				c.Close()
+			})
+		})
+	}
+}
+
+// TestDrainCutsNothing drains an instance under load: requests in progress end, new
+// ones go elsewhere, and none is refused or lost.
+func TestDrainCutsNothing(t *testing.T) {
+	within(t, 4, 4, func(t *testing.T, is *is.I, s *site) {
+		var wg sync.WaitGroup
+		errs := make(chan error, 1000)
+		for i := range 8 {
+			wg.Go(func() {
+				c := s.client(i)
+				defer c.Close()
+				for range 100 {
+					errs <- c.Do(t.Context(), line, nil)
+				}
+			})
+		}
+		time.Sleep(200 * time.Millisecond)
+		s.setState(1, fleet.Leaving)
+		began := time.Now()
+		is.NoErr(s.paths[1].Drain(t.Context()))
+		is.True(time.Since(began) < 5*time.Second)
+		s.paths[1].Close()
+		s.setState(1, fleet.Dead)
+		wg.Wait()
+		close(errs)
+		for err := range errs {
+			is.NoErr(err)
+		}
+		is.Equal(s.counts().Exceeded, 0)
+		is.Equal(s.counts().Twice, 0)
+	})
+}
+
+func (s *site) setState(at int, state fleet.State) {
+	v := *s.view
+	v.Epoch++
+	v.Instances = append([]fleet.Instance(nil), v.Instances...)
+	v.Instances[at].State = state
+	s.view = &v
+	for _, p := range s.paths {
+		p.SetView(&v)
+	}
+}
+
+// TestServerDrains takes a backend server out: it gets nothing new, and nothing is
+// refused for it.
+func TestServerDrains(t *testing.T) {
+	within(t, 3, 3, func(t *testing.T, is *is.I, s *site) {
+		c := s.client(0)
+		defer c.Close()
+		for i := range 30 {
+			if i == 15 {
+				cfg := *s.cfg
+				cfg.Version++
+				sv := cfg.Services[0]
+				sv.Servers = append([]config.Server(nil), sv.Servers...)
+				sv.Servers[0].State = config.Draining
+				cfg.Services = []config.Service{sv}
+				for _, p := range s.paths {
+					p.SetConfig(&cfg)
+				}
+				time.Sleep(2 * time.Second)
+			}
+			before := s.workers[0].Counts().Started
+			is.NoErr(c.Do(t.Context(), line, nil))
+			is.True(i < 15 || s.workers[0].Counts().Started == before)
+		}
+	})
+}
+
+// TestCrashedInstance kills instances while requests run: callers learn the truth,
+// slots are kept, and the others go on.
+func TestCrashedInstance(t *testing.T) {
+	within(t, 5, 4, func(t *testing.T, is *is.I, s *site) {
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		kinds := make(map[string]int)
+		for i := range 6 {
+			wg.Go(func() {
+				c := s.client(i)
+				defer c.Close()
+				for range 60 {
+					ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+					err := c.Do(ctx, line, nil)
+					cancel()
+					mu.Lock()
+					kinds[kind(err)]++
+					mu.Unlock()
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(300 * time.Millisecond)
+		s.mesh.mu.Lock()
+		s.mesh.dead["i1"] = true
+		s.mesh.mu.Unlock()
+		s.paths[1].Close()
+		time.Sleep(time.Second)
+		s.setState(1, fleet.Dead)
+		wg.Wait()
+		t.Log(kinds, s.counts())
+		is.Equal(s.counts().Exceeded, 0)
+		is.Equal(s.counts().Twice, 0)
+		is.True(kinds["answered"] >= 300)
+		is.True(kinds["answered"] <= s.counts().Finished)
+		time.Sleep(12 * time.Second)
+		is.True(s.paths[0].Ready())
+	})
+}
+
+func kind(err error) string {
+	switch {
+	case err == nil:
+		return "answered"
+	case client.Refused.Has(err):
+		return "refused"
+	case client.Unknown.Has(err):
+		return "unknown"
+	}
+	return "other"
+}
+
+// TestBadMessages sends what breaks the interface: the error names the field, and
+// nothing reaches a backend server.
+func TestBadMessages(t *testing.T) {
+	within(t, 1, 1, func(t *testing.T, is *is.I, s *site) {
+		for raw, want := range map[string]string{
+			`{"jsonrpc":"2.0","id":1,"method":"request.do","params":{"key":{"id":"","created":1},"service":"orders","method":"m","timeoutMs":5}}`:               "key.id",
+			`{"jsonrpc":"2.0","id":1,"method":"request.do","params":{"key":{"id":"x","created":1},"service":"orders","method":"m","timeoutMs":99999999}}`:       "timeoutMs",
+			`{"jsonrpc":"2.0","id":1,"method":"request.do","params":{"key":{"id":"x","created":1},"service":"orders","method":"m","timeoutMs":5,"extra":1}}`:    "extra",
+			`{"jsonrpc":"2.0","id":1,"method":"request.do","params":{"key":{"id":"x","created":1},"service":"orders","method":"m","timeoutMs":5,"deadline":7}}`: "deadline",
+			`{"jsonrpc":"2.0","id":1,"method":"request.do","params":{"key":{"id":"x","created":1},"service":"orders","method":"m","timeoutMs":5}}`:              `"unknown"`,
+			`{"jsonrpc":"2.0","id":1,"method":"nothing"}`:                                                                                                           "no such method",
+			`{"jsonrpc":"2.0","id":1,"method":"request.do","params":"` + strings.Repeat("x", request.MaxFrameBytes) + `"}`:                                          "",
+			`{"jsonrpc":"2.0","id":1,"method":"request.do","params":{"key":{"id":"x","created":1},"service":"none","method":"m","timeoutMs":50,"repeatable":true}}`: "no such service",
+			`{"jsonrpc":"2.0","id":1,"method":"request.home"}`:                                                                                                      `"home":"a"`,
+		} {
+			conn, err := s.dial(t.Context(), address(0))
+			is.NoErr(err)
+			go conn.Write([]byte(raw))
+			is.NoErr(conn.SetReadDeadline(time.Now().Add(time.Second)))
+			b := make([]byte, 1000)
+			n, err := conn.Read(b)
+			is.True(n > 0 || want == "" && err != nil && !errors.Is(err, context.DeadlineExceeded))
+			if !strings.Contains(string(b[:n]), want) {
+				t.Errorf("%.200s: answered %s, wanted %s", raw, b[:n], want)
+			}
+			conn.Close()
+		}
+		is.Equal(s.counts().Started, 0)
+	})
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -6,6 +6,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"net/netip"
 	"strings"
@@ -129,7 +131,7 @@
 		if err != nil {
 			return
 		}
-		conn := jsonrpc2.NewConn(w.ctx, jsonrpc2.NewPlainObjectStream(c), &handler{w: w, raw: c})
+		conn := jsonrpc2.NewConn(w.ctx, jsonrpc2.NewPlainObjectStream(c), &handler{w: w, raw: c}, jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
 		w.done.Go(func() { <-conn.DisconnectNotify() })
 	}
 }
