Wait for the first answers, and let a whole fleet leave

Cause: the first runs of the demonstration on real instances: with all 13 instances new, each request is refused for about 8 s, since instances that have just started grant nothing for a while; and at the end 13 leaving instances waited 15 s for each other to take their records. Change: the demonstration waits for the first answer of each service and says how long that took; placement.HandedOver is true for a leaving instance when no usable one is left.

--- a/internal/demo/phases.go
+++ b/internal/demo/phases.go
@@ -88,10 +88,14 @@
 	if r.callers, err = caller.Start(c, r.fabric); err != nil {
 		return err
 	}
-	r.buyers = newBuyers(r.world, r.options.RequestsPerSecond)
-	r.buyers.start()
 	limited, cancel := context.WithTimeout(ctx, r.scaled(openTimeout))
 	defer cancel()
+	r.buyers = newBuyers(r.world, r.options.RequestsPerSecond)
+	if err := r.buyers.warmUp(limited); err != nil {
+		r.result.violate("%v", err)
+	}
+	r.result.FirstAnswerSeconds = time.Since(r.began).Seconds()
+	r.buyers.start()
 	err = r.callers.Wait(limited, func(map[string]caller.Counts) bool {
 		return float64(r.totals().Live()) >= openShare*float64(want)
 	})
--- a/internal/demo/requests.go
+++ b/internal/demo/requests.go
@@ -49,6 +49,24 @@
 	}
 }
 
+// warmUp returns once each service has answered a request: instances that have
+// all just started grant nothing until what they may have granted before is over.
+func (b *buyers) warmUp(ctx context.Context) error {
+	for _, service := range b.services {
+		for n := 0; ; n++ {
+			via, _ := b.picker.Pick()
+			r := Request{Service: service.Name, ID: fmt.Sprintf("first-%d", n), Repeatable: true}
+			if outcome, _ := b.through(via.Requests).Send(ctx, r); outcome == Answered {
+				break
+			}
+			if ctx.Err() != nil {
+				return Error.New("service %s answers no request", service.Name)
+			}
+		}
+	}
+	return nil
+}
+
 func (b *buyers) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	b.stop = cancel
--- a/internal/demo/result.go
+++ b/internal/demo/result.go
@@ -54,6 +54,10 @@
 	// ramp, over the mean of the warm ones.
 	FreshShare float64 `json:"fresh_share"`
 
+	// FirstAnswerSeconds is from the start of the first instance, all of them new,
+	// to the first answer of each service to a request.
+	FirstAnswerSeconds float64 `json:"first_answer_seconds"`
+
 	NonRepeatableRunTwice int `json:"non_repeatable_run_twice"`
 	FalseRefusals         int `json:"false_refusals"`
 	LostAnswers           int `json:"lost_answers"`
@@ -144,6 +148,7 @@
 		{"drain", seconds(r.DrainSeconds)},
 		{"configuration in force", seconds(r.ConfigSeconds)},
 		{"share of the fresh backend server", fmt.Sprintf("%.2f", r.FreshShare)},
+		{"first answers, after a start from nothing", seconds(r.FirstAnswerSeconds)},
 		{"requests run twice", fmt.Sprint(r.NonRepeatableRunTwice)},
 		{"refused, of them run", fmt.Sprintf("%d, %d", r.Refused, r.FalseRefusals)},
 		{"answers lost, crossed", fmt.Sprintf("%d, %d", r.LostAnswers, r.CrossedAnswers)},
--- a/internal/placement/tick.go
+++ b/internal/placement/tick.go
@@ -158,7 +158,8 @@
 }
 
 // HandedOver reports, for a leaving instance, that nothing is left that only this
-// instance knows, and that no peer takes it for an owner any more.
+// instance knows, and that no peer takes it for an owner any more; or that no
+// usable instance is left to hand anything to.
 func (e *Engine) HandedOver() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -166,6 +167,9 @@
 	if e.records.Total() == 0 && len(st.ring.peers) == 0 {
 		return true
 	}
+	if st.ring.leaving && !slices.ContainsFunc(st.ring.rows, fleet.Instance.Usable) {
+		return true
+	}
 	if !st.ring.leaving || !st.ring.agreement.reached.Load() {
 		return false
 	}
