--- a/internal/confsync/syncer.go
+++ b/internal/confsync/syncer.go
@@ -33,9 +33,9 @@
 	Watch(ctx context.Context, known confstore.Snapshot) (confstore.Snapshot, error)
 }
 
-// Limiter shares the rates of the store out.
+// Limiter shares the rate of the store's reads out.
 type Limiter interface {
-	SetFleetSize(n int)
+	// SetReaders sets the number of instances that have a part like this one's.
 	SetReaders(n int)
 }
 
@@ -128,7 +128,6 @@
 	s.view = view
 	s.largest = max(s.largest, len(view.Instances))
 	s.role = decideRole(view, s.largest)
-	s.limits.SetFleetSize(s.largest)
 	s.limits.SetReaders(s.role.readers)
 	s.mu.Unlock()
 	s.releaseWatch()
@@ -195,12 +194,6 @@
 	}
 }
 
-// getParams is what an instance says of the version that it has.
-type getParams struct {
-	Have  config.Version `json:"have"`
-	Names uint64         `json:"names,string"`
-}
-
 // getResult is empty unless the peer has a newer version.
 type getResult struct {
 	Version config.Version `json:"version"`
@@ -212,18 +205,18 @@
 }
 
 func (s *Syncer) answerGet(_ context.Context, from fleet.ID, params json.RawMessage) (any, error) {
-	var ask getParams
+	var ask config.Held
 	if err := json.Unmarshal(params, &ask); err != nil {
 		return nil, config.Invalid.New("%s from %s: %w", MethodGet, from, err)
 	}
-	s.PeerVersion(from, ask.Have)
+	s.PeerVersion(from, ask.Version)
 	state := s.State()
 	if state == nil {
 		return getResult{}, nil
 	}
 	result := getResult{Version: state.Version}
-	if state.Version > ask.Have {
-		delta := state.DeltaFrom(ask.Have, ask.Names)
+	if state.Version > ask.Version {
+		delta := state.DeltaFrom(ask)
 		result.Delta = &delta
 	}
 	return result, nil
