Settle services through one writer

Cause: a take-out lets every service settle at once; instances then lose races for the head. Change: the daemon uses confsettle, which gathers settlements at one instance.

--- a/internal/app/connect.go
+++ b/internal/app/connect.go
@@ -10,6 +10,7 @@
 
 	"balsamfork/internal/admin"
 	"balsamfork/internal/config"
+	"balsamfork/internal/confsettle"
 	"balsamfork/internal/confsync"
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/flow"
@@ -33,6 +34,7 @@
 	Trust    *trust
 	Keepers  *forward.Keepers
 	Requests *requestpath.Path
+	Settler  *confsettle.Settler
 	Ready    *configured
 }
 
@@ -54,6 +56,7 @@
 		w.Engine.SetView(now(), v)
 		w.Requests.SetView(v)
 		w.Sync.SetView(v)
+		w.Settler.SetView(v)
 	})
 	w.Gossip.OnVersion(w.Sync.PeerVersion)
 	w.Gossip.OnAnnouncements(func([]flow.Announcement) {
@@ -86,6 +89,7 @@
 	Serving   *serving
 	Exchanger *handover.Exchanger
 	Settling  *handover.Coordinator
+	Settler   *confsettle.Settler
 	Ready     *configured
 }
 
@@ -106,6 +110,7 @@
 	s.Serving.run(s.syncConfiguration)
 	s.Serving.run(s.Exchanger.Run)
 	s.Serving.run(s.Settling.Run)
+	s.Serving.run(s.settle)
 	s.Serving.run(s.watchKeys)
 	s.Serving.run(func(ctx context.Context) { s.Serving.begin(ctx, s.Ready.done) })
 }
@@ -116,6 +121,12 @@
 	}
 }
 
+func (s started) settle(ctx context.Context) {
+	if err := s.Settler.Run(ctx); err != nil && ctx.Err() == nil {
+		s.Log.Error("Services are no longer settled", "error", err)
+	}
+}
+
 func (s started) watchKeys(ctx context.Context) {
 	if s.Keys == nil {
 		return
--- a/internal/app/parts.go
+++ b/internal/app/parts.go
@@ -10,6 +10,7 @@
 
 	"balsamfork/internal/admin"
 	"balsamfork/internal/config"
+	"balsamfork/internal/confsettle"
 	"balsamfork/internal/confstore"
 	"balsamfork/internal/confsync"
 	"balsamfork/internal/fleet"
@@ -132,8 +133,17 @@
 	}, l)
 }
 
-func newSettler(s *settings.Valid, r *confstore.Repository) handover.Settler {
-	return confstore.NewSettler(r, string(s.Self.ID), time.Now)
+func newSettler(
+	s *settings.Valid, r *confstore.Repository, c *storeclient.Client, l *link.Link, log *slog.Logger, scope tally.Scope,
+) *confsettle.Settler {
+	return confsettle.New(confsettle.Options{
+		Self:   s.Self.ID,
+		Writer: confstore.NewSettler(r, string(s.Self.ID), time.Now),
+		Limits: c,
+		Peers:  l,
+		Scope:  scope,
+		Log:    log,
+	}, l)
 }
 
 func newExchanger(e *placement.Engine, l *link.Link, log *slog.Logger, scope tally.Scope) *handover.Exchanger {
@@ -153,7 +163,7 @@
 func (n newest) View() *fleet.View { return n.gossip.View() }
 
 func newCoordinator(
-	s *settings.Valid, e *placement.Engine, l *link.Link, g *gossip.Gossip, cs *confsync.Syncer, settler handover.Settler,
+	s *settings.Valid, e *placement.Engine, l *link.Link, g *gossip.Gossip, cs *confsync.Syncer, settler *confsettle.Settler,
 	log *slog.Logger, scope tally.Scope,
 ) *handover.Coordinator {
 	return handover.NewCoordinator(s.Self.ID, e, l, newest{gossip: g, sync: cs}, settler, scope, log)
