--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -280,9 +280,14 @@
 		t.Run(c.name, func(t *testing.T) {
 			r := newRun(3)
 			r.run(2 * time.Second)
-			r.servers[2] = c.set
+			const several = 6
+			for n := range several {
+				r.servers[n] = c.set
+			}
 			r.run(5 * time.Second)
-			is.New(t).Equal(r.condition(3), c.want)
+			for n := range config.Number(several) {
+				is.New(t).Equal(r.condition(n+1), c.want)
+			}
 		})
 	}
 }
@@ -303,6 +308,7 @@
 	}
 	is.True(down <= desk/2)
 	is.True(r.doubted > 0)
+	is.True(r.count(flow.Down) <= desk)
 }
 
 func TestOneInstanceThatFailsEverywhereDoubtsItself(t *testing.T) {
--- /dev/null
+++ b/internal/prober/prober_test.go
@@ -0,0 +1,115 @@
+package prober_test
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"balsamfork/internal/config"
+	"balsamfork/internal/fleet"
+	"balsamfork/internal/flow"
+	"balsamfork/internal/health"
+	"balsamfork/internal/peer"
+	"balsamfork/internal/prober"
+)
+
+// pair carries reports between two probers, encoded as on the link.
+type pair struct {
+	mu       sync.Mutex
+	handlers map[fleet.ID]peer.Handler
+}
+
+type port struct {
+	*pair
+	self fleet.ID
+}
+
+func (p port) Handle(_ string, h peer.Handler) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.handlers[p.self] = h
+}
+
+func (p port) Call(context.Context, fleet.ID, string, any, any) error {
+	return peer.Unreachable.New("no calls here")
+}
+
+func (p port) Notify(ctx context.Context, to fleet.ID, _ string, params any) error {
+	data, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	h := p.handlers[to]
+	p.mu.Unlock()
+	_, err = h(ctx, p.self, data)
+	return err
+}
+
+// quick are parameters that let a test on real sockets end soon.
+func quick() health.Params {
+	p := health.Default()
+	p.Period, p.Fast, p.Timeout = 60*time.Millisecond, 30*time.Millisecond, 500*time.Millisecond
+	p.Ask, p.Hold = 10*time.Millisecond, 10*time.Millisecond
+	return p
+}
+
+func TestProbersAnnounceOverHTTP(t *testing.T) {
+	is := is.New(t)
+	var broken atomic.Bool
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if broken.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	defer endpoint.Close()
+	servers := []config.Server{
+		{Number: 1, DataCentre: "a", State: config.Active, Health: endpoint.URL},
+		{Number: 2, DataCentre: "elsewhere", State: config.Active},
+	}
+	c := &config.Config{Services: []config.Service{{Name: "desk", Servers: servers}}}
+	view := &fleet.View{Instances: []fleet.Instance{
+		{ID: "i1", DataCentre: "a", State: fleet.Alive},
+		{ID: "i2", DataCentre: "a", State: fleet.Alive},
+	}}
+	between := &pair{handlers: map[fleet.ID]peer.Handler{}}
+	said := make(chan flow.Announcement, 16)
+	ctx, stop := context.WithCancel(t.Context())
+	var all []*prober.Prober
+	var done sync.WaitGroup
+	for _, i := range view.Instances {
+		link := port{between, i.ID}
+		all = append(all, prober.New(prober.Options{Self: i.ID, Params: quick()}, link, link, slog.New(slog.DiscardHandler), tally.NoopScope))
+	}
+	for _, p := range all {
+		p.OnAnnounce(func(a flow.Announcement) {
+			for _, other := range all {
+				go other.SetAnnouncements([]flow.Announcement{a})
+			}
+			said <- a
+		})
+		p.SetConfig(c)
+		p.SetView(view)
+		done.Go(func() { p.Run(ctx) })
+	}
+	broken.Store(true)
+	is.Equal((<-said).Condition, flow.Down)
+	broken.Store(false)
+	is.Equal((<-said).Condition, flow.Cold)
+	is.Equal((<-said).Condition, flow.Recovering)
+	for _, p := range all {
+		p.Release(1)
+	}
+	is.Equal((<-said).Condition, flow.Healthy)
+	stop()
+	done.Wait()
+}
