--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,17 +19,24 @@
 const list = `[{"id":"a","dataCentre":"kuldiga","control":"10.0.0.1:7000","rack":"7"},
 {"id":"b","control":"10.0.0.2:7000","leaving":true}]`
 
-// held is a store with one value, or an error.
-type held struct {
+// outage is a store that is down for ten minutes, holds the list for two, and
+// then a torn value.
+type outage struct {
 	store.Store
-	data  string
-	err   error
-	calls int
+	begin time.Time
+	calls atomic.Int64
 }
 
-func (h *held) Get(context.Context, string) (store.Value, error) {
-	h.calls++
-	return store.Value{Data: []byte(h.data)}, h.err
+func (o *outage) Get(context.Context, string) (store.Value, error) {
+	o.calls.Add(1)
+	switch passed := time.Since(o.begin); {
+	case passed < 10*time.Minute:
+		return store.Value{}, store.Unavailable.New("down")
+	case passed < 12*time.Minute:
+		return store.Value{Data: []byte(list)}, nil
+	default:
+		return store.Value{Data: []byte("torn")}, nil
+	}
 }
 
 func TestParse(t *testing.T) {
@@ -62,24 +70,22 @@
 func TestReaderKeepsTheListThroughAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s := &held{err: store.Unavailable.New("down")}
-		lists := 0
-		r := platform.New(s, func(got []fleet.Instance) { lists++ }, 1, slog.New(slog.DiscardHandler), tally.NoopScope)
+		s := &outage{begin: time.Now()}
+		var lists atomic.Int64
+		r := platform.New(s, func([]fleet.Instance) { lists.Add(1) }, 1, slog.New(slog.DiscardHandler), tally.NoopScope)
 		ctx, stop := context.WithCancel(t.Context())
 		go r.Run(ctx)
 		time.Sleep(10 * time.Minute)
 		synctest.Wait()
-		is.Equal(lists, 0)
-		is.True(s.calls >= 10 && s.calls <= 30)
-		s.err, s.data = nil, list
+		is.Equal(lists.Load(), int64(0))
+		is.True(s.calls.Load() >= 10 && s.calls.Load() <= 30)
 		time.Sleep(2 * time.Minute)
 		synctest.Wait()
-		is.True(lists >= 1)
-		before := lists
-		s.data = "torn"
+		is.True(lists.Load() >= 1)
+		before := lists.Load()
 		time.Sleep(5 * time.Minute)
 		synctest.Wait()
-		is.Equal(lists, before)
+		is.Equal(lists.Load(), before)
 		stop()
 		synctest.Wait()
 	})
