Judge a server without an endpoint by its traffic

Cause: the configuration allows a backend server without a health URL; it was probed at an empty URL and found down. Change: no probes without a URL; such a server goes down by requests alone and is tried again, cold, after its hold. Seen: the test of it passes.

--- a/internal/health/keeper.go
+++ b/internal/health/keeper.go
@@ -77,7 +77,7 @@
 }
 
 // keepDown ends a verdict that was one too many, or after its time once the
-// probes pass and no request fails.
+// probes pass and no request fails. Without an endpoint only a trial can tell.
 func (t *Table) keepDown(now int64, r *row) {
 	if t.excess(r) {
 		t.out.Doubted = append(t.out.Doubted, r.Number)
@@ -85,7 +85,8 @@
 		return
 	}
 	held := now-r.condition.Since >= t.hold(r)
-	if held && r.passes >= t.params.Passes && !r.traffic.failing(now, t.params) {
+	proven := r.URL == "" || r.passes >= t.params.Passes
+	if held && proven && !r.traffic.failing(now, t.params) {
 		t.announce(now, r, flow.Cold)
 	}
 }
--- a/internal/health/table.go
+++ b/internal/health/table.go
@@ -212,9 +212,10 @@
 	}
 }
 
-// probe starts a probe that is due.
+// probe starts a probe that is due. A server without an endpoint is judged by
+// traffic alone.
 func (t *Table) probe(now int64, r *row) {
-	if !r.probing || r.inFlight || now < r.nextProbe {
+	if !r.probing || r.URL == "" || r.inFlight || now < r.nextProbe {
 		return
 	}
 	r.inFlight = true
