Release recovering servers by the flow records

Cause: nobody said when a recovering backend server may be announced healthy, so its buckets would have stayed unsettled. Change: the keeper asks every reachable instance for its summary of the service every 5 s and announces healthy once none holds a flow elsewhere whose base the server is. Seen: tests of the rule and of the loop pass, with -race.

--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -13,6 +13,7 @@
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/flow"
 	"balsamfork/internal/health"
+	"balsamfork/internal/placement"
 )
 
 const (
@@ -407,6 +408,26 @@
 	})
 }
 
+func TestCleared(t *testing.T) {
+	v := &fleet.View{Instances: []fleet.Instance{{ID: "a", State: fleet.Alive}, {ID: "b", State: fleet.Leaving}, {ID: "c", State: fleet.Dead}}}
+	whole := placement.Summary{Complete: true}
+	away := placement.Summary{Complete: true, Away: []placement.Away{{Base: 7, Flows: 1}}}
+	cases := []struct {
+		name string
+		told map[fleet.ID]placement.Summary
+		want bool
+	}{
+		{"all reachable ones hold nothing", map[fleet.ID]placement.Summary{"a": whole, "b": whole}, true},
+		{"one holds a flow", map[fleet.ID]placement.Summary{"a": whole, "b": away}, false},
+		{"one has not told", map[fleet.ID]placement.Summary{"a": whole}, false},
+		{"one is not complete", map[fleet.ID]placement.Summary{"a": whole, "b": {}}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(health.Cleared(v, c.told, 7), c.want) })
+	}
+	is.New(t).True(health.Cleared(v, map[fleet.ID]placement.Summary{"a": away, "b": whole}, 8))
+}
+
 func TestServersLeavesOutWhatIsNotInService(t *testing.T) {
 	is := is.New(t)
 	list := health.Servers(&config.Config{
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -46,11 +46,16 @@
 	Params health.Params
 	// Seed starts the source of chance.
 	Seed uint64
+	// Records tells when a recovering server may be announced healthy. Without it
+	// only Release does.
+	Records Records
 }
 
 // Prober is the health of one running instance. Its methods may be called from
 // several goroutines, but OnAnnounce only before Run.
 type Prober struct {
+	self     fleet.ID
+	records  Records
 	params   health.Params
 	caller   peer.Caller
 	log      *slog.Logger
@@ -60,6 +65,7 @@
 
 	mu      sync.Mutex
 	table   *health.Table
+	view    *fleet.View
 	doubted int64
 
 	base    int64
@@ -95,6 +101,9 @@
 func New(o Options, caller peer.Caller, registry peer.Registry, log *slog.Logger, scope tally.Scope) *Prober {
 	started := time.Now()
 	p := &Prober{
+		self:    o.Self,
+		records: o.Records,
+		view:    &fleet.View{Self: o.Self},
 		params:  o.Params,
 		caller:  caller,
 		log:     log.With("part", "health"),
@@ -131,7 +140,10 @@
 
 // SetView gives the table of instances.
 func (p *Prober) SetView(v *fleet.View) {
-	p.with(func(t *health.Table, now int64) { t.SetView(now, v) })
+	p.with(func(t *health.Table, now int64) {
+		p.view = v
+		t.SetView(now, v)
+	})
 }
 
 // SetAnnouncements gives announcements that are new here.
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -19,6 +20,7 @@
 	"balsamfork/internal/flow"
 	"balsamfork/internal/health"
 	"balsamfork/internal/peer"
+	"balsamfork/internal/placement"
 	"balsamfork/internal/prober"
 )
 
@@ -55,6 +57,47 @@
 	return err
 }
 
+// recorded is the records of one instance: it holds flows for a while.
+type recorded struct {
+	asked atomic.Int64
+	clear int64
+}
+
+func (r *recorded) Summary(int64, string) (placement.Summary, bool) {
+	s := placement.Summary{Complete: true}
+	if r.asked.Add(1) < r.clear {
+		s.Away = []placement.Away{{Base: 1, Flows: 3}}
+	}
+	return s, true
+}
+
+// A recovering server becomes healthy once no instance holds a flow elsewhere
+// that belongs on it.
+func TestRecoveringIsReleasedByTheRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		link := port{&pair{handlers: map[fleet.ID]peer.Handler{}}, "i1"}
+		held := &recorded{clear: 3}
+		p := prober.New(prober.Options{Self: "i1", Params: health.Default(), Records: held}, link, link,
+			slog.New(slog.DiscardHandler), tally.NoopScope)
+		said := make(chan flow.Announcement, 1)
+		p.OnAnnounce(func(a flow.Announcement) { said <- a })
+		p.SetConfig(&config.Config{Services: []config.Service{{Name: "desk", Servers: []config.Server{
+			{Number: 1, DataCentre: "a", State: config.Active},
+		}}}})
+		p.SetView(&fleet.View{Instances: []fleet.Instance{{ID: "i1", DataCentre: "a", State: fleet.Alive}}})
+		begun := time.Now()
+		p.SetAnnouncements([]flow.Announcement{{Server: 1, Condition: flow.Recovering, Sequence: 1, Since: begun.UnixNano()}})
+		ctx, stop := context.WithCancel(t.Context())
+		go p.Run(ctx)
+		is.Equal((<-said).Condition, flow.Healthy)
+		is.Equal(held.asked.Load(), held.clear)
+		is.True(time.Since(begun) >= 15*time.Second)
+		stop()
+		synctest.Wait()
+	})
+}
+
 // quick are parameters that let a test on real sockets end soon.
 func quick() health.Params {
 	p := health.Default()
--- a/internal/prober/run.go
+++ b/internal/prober/run.go
@@ -16,6 +16,9 @@
 // Run probes and decides until the context ends, and returns once no probe is
 // under way.
 func (p *Prober) Run(ctx context.Context) {
+	if p.records != nil {
+		p.busy.Go(func() { p.releaseLoop(ctx) })
+	}
 	t := time.NewTicker(tick)
 	defer t.Stop()
 	for {
