--- a/internal/member/bound_test.go
+++ b/internal/member/bound_test.go
@@ -9,6 +9,7 @@
 	"balsamfork/internal/config"
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/flow"
+	"balsamfork/internal/member/membertest"
 )
 
 // confirmed reports whether every running instance knows that all serve by v.
@@ -154,3 +155,23 @@
 	_, ok := r.Until(5*time.Second, r.Agreed)
 	is.True(ok)
 }
+
+func TestBoundStartingInstanceIsUsableIn500Milliseconds(t *testing.T) {
+	is := is.New(t)
+	r := newRun(t, today, 13)
+	r.Nodes[5].Down = true
+	r.Run(4 * time.Second)
+	r.Start(5)
+	took, ok := r.Until(5*time.Second, r.Agreed)
+	is.True(ok)
+	is.True(took <= 500*time.Millisecond)
+}
+
+func TestBoundInstanceAloneIsUsableIn1100Milliseconds(t *testing.T) {
+	is := is.New(t)
+	r := &run{Network: membertest.New(today, dataCentres, 14)}
+	r.Start(0)
+	took, ok := r.Until(5*time.Second, func() bool { return r.allTake(r.Nodes[0].ID, fleet.Alive) })
+	is.True(ok)
+	is.True(took <= 1100*time.Millisecond)
+}
