--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -51,7 +51,7 @@
 	d.byID[id] = a
 }
 
-func develop(t *testing.T) (string, map[keys.Identity]keys.Files) {
+func develop(t testing.TB) (string, map[keys.Identity]keys.Files) {
 	t.Helper()
 	dir := t.TempDir()
 	now := time.Now()
@@ -60,7 +60,7 @@
 	return dir, set
 }
 
-func load(t *testing.T, f keys.Files) *keys.Reloader {
+func load(t testing.TB, f keys.Files) *keys.Reloader {
 	t.Helper()
 	r, err := keys.Load(f)
 	is.New(t).NoErr(err)
@@ -72,7 +72,7 @@
 }
 
 // start runs an instance's link with an echo for instances, and one for operators.
-func start(t *testing.T, id fleet.ID, k *keys.Reloader, d *directory, more ...func(*link.Link)) *link.Link {
+func start(t testing.TB, id fleet.ID, k *keys.Reloader, d *directory, more ...func(*link.Link)) *link.Link {
 	t.Helper()
 	is := is.New(t)
 	l, err := link.New(link.Options{Self: id, Listen: loopback, Keys: k, Resolve: d.resolve},
--- /dev/null
+++ b/internal/prober/bench_test.go
@@ -0,0 +1,30 @@
+package prober
+
+import (
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/uber-go/tally/v4"
+
+	"balsamfork/internal/health"
+	"balsamfork/internal/peer"
+)
+
+type nowhere struct{}
+
+func (nowhere) Handle(string, peer.Handler) {}
+
+// BenchmarkProbe is one probe and its answer over loopback: the work of both ends.
+func BenchmarkProbe(b *testing.B) {
+	endpoint := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer endpoint.Close()
+	p := New(Options{Self: "i1", Params: health.Default()}, nil, nowhere{}, slog.New(slog.DiscardHandler), tally.NoopScope)
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := p.ask(b.Context(), endpoint.URL); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
