--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -13,6 +13,7 @@
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/flow"
 	"balsamfork/internal/health"
+	"balsamfork/internal/placement"
 )
 
 const (
@@ -69,7 +70,7 @@
 		if n >= desk {
 			service = "catalogue"
 		}
-		r.list = append(r.list, health.Server{Number: config.Number(n + 1), Service: service, DataCentre: dataCentre(n), Ramp: rampTime})
+		r.list = append(r.list, health.Server{Number: config.Number(n + 1), Service: service, DataCentre: dataCentre(n), Ramp: rampTime, URL: "http://server/health"})
 	}
 	for n := range inFleet {
 		id := fleet.ID(fmt.Sprintf("i%02d", n))
@@ -280,9 +281,14 @@
 		t.Run(c.name, func(t *testing.T) {
 			r := newRun(3)
 			r.run(2 * time.Second)
-			r.servers[2] = c.set
+			const several = 6
+			for n := range several {
+				r.servers[n] = c.set
+			}
 			r.run(5 * time.Second)
-			is.New(t).Equal(r.condition(3), c.want)
+			for n := range config.Number(several) {
+				is.New(t).Equal(r.condition(n+1), c.want)
+			}
 		})
 	}
 }
@@ -303,6 +309,7 @@
 	}
 	is.True(down <= desk/2)
 	is.True(r.doubted > 0)
+	is.True(r.count(flow.Down) <= desk)
 }
 
 func TestOneInstanceThatFailsEverywhereDoubtsItself(t *testing.T) {
@@ -319,6 +326,24 @@
 	is.Equal(len(r.announced), 0)
 }
 
+func TestServerWithoutEndpointIsJudgedByTraffic(t *testing.T) {
+	is := is.New(t)
+	r := newRun(8)
+	r.list[3].URL = ""
+	for _, n := range r.nodes {
+		n.table.Configure(r.now, r.list)
+	}
+	r.servers[3].dead = true
+	r.run(5 * time.Second)
+	is.Equal(r.condition(4), flow.Healthy)
+	r.servers[3].requests, r.servers[3].refusing = true, true
+	_, ok := r.until(3*time.Second, 4, flow.Down)
+	is.True(ok)
+	r.servers[3].requests = false
+	_, ok = r.until(10*time.Second, 4, flow.Cold)
+	is.True(ok)
+}
+
 // A server that comes back is cold, then recovering, and healthy once released.
 func TestReturn(t *testing.T) {
 	is := is.New(t)
@@ -383,6 +408,26 @@
 	})
 }
 
+func TestCleared(t *testing.T) {
+	v := &fleet.View{Instances: []fleet.Instance{{ID: "a", State: fleet.Alive}, {ID: "b", State: fleet.Leaving}, {ID: "c", State: fleet.Dead}}}
+	whole := placement.Summary{Complete: true}
+	away := placement.Summary{Complete: true, Away: []placement.Away{{Base: 7, Flows: 1}}}
+	cases := []struct {
+		name string
+		told map[fleet.ID]placement.Summary
+		want bool
+	}{
+		{"all reachable ones hold nothing", map[fleet.ID]placement.Summary{"a": whole, "b": whole}, true},
+		{"one holds a flow", map[fleet.ID]placement.Summary{"a": whole, "b": away}, false},
+		{"one has not told", map[fleet.ID]placement.Summary{"a": whole}, false},
+		{"one is not complete", map[fleet.ID]placement.Summary{"a": whole, "b": {}}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(health.Cleared(v, c.told, 7), c.want) })
+	}
+	is.New(t).True(health.Cleared(v, map[fleet.ID]placement.Summary{"a": away, "b": whole}, 8))
+}
+
 func TestServersLeavesOutWhatIsNotInService(t *testing.T) {
 	is := is.New(t)
 	list := health.Servers(&config.Config{
