End a caller's session and a stand-in without starting work meanwhile

Cause: 15 runs under -race reported a goroutine started in a WaitGroup that was waited for already (a message read just before its connection ended). Change: both start work under their lock and not after they were closed; requests of a session are found by a number, so that one of two copies ends only itself.

--- a/internal/requestpath/callers.go
+++ b/internal/requestpath/callers.go
@@ -46,13 +46,16 @@
 
 // serve answers one caller's connection until it ends.
 func (p *Path) serve(c net.Conn) {
-	s := &session{path: p, requests: make(map[string][]context.CancelCauseFunc)}
+	s := &session{path: p, requests: make(map[int]inFlight)}
 	ctx, cancel := context.WithCancel(p.ctx)
 	defer cancel()
 	s.ctx = ctx
 	conn := newConn(ctx, c, s, p.log)
 	<-conn.DisconnectNotify()
 	cancel()
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	s.work.Wait()
 }
 
@@ -63,8 +66,16 @@
 	work sync.WaitGroup
 
 	mu       sync.Mutex
-	inFlight int
-	requests map[string][]context.CancelCauseFunc
+	closed   bool
+	count    int
+	seq      int
+	requests map[int]inFlight
+}
+
+// inFlight is a request of a session in progress.
+type inFlight struct {
+	key    string
+	cancel context.CancelCauseFunc
 }
 
 // errCancelled is the cause of a request that its caller has cancelled.
@@ -111,39 +122,42 @@
 		s.fail(conn, req, jsonrpc2.CodeInvalidParams, err.Error())
 		return
 	}
-	ctx, done, ok := s.begin(r.Key.ID)
-	if !ok {
-		s.reply(conn, req, declined(&r, request.Overloaded))
-		return
-	}
-	s.work.Go(func() {
-		defer done()
+	started := s.begin(r.Key.ID, func(ctx context.Context) {
 		res := s.path.Do(ctx, &r)
 		if ctx.Err() == nil || context.Cause(ctx) == errCancelled {
 			s.reply(conn, req, res)
 		}
 	})
+	if !started {
+		s.reply(conn, req, declined(&r, request.Overloaded))
+	}
 }
 
-// begin counts a request in; done counts it out.
-func (s *session) begin(key string) (ctx context.Context, done func(), ok bool) {
+// begin runs a request in a goroutine, unless there are too many.
+func (s *session) begin(key string, f func(context.Context)) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.inFlight >= MaxInFlight {
-		return nil, nil, false
+	if s.count >= MaxInFlight || s.closed {
+		return false
 	}
-	s.inFlight++
+	s.count++
 	ctx, cancel := context.WithCancelCause(s.ctx)
-	s.requests[key] = append(s.requests[key], cancel)
-	return ctx, func() {
+	s.seq++
+	id := s.seq
+	s.requests[id] = inFlight{key: key, cancel: cancel}
+	s.work.Go(func() {
+		f(ctx)
 		cancel(nil)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.inFlight--
-		if s.requests[key] = s.requests[key][1:]; len(s.requests[key]) == 0 {
-			delete(s.requests, key)
-		}
-	}, true
+		s.end(id)
+	})
+	return true
+}
+
+func (s *session) end(id int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count--
+	delete(s.requests, id)
 }
 
 func (s *session) cancel(req *jsonrpc2.Request) {
@@ -152,10 +166,11 @@
 		return
 	}
 	s.mu.Lock()
-	all := append([]context.CancelCauseFunc(nil), s.requests[c.ID]...)
-	s.mu.Unlock()
-	for _, cancel := range all {
-		cancel(errCancelled)
+	defer s.mu.Unlock()
+	for _, r := range s.requests {
+		if r.key == c.ID {
+			r.cancel(errCancelled)
+		}
 	}
 }
 
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -64,6 +64,7 @@
 	mu      sync.Mutex
 	fault   Fault
 	cold    bool
+	closed  bool
 	running int
 	counts  Counts
 	keys    map[string]bool
@@ -93,6 +94,9 @@
 // Close ends the worker at once, as a crash does.
 func (w *Worker) Close() {
 	w.listener.Close()
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
 	w.stop()
 	w.done.Wait()
 }
@@ -154,7 +158,11 @@
 		_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "params"})
 		return
 	}
-	h.w.done.Go(func() { h.answer(ctx, conn, req, p) })
+	h.w.mu.Lock()
+	defer h.w.mu.Unlock()
+	if !h.w.closed {
+		h.w.done.Go(func() { h.answer(ctx, conn, req, p) })
+	}
 }
 
 func (h *handler) answer(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, p requestpath.ServerParams) {
