--- a/internal/admission/system.go
+++ b/internal/admission/system.go
@@ -31,6 +31,8 @@
 	queued   map[string]int
 	total    int
 	leaving  bool
+	// asks collects the grants to ask for in one tick.
+	asks map[fleet.ID][]config.Number
 	// started is the latest time by which another instance may have sent something
 	// to an earlier run of this one.
 	started int64
@@ -49,6 +51,7 @@
 		servers:  make(map[config.Number]*server),
 		attempts: make(map[AttemptID]*attempt),
 		queued:   make(map[string]int),
+		asks:     make(map[fleet.ID][]config.Number),
 	}
 }
 
--- a/internal/admission/tick.go
+++ b/internal/admission/tick.go
@@ -15,7 +15,7 @@
 // Tick does what is due: it asks for grants, gives them up, ends what has run out
 // of time, and starts what may start.
 func (s *System) Tick(now int64) {
-	asks := make(map[fleet.ID][]config.Number)
+	asks := s.asks
 	for _, sv := range s.order {
 		s.overdue(now, sv)
 		s.keep(now, sv, asks)
@@ -108,14 +108,19 @@
 	}
 }
 
+// ask sends what keep has collected.
 func (s *System) ask(now int64, asks map[fleet.ID][]config.Number) {
 	if own := asks[s.self.ID]; own != nil {
 		s.Granted(now, s.self.ID, now, s.Ask(now, s.self, own, now))
 		delete(asks, s.self.ID)
 	}
+	if len(asks) == 0 {
+		return
+	}
 	for _, id := range sortedIDs(asks) {
 		s.emit(Effect{Kind: AskGrant, To: id, Servers: asks[id], SentAt: now})
 	}
+	clear(asks)
 }
 
 func (s *System) forget(now int64) {
--- a/internal/keyowner/attempt.go
+++ b/internal/keyowner/attempt.go
@@ -121,25 +121,20 @@
 // TickEvery is how often Tick is to be called.
 const TickEvery = 10 * time.Millisecond
 
-// Tick does what is due: retries, claims sent again, waiters whose time is up.
+// Tick does what is due: retries, claims sent again, waiters whose time is up. It
+// goes through the jobs by age and forgets those that are done.
 func (s *System) Tick(now int64) {
-	for _, id := range s.order() {
-		if j := s.jobs[id]; j != nil {
+	list := s.list
+	s.list = s.list[:0]
+	for _, j := range list {
+		if j.stage != done {
 			s.due(now, j)
 		}
+		if j.stage != done {
+			s.list = append(s.list, j)
+		}
 	}
-}
-
-// order lists the jobs by age, so that a run can be replayed.
-func (s *System) order() []string {
-	s.ids = s.ids[:0]
-	for id := range s.jobs {
-		s.ids = append(s.ids, id)
-	}
-	slices.SortFunc(s.ids, func(a, b string) int {
-		return int(s.jobs[a].entry.Seq) - int(s.jobs[b].entry.Seq)
-	})
-	return s.ids
+	clear(list[len(s.list):])
 }
 
 func (s *System) due(now int64, j *job) {
--- a/internal/keyowner/system.go
+++ b/internal/keyowner/system.go
@@ -41,7 +41,8 @@
 	counts   Counts
 	out      []Effect
 	spare    []Effect
-	ids      []string
+	// list is the jobs by age; Tick drops those that are done.
+	list []*job
 }
 
 // New returns a system without services.
@@ -125,6 +126,7 @@
 	s.counts.Requests++
 	j := &job{entry: e, req: r, deadline: r.Deadline, began: now}
 	s.jobs[e.ID] = j
+	s.list = append(s.list, j)
 	s.wait(j, id, r.Deadline)
 	if r.Repeatable {
 		s.dispatch(now, j)
