Test the tables of requests one by one; leave room for a service that comes late

Cause: a service alone could fill the room of all queues, and another that came then was refused (TestFairness, new).

--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,209 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"balsamfork/internal/config"
+	"balsamfork/internal/fleet"
+	"balsamfork/internal/flow"
+	"balsamfork/internal/quorum"
+	"balsamfork/internal/request"
+)
+
+var timing = Timing{Settle: time.Second, Hold: time.Second, Renew: 300 * time.Millisecond, MaxRun: 2 * time.Second, Margin: 100 * time.Millisecond}
+
+const (
+	ms    = int64(time.Millisecond)
+	start = int64(1000) * int64(time.Second)
+	// granting is when an instance that starts at start begins to grant.
+	granting = start + 4200*ms
+)
+
+var a, b = quorum.Holder{ID: "a", Incarnation: 1}, quorum.Holder{ID: "b", Incarnation: 1}
+
+// TestGrants goes through what a member must not promise.
+func TestGrants(t *testing.T) {
+	is := is.New(t)
+	g := NewGrants(start, timing)
+	is.True(!g.Ask(granting-1, a, 1, start)) // an earlier run may have promised
+	is.True(g.Ask(granting, a, 1, granting))
+	is.True(!g.Ask(granting, b, 1, granting))
+	is.True(g.Ask(granting, b, 2, granting))
+	last := granting + 100*ms
+	is.True(g.Ask(last, a, 1, last))
+	end := last + int64(timing.Hold+timing.MaxRun+2*timing.Margin)
+	is.True(!g.Ask(end-1, b, 1, end)) // a request of a may still run
+	is.True(!g.Ask(end-1, quorum.Holder{ID: "a", Incarnation: 2}, 1, end))
+	is.True(g.Ask(end, b, 1, end))
+	g.Release(b, 1, end-1) // overtaken by the ask
+	is.True(!g.Ask(end+1, a, 1, end))
+	g.Release(a, 1, end+1) // not the holder
+	is.True(!g.Ask(end+1, a, 1, end))
+	g.Release(b, 1, end+1)
+	is.True(g.Ask(end+2, a, 1, end+2))
+}
+
+// bench is a system that is alone in its data centre.
+type bench struct {
+	*System
+	now int64
+	seq uint64
+	got map[uint64]Outcome
+	run []AttemptID
+}
+
+func newBench(rows ...Server) *bench {
+	members := quorum.New(quorum.Timing{})
+	members.Update(start, &fleet.View{Instances: []fleet.Instance{{ID: "a", DataCentre: "d", Region: "r", State: fleet.Alive}}})
+	bn := &bench{System: New(start, a, timing, members), now: granting, got: make(map[uint64]Outcome)}
+	bn.SetServers(bn.now, rows)
+	return bn
+}
+
+func row(n int) Server {
+	return Server{
+		Number: config.Number(n), Service: fmt.Sprint("s", n), DataCentre: "d", Region: "r", Slots: 3,
+		Ramp: config.Ramp{Start: 0.1, Duration: 4 * time.Second}, State: config.Active,
+	}
+}
+
+// admit sends an attempt and returns its waiter.
+func (b *bench) admit(server int, left time.Duration) uint64 {
+	b.seq++
+	id := AttemptID{Owner: quorum.Holder{ID: "o"}, Seq: b.seq}
+	b.Admit(b.now, b.seq, Attempt{ID: id, Server: config.Number(server), Sent: b.now, Deadline: b.now + int64(left), Request: &request.Request{}})
+	b.drain()
+	return b.seq
+}
+
+func (b *bench) drain() {
+	for _, e := range b.Effects() {
+		switch e.Kind {
+		case Dispatch:
+			b.run = append(b.run, e.Attempt.ID)
+		case Reply:
+			b.got[e.Waiter] = e.Outcome
+		}
+	}
+}
+
+func (b *bench) finish(took time.Duration) {
+	b.now += int64(took)
+	id := b.run[0]
+	b.run = b.run[1:]
+	b.Done(b.now, id, Run{Result: request.Result{Status: request.Answered, Value: []byte("1")}, Ended: true})
+	b.drain()
+}
+
+// TestQueues fills the slots and the queue of a server: the rest is refused at
+// once, and so is what cannot make its deadline.
+func TestQueues(t *testing.T) {
+	is := is.New(t)
+	b := newBench(row(1))
+	for range 3 {
+		b.admit(1, time.Second)
+	}
+	is.Equal(len(b.run), 3)
+	for range 3 * QueuePerSlot {
+		b.admit(1, time.Second)
+	}
+	is.Equal(len(b.run), 3)
+	is.Equal(b.got[b.admit(1, time.Second)].Result, request.Refuse(request.Overloaded))
+	b.finish(100 * time.Millisecond)
+	is.Equal(len(b.run), 3)
+	is.Equal(b.got[1].Result.Status, request.Answered)
+	// Eleven wait and a run takes about 100 ms: 250 ms are not enough.
+	is.Equal(b.got[b.admit(1, 250*time.Millisecond)].Result, request.Refuse(request.Overloaded))
+	b.now += int64(2 * time.Second)
+	b.Tick(b.now)
+	b.drain()
+	for w := uint64(2); w <= 15; w++ {
+		is.True(b.got[w].Result.Status != "") // everything has been answered
+	}
+	is.Equal(b.total, 0)
+	is.Equal(len(b.queued), 0)
+	b.now += int64(3 * time.Second)
+	b.Tick(b.now)
+	is.Equal(len(b.attempts), 0)
+}
+
+// TestAttemptOnce sends copies of an attempt: before, while and after it runs, after
+// its cancellation, and one that an earlier run of the instance may have met.
+func TestAttemptOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBench(row(1))
+	w := b.admit(1, time.Second)
+	at := Attempt{ID: AttemptID{Owner: quorum.Holder{ID: "o"}, Seq: w}, Server: 1, Sent: b.now, Deadline: b.now + int64(time.Second)}
+	b.Admit(b.now, 101, at)
+	b.drain()
+	is.Equal(len(b.run), 1)
+	b.finish(time.Millisecond)
+	is.Equal(b.got[101].Result.Status, request.Answered)
+	b.Admit(b.now, 102, at)
+	b.drain()
+	is.Equal(b.got[102].Result.Status, request.Unknown)
+	other := at
+	other.ID.Seq = 900
+	b.Cancel(b.now, other.ID)
+	b.Admit(b.now, 103, other)
+	b.drain()
+	is.Equal(b.got[103].Result, request.Refuse(request.Cancelled))
+	other.ID.Seq, other.Sent = 901, start
+	b.Admit(b.now, 104, other)
+	b.drain()
+	is.Equal(b.got[104].Result.Status, request.Unknown)
+	is.Equal(len(b.run), 0)
+}
+
+// TestFairness lets one service fill the room of all queues: another still gets in.
+func TestFairness(t *testing.T) {
+	is := is.New(t)
+	var rows []Server
+	for i := range 400 {
+		r := row(i + 1)
+		r.Service = "greedy"
+		rows = append(rows, r)
+	}
+	rows = append(rows, row(401))
+	b := newBench(rows...)
+	refused := 0
+	for i := range 400 * 3 * (QueuePerSlot + 1) {
+		if b.got[b.admit(i%400+1, time.Second)].Result.Status == request.Refused {
+			refused++
+		}
+	}
+	is.True(refused > 0)
+	for range 3 * (QueuePerSlot + 1) {
+		w := b.admit(401, time.Second)
+		is.Equal(b.got[w].Result.Status, request.Status(""))
+	}
+	is.True(b.total <= MaxWaiting)
+}
+
+// TestConditions goes through what closes a server for new requests.
+func TestConditions(t *testing.T) {
+	is := is.New(t)
+	for name, change := range map[string]func(r *Server){
+		"draining": func(r *Server) { r.State = config.Draining },
+		"gone":     func(r *Server) { r.State = config.Gone },
+		"down":     func(r *Server) { r.Condition = flow.Down },
+	} {
+		b := newBench(row(1))
+		for range 4 {
+			b.admit(1, time.Second)
+		}
+		r := row(1)
+		change(&r)
+		b.SetServers(b.now, []Server{r})
+		b.drain()
+		is.Equal(b.got[b.admit(1, time.Second)].Result, request.Refuse(request.NoServer))
+		b.finish(time.Millisecond)
+		// What was waiting still runs on a server that drains.
+		is.Equal(len(b.run) == 3, name == "draining")
+		is.Equal(b.got[4].Result.Status == "", name == "draining")
+	}
+}
--- a/internal/admission/system.go
+++ b/internal/admission/system.go
@@ -207,7 +207,7 @@
 	if s.queued[service] == 0 {
 		services++
 	}
-	return s.total < MaxWaiting && s.queued[service] < MaxWaiting/services
+	return s.total < MaxWaiting && s.queued[service] < MaxWaiting/(services+1)
 }
 
 func (s *System) count(sv *server, by int) {
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -35,7 +35,7 @@
 	// QueuePerSlot is how many requests may wait for one slot.
 	QueuePerSlot = 4
 	// MaxWaiting is how many requests may wait in all. Once half of them wait, a
-	// service may have no more than its equal part.
+	// service may have no more than its equal part, one part left for a newcomer.
 	MaxWaiting = 4096
 	// DrainQueue is how long a draining backend server still gets requests that
 	// wait for it already.
--- /dev/null
+++ b/internal/requestpath/decode_test.go
@@ -0,0 +1,69 @@
+package requestpath
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"github.com/uber-go/tally/v4"
+
+	"balsamfork/internal/admission"
+	"balsamfork/internal/peer"
+	"balsamfork/internal/request"
+)
+
+type nowhere struct{ peer.Caller }
+
+func (nowhere) Handle(string, peer.Handler) {}
+
+// FuzzPeerMessages hands every method between instances any bytes.
+func FuzzPeerMessages(f *testing.F) {
+	f.Add([]byte(`{"copy":{"from":{"id":"i","incarnation":1},"seq":1},"request":{"key":{"id":"k","created":1},"service":"s","method":"m","deadline":1,"repeatable":true}}`))
+	f.Add([]byte(`{"id":{"owner":{"id":"i"},"seq":1},"server":1,"deadline":9,"request":{"key":{"id":"k","created":1},"service":"s","method":"m","deadline":1}}`))
+	f.Add([]byte(`{"high":1,"low":2,"created":-5,"claimant":{"seq":1}}`))
+	f.Add([]byte(`{"holder":{"id":"i"},"servers":[1,2],"sentAt":1}`))
+	p := New(Options{Self: "i", DataCentre: "a", Region: "r"}, nowhere{}, nowhere{}, slog.New(slog.NewTextHandler(io.Discard, nil)), tally.NoopScope)
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		for _, h := range []peer.Handler{p.handleRun, p.handleDrop, p.handleClaim, p.handleAdmit, p.handleStop, p.handleHold, p.handleRelease} {
+			_, _ = h(gone, "j", raw)
+		}
+	})
+}
+
+// FuzzServerAnswer hands the connection to a backend server any bytes: the outcome
+// is valid, and an answer only if it names the attempt.
+func FuzzServerAnswer(f *testing.F) {
+	f.Add([]byte(`{"jsonrpc":"2.0","id":"i/0/1","result":{"attempt":"i/0/1","value":1}}`))
+	f.Add([]byte(`{"jsonrpc":"2.0","id":"i/0/1","error":{"code":-32050,"message":"","data":{"attempt":"i/0/1"}}}`))
+	f.Add([]byte(`{"jsonrpc":"2.0","id":"i/0/1","result":{"attempt":"i/0/2","value":1}}`))
+	f.Add([]byte(`[{"id":"i/0/1","result":null}]`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		here, there := net.Pipe()
+		go func() {
+			_, _ = there.Read(make([]byte, 4096))
+			_, _ = there.Write(raw)
+			there.Close()
+		}()
+		ctx := context.Background()
+		s := newPools(ctx, nil, slog.New(slog.NewTextHandler(io.Discard, nil)), newMetrics(tally.NoopScope))
+		conn := newConn(ctx, here, ignore{}, s.log, jsonrpc2.OnRecv(s.countLate))
+		defer conn.Close()
+		a := admission.Attempt{Deadline: time.Now().Add(time.Second).UnixNano(), Request: &request.Request{Method: "m"}}
+		a.ID.Owner.ID, a.ID.Seq = "i", 1
+		r := s.exchange(ctx, conn, a, time.Second)
+		if err := r.Result.Validate(); err != nil {
+			t.Fatal(err)
+		}
+		named := bytes.Contains(bytes.ToLower(raw), []byte("attempt")) || bytes.Contains(raw, []byte(`\u`))
+		if r.Result.Status == request.Answered && !named {
+			t.Fatalf("answered by %q", raw)
+		}
+	})
+}
