Climb briefly at a new admitting instance; run decisions on the monotonic clock

Cause: what an admitting instance has learned of a cold server is lost when it goes; a wall clock set back would have prolonged leases; the owner's answer and the caller's own timeout came at the same moment.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -61,6 +61,14 @@
 	members.Update(start, &fleet.View{Instances: []fleet.Instance{{ID: "a", DataCentre: "d", Region: "r", State: fleet.Alive}}})
 	bn := &bench{System: New(start, a, timing, members), now: granting, got: make(map[uint64]Outcome)}
 	bn.SetServers(bn.now, rows)
+	first := bn.limit(1)
+	for range 20 {
+		bn.now += 100 * ms
+		bn.Tick(bn.now)
+	}
+	if first >= bn.limit(1) {
+		panic("a new admitting instance does not climb")
+	}
 	return bn
 }
 
@@ -71,6 +79,8 @@
 	}
 }
 
+func (b *bench) limit(n config.Number) float64 { return b.servers[n].limit(b.now) }
+
 // admit sends an attempt and returns its waiter.
 func (b *bench) admit(server int, left time.Duration) uint64 {
 	b.seq++
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -49,9 +49,11 @@
 	votes         [quorum.GroupSize]vote
 	// since is when the lease was first asked for, asked when last; zero is never.
 	since, asked int64
-	guard        coldstart.Guard
-	running      []*attempt
-	queue        []*attempt
+	// leased is set once the lease was had since it was first asked for.
+	leased  bool
+	guard   coldstart.Guard
+	running []*attempt
+	queue   []*attempt
 	// mean and dev follow the time of a run and its deviation, in nanoseconds
 	// (Jacobson, 1988).
 	mean, dev float64
--- a/internal/admission/system.go
+++ b/internal/admission/system.go
@@ -143,6 +143,11 @@
 	for _, n := range servers {
 		if sv := s.servers[n]; sv != nil && sv.asked != 0 && sentAt >= sv.since {
 			sv.setVote(from, sentAt+int64(s.timing.Hold))
+			if !sv.leased && sv.held(now) {
+				sv.leased = true
+				sv.settle(now)
+				sv.guard.TakeOver(now)
+			}
 			s.pump(now, sv)
 		}
 	}
--- a/internal/admission/tick.go
+++ b/internal/admission/tick.go
@@ -80,6 +80,7 @@
 
 func (s *System) giveUp(now int64, sv *server) {
 	sv.asked = 0
+	sv.leased = false
 	for i := range sv.votes {
 		if v := sv.votes[i]; v.id != "" {
 			s.release(now, v.id, sv.Number)
--- a/internal/coldstart/coldstart.go
+++ b/internal/coldstart/coldstart.go
@@ -24,6 +24,8 @@
 	minBad = 3
 	// warmSamples is how many answers make the usual latency known.
 	warmSamples = 10
+	// takeOver is how long a server climbs at a new admitting instance.
+	takeOver = time.Second
 	// maxRelapses bounds how often the climb is made slower.
 	maxRelapses = 2
 )
@@ -60,6 +62,14 @@
 	g.begin(now, g.start, g.duration)
 }
 
+// TakeOver starts a short climb: what its former admitting instance knew of the
+// server is lost.
+func (g *Guard) TakeOver(now int64) {
+	if !g.climbing && g.duration > 0 {
+		g.begin(now, g.start, min(takeOver, g.duration))
+	}
+}
+
 func (g *Guard) begin(now int64, share float64, climb time.Duration) {
 	g.share, g.since, g.climb = share, now, climb
 	g.climbing = climb > 0 && share < 1
--- a/internal/requestpath/callers.go
+++ b/internal/requestpath/callers.go
@@ -20,6 +20,8 @@
 	MaxConnections = 4096
 	// MaxInFlight bounds the requests in progress on one connection.
 	MaxInFlight = 256
+	// replyTime is the most that is kept from a caller's time for the way back.
+	replyTime = 20 * time.Millisecond
 	// maxOwners is how many instances are asked as the owner of a key.
 	maxOwners = 3
 )
@@ -89,7 +91,7 @@
 	case methodCancel:
 		s.cancel(req)
 	case methodHome:
-		home := HomeResult{Home: s.path.opts.DataCentre, Now: time.Now().UnixMilli()}
+		home := HomeResult{Home: s.path.opts.DataCentre, Now: s.path.clock.now() / int64(time.Millisecond)}
 		s.reply(conn, req, home)
 	default:
 		s.fail(conn, req, jsonrpc2.CodeMethodNotFound, "no such method")
@@ -186,9 +188,10 @@
 // for the result. When the context ends the request is cancelled.
 func (p *Path) Do(ctx context.Context, r *request.Request) request.Result {
 	start := time.Now()
-	r.Deadline = start.Add(time.Duration(r.TimeoutMs) * time.Millisecond).UnixNano()
+	timeout := time.Duration(r.TimeoutMs) * time.Millisecond
+	r.Deadline = p.clock.now() + int64(timeout-min(replyTime, timeout/10))
 	r.TimeoutMs = 0
-	ctx, cancel := context.WithDeadline(ctx, time.Unix(0, r.Deadline))
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	res := p.do(ctx, r)
 	p.m.result(res)
--- a/internal/requestpath/decode_test.go
+++ b/internal/requestpath/decode_test.go
@@ -52,7 +52,7 @@
 			there.Close()
 		}()
 		ctx := context.Background()
-		s := newPools(ctx, nil, slog.New(slog.NewTextHandler(io.Discard, nil)), newMetrics(tally.NoopScope))
+		s := newPools(ctx, nil, newClock(), slog.New(slog.NewTextHandler(io.Discard, nil)), newMetrics(tally.NoopScope))
 		conn := newConn(ctx, here, ignore{}, s.log, jsonrpc2.OnRecv(s.countLate))
 		defer conn.Close()
 		a := admission.Attempt{Deadline: time.Now().Add(time.Second).UnixNano(), Request: &request.Request{Method: "m"}}
--- a/internal/requestpath/effects.go
+++ b/internal/requestpath/effects.go
@@ -40,7 +40,7 @@
 	case keyowner.Cancel:
 		p.cancelAttempt(e)
 	case keyowner.Ask:
-		left := time.Until(time.Unix(0, e.Request.Deadline))
+		left := time.Duration(e.Request.Deadline - p.clock.now())
 		p.call(e.To, left, func(ctx context.Context) { p.ask(ctx, e) })
 	case keyowner.Answer:
 		if ch := p.results[e.Waiter]; ch != nil {
@@ -95,7 +95,7 @@
 func (p *Path) input(f func(now int64)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	f(time.Now().UnixNano())
+	f(p.clock.now())
 	p.flush()
 }
 
@@ -141,7 +141,7 @@
 		})
 		return
 	}
-	left := time.Until(time.Unix(0, a.Deadline)) + p.opts.Timing.Margin
+	left := time.Duration(a.Deadline-p.clock.now()) + p.opts.Timing.Margin
 	p.call(e.To, left, func(ctx context.Context) {
 		var o admission.Outcome
 		err := p.peers.Call(ctx, e.To, peerAdmit, a, &o)
@@ -154,7 +154,7 @@
 
 func (p *Path) cancelAttempt(e keyowner.Effect) {
 	if e.To == p.self.ID {
-		p.admitter.Cancel(time.Now().UnixNano(), e.Attempt.ID)
+		p.admitter.Cancel(p.clock.now(), e.Attempt.ID)
 		return
 	}
 	p.call(e.To, callFor, func(ctx context.Context) {
@@ -193,6 +193,6 @@
 func (p *Path) verdictOf(c claimParams) claimResult {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	v, by := p.claims.Claim(time.Now().UnixNano(), atmostonce.KeyHash{Hi: c.High, Lo: c.Low}, c.Created, c.Claimant)
+	v, by := p.claims.Claim(p.clock.now(), atmostonce.KeyHash{Hi: c.High, Lo: c.Low}, c.Created, c.Claimant)
 	return claimResult{Verdict: v, By: by}
 }
--- a/internal/requestpath/metrics.go
+++ b/internal/requestpath/metrics.go
@@ -12,9 +12,9 @@
 	scope tally.Scope
 	// dropped counts answers of backend servers that belong to no attempt, or to
 	// another one; broken counts connections to them that failed.
-	dropped, broken tally.Counter
-	invalid         tally.Counter
-	latency         tally.Timer
+	dropped, broken  tally.Counter
+	invalid, stepped tally.Counter
+	latency          tally.Timer
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -24,6 +24,7 @@
 		dropped: s.Counter("answers_dropped"),
 		broken:  s.Counter("server_connections_broken"),
 		invalid: s.Counter("invalid"),
+		stepped: s.Counter("clock_stepped"),
 		latency: s.Timer("latency"),
 	}
 }
--- a/internal/requestpath/options.go
+++ b/internal/requestpath/options.go
@@ -31,7 +31,7 @@
 	// Dial connects to a backend server; if nil, over TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Evidence, if set, is called with what answers show of backend servers. It
-	// must not block.
+	// must not block, nor call the Path.
 	Evidence func(flow.Evidence)
 }
 
--- a/internal/requestpath/path.go
+++ b/internal/requestpath/path.go
@@ -32,6 +32,7 @@
 	peers peer.Caller
 	log   *slog.Logger
 	m     metrics
+	clock clock
 
 	ctx  context.Context
 	stop context.CancelFunc
@@ -39,7 +40,9 @@
 
 	listener net.Listener
 	servers  *pools
-	drops    *drops
+	// stepped belongs to the goroutine of tick.
+	stepped bool
+	drops   *drops
 
 	// mu guards all that follows.
 	mu       sync.Mutex
@@ -70,8 +73,10 @@
 // the configuration and the view are set.
 func New(o Options, peers peer.Caller, reg peer.Registry, log *slog.Logger, scope tally.Scope) *Path {
 	o.fill()
-	now := time.Now().UnixNano()
+	c := newClock()
+	now := c.now()
 	p := &Path{
+		clock:    c,
 		opts:     o,
 		self:     quorum.Holder{ID: o.Self, Incarnation: o.Incarnation},
 		peers:    peers,
@@ -85,7 +90,7 @@
 		calls:    make(map[uint64]call),
 	}
 	p.ctx, p.stop = context.WithCancel(context.Background())
-	p.servers = newPools(p.ctx, o.Dial, p.log, p.m)
+	p.servers = newPools(p.ctx, o.Dial, p.clock, p.log, p.m)
 	p.drops = newDrops()
 	p.claims = atmostonce.NewClaims(now, o.Timing.Settle, atmostonce.MaxClaims)
 	p.admitter = admission.New(now, p.self, o.Timing, p.members)
@@ -127,7 +132,7 @@
 func (p *Path) Ready() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	held, wanted := p.admitter.Held(time.Now().UnixNano())
+	held, wanted := p.admitter.Held(p.clock.now())
 	return p.cfg != nil && p.view != nil && held == wanted
 }
 
@@ -136,7 +141,7 @@
 func (p *Path) Drain(ctx context.Context) error {
 	p.listener.Close()
 	p.mu.Lock()
-	now := time.Now().UnixNano()
+	now := p.clock.now()
 	p.claims.SetLeaving(now)
 	p.admitter.SetLeaving(now)
 	p.flush()
@@ -199,10 +204,21 @@
 		case <-t.C:
 		}
 		p.mu.Lock()
-		now := time.Now().UnixNano()
+		now := p.clock.now()
 		p.admitter.Tick(now)
 		p.owner.Tick(now)
 		p.flush()
 		p.mu.Unlock()
+		p.watchClock()
+	}
+}
+
+// watchClock reports, once, that the wall clock was set: deadlines of this instance
+// are then off for the others until it is started again.
+func (p *Path) watchClock() {
+	if step := p.clock.step(); step > p.opts.Timing.Margin && !p.stepped {
+		p.stepped = true
+		p.m.stepped.Inc(1)
+		p.log.Error("The clock was set; start the instance again", "by", step)
 	}
 }
--- a/internal/requestpath/servers.go
+++ b/internal/requestpath/servers.go
@@ -26,10 +26,11 @@
 // pools holds the connections to backend servers. A connection carries one
 // request at a time, so that a broken answer harms no other request.
 type pools struct {
-	ctx  context.Context
-	dial dialFunc
-	log  *slog.Logger
-	m    metrics
+	ctx   context.Context
+	dial  dialFunc
+	clock clock
+	log   *slog.Logger
+	m     metrics
 
 	mu     sync.Mutex
 	byNum  map[config.Number]*pool
@@ -41,9 +42,9 @@
 	idle    []*jsonrpc2.Conn
 }
 
-func newPools(ctx context.Context, dial dialFunc, log *slog.Logger, m metrics) *pools {
+func newPools(ctx context.Context, dial dialFunc, c clock, log *slog.Logger, m metrics) *pools {
 	return &pools{
-		ctx: ctx, dial: dial, log: log, m: m,
+		ctx: ctx, dial: dial, clock: c, log: log, m: m,
 		byNum:  make(map[config.Number]*pool),
 		cancel: make(map[admission.AttemptID]context.CancelFunc),
 	}
@@ -150,7 +151,7 @@
 // run sends an attempt to its backend server and waits until it has ended there,
 // at most until margin after its deadline.
 func (s *pools) run(ctx context.Context, a admission.Attempt, margin time.Duration) admission.Run {
-	ctx, cancelAll := context.WithDeadline(ctx, time.Unix(0, a.Deadline))
+	ctx, cancelAll := context.WithDeadline(ctx, s.clock.time(a.Deadline))
 	defer cancelAll()
 	stop, cancel := context.WithCancel(ctx)
 	s.mu.Lock()
--- a/internal/requestpath/tables.go
+++ b/internal/requestpath/tables.go
@@ -1,8 +1,6 @@
 package requestpath
 
 import (
-	"time"
-
 	"balsamfork/internal/admission"
 	"balsamfork/internal/config"
 	"balsamfork/internal/fleet"
@@ -29,7 +27,7 @@
 // configuration only those that joined with it count: when the others did is not
 // known, and long ago as a rule.
 func (p *Path) noteJoined(c *config.Config) {
-	now := time.Now().UnixNano()
+	now := p.clock.now()
 	first := p.cfg == nil
 	for i := range c.Services {
 		for _, s := range c.Services[i].Servers {
@@ -51,7 +49,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.view = v
-	p.members.Update(time.Now().UnixNano(), v)
+	p.members.Update(p.clock.now(), v)
 	for _, c := range p.calls {
 		if in, found := v.Get(c.to); found && !in.Reachable() {
 			c.cancel()
@@ -76,7 +74,7 @@
 	if p.cfg == nil || p.view == nil {
 		return
 	}
-	now := time.Now().UnixNano()
+	now := p.clock.now()
 	centres := make(map[string]config.DataCentre, len(p.cfg.DataCentres))
 	for _, d := range p.cfg.DataCentres {
 		centres[d.Name] = d
