Hand backend servers over without a gap; ask for grants by parts

Cause: grants were asked for per backend server, 16 instances each time at the planned size. With parts, an instance that drained held more servers, and TestDrainCutsNothing showed a refusal: its successor had no lease yet and refused. Change: 128 parts of a data centre share admitting instance and group; a successor lets requests wait for up to 1 s and asks every 50 ms, the predecessor takes those of instances that learn later for 200 ms; an instance holds only the servers it admits to. The test drains each of the four instances. Conclusion: a planned stop refuses nothing.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -217,3 +217,46 @@
 		is.Equal(b.got[4].Result.Status == "", name == "draining")
 	}
 }
+
+// TestBoundGrantMessages counts what the leases cost an instance at the planned size
+// of a data centre, and that it grows with the backend servers no further than by parts.
+func TestBoundGrantMessages(t *testing.T) {
+	is := is.New(t)
+	v := &fleet.View{}
+	for i := range 58 {
+		v.Instances = append(v.Instances, fleet.Instance{ID: fleet.ID(fmt.Sprint("i", i)), DataCentre: "d", Region: "r", State: fleet.Alive})
+	}
+	members := quorum.New(quorum.Timing{})
+	members.Update(start, v)
+	sent := func(servers int) (first, asks, named int) {
+		var rows []Server
+		for i := range servers {
+			rows = append(rows, row(i+1))
+		}
+		for _, in := range v.Instances {
+			s := New(start, quorum.Holder{ID: in.ID}, timing, members)
+			s.SetServers(start, rows)
+			for tick := range int64(100) {
+				s.Tick(start + tick*10*ms)
+			}
+			first += len(s.Effects())
+			for tick := range int64(300) {
+				s.Tick(start + int64(HandOver) + tick*10*ms)
+			}
+			for _, e := range s.Effects() {
+				if e.Kind == AskGrant {
+					asks++
+					named += len(e.Servers)
+				}
+			}
+		}
+		return first, asks, named
+	}
+	first, few, _ := sent(471)
+	_, many, named := sent(4 * 471)
+	perSecond := float64(few) / 58 / 3
+	t.Logf("%.1f messages a second and instance for 471 backend servers, %.1f for 1884, which name %.1f; %.1f in the first second", perSecond, float64(many)/58/3, float64(named)/float64(many), float64(first)/58)
+	is.True(perSecond <= 20)
+	is.True(many <= few*5/4)
+	is.True(first <= 100*58)
+}
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -46,7 +46,9 @@
 	group quorum.Group
 	// chosen is set if this instance ranks first, first if it also may admit.
 	chosen, first bool
-	votes         [quorum.GroupSize]vote
+	// lost is when another instance came to rank first.
+	lost  int64
+	votes [quorum.GroupSize]vote
 	// since is when the lease was first asked for, asked when last; zero is never.
 	since, asked int64
 	// leased is set once the lease was had since it was first asked for.
@@ -101,7 +103,18 @@
 
 // takes reports whether new requests may wait for the server.
 func (s *server) takes(now int64) bool {
-	return s.first && s.State == config.Active && s.runs(now)
+	if s.State != config.Active || s.Condition == flow.Down {
+		return false
+	}
+	if !s.first {
+		return now-s.lost < int64(Overlap) && s.held(now)
+	}
+	return s.held(now) || s.pending(now)
+}
+
+// pending reports whether the lease may still be handed over by a predecessor.
+func (s *server) pending(now int64) bool {
+	return s.first && !s.leased && now-s.since < int64(HandOver)
 }
 
 // runs reports whether requests may be sent to the server. Those that wait for one
--- a/internal/admission/system.go
+++ b/internal/admission/system.go
@@ -31,6 +31,8 @@
 	queued   map[string]int
 	total    int
 	leaving  bool
+	// stale is set when order must be made anew.
+	stale bool
 	// asks collects the grants to ask for in one tick.
 	asks map[fleet.ID][]config.Number
 	// started is the latest time by which another instance may have sent something
@@ -65,10 +67,15 @@
 
 func (s *System) emit(e Effect) { s.out = append(s.out, e) }
 
+// shards is how many parts the backend servers are divided into. Those of a part
+// have the same admitting instance and the same group in their data centre, so that
+// one message asks for all of them.
+const shards = 128
+
 // ServerName is the name by which groups and admitting instances of a backend
 // server are ranked.
 func ServerName(n config.Number) uint64 {
-	return quorum.Name("server " + strconv.FormatUint(uint64(n), 10))
+	return quorum.Name("servers " + strconv.Itoa(int(n%shards)))
 }
 
 // SetServers takes in the backend servers. Call it as well after the table of
@@ -84,28 +91,39 @@
 			sv.State = config.Gone
 		}
 	}
+	s.sort()
+	s.Tick(now)
+}
+
+// sort lists the backend servers by number, so that a run can be replayed.
+func (s *System) sort() {
+	clear(s.order)
 	s.order = s.order[:0]
 	for _, sv := range s.servers {
 		s.order = append(s.order, sv)
 	}
 	slices.SortFunc(s.order, func(a, b *server) int { return int(a.Number) - int(b.Number) })
-	s.Tick(now)
 }
 
 func (s *System) setServer(now int64, row Server) {
 	sv := s.servers[row.Number]
+	name := ServerName(row.Number)
+	id, found := s.members.First(name, row.DataCentre, row.Region, 0)
+	chosen := found && id == s.self.ID
+	if sv == nil && !chosen {
+		return
+	}
 	if sv == nil {
-		sv = &server{name: ServerName(row.Number), creditAt: now}
+		sv = &server{name: name, creditAt: now}
 		s.servers[row.Number] = sv
 	}
+	sv.chosen = chosen
 	sv.settle(now)
 	if row.State == config.Draining && sv.State != config.Draining {
 		sv.drained = now
 	}
 	sv.Server = row
 	sv.group = s.members.Group(sv.name, sv.DataCentre, sv.Region, now)
-	id, found := s.members.First(sv.name, sv.DataCentre, sv.Region, 0)
-	sv.chosen = found && id == s.self.ID
 	sv.guard.Configure(row.Ramp.Start, row.Ramp.Duration)
 	if row.ColdSince > sv.cold {
 		sv.cold = row.ColdSince
--- a/internal/admission/tick.go
+++ b/internal/admission/tick.go
@@ -19,13 +19,17 @@
 	for _, sv := range s.order {
 		s.overdue(now, sv)
 		s.keep(now, sv, asks)
-		if !sv.runs(now) {
+		if !sv.runs(now) && !(sv.takes(now) && sv.pending(now)) {
 			s.refuseQueue(now, sv)
 		}
 		s.pump(now, sv)
 	}
 	s.ask(now, asks)
 	s.forget(now)
+	if s.stale {
+		s.stale = false
+		s.sort()
+	}
 }
 
 // overdue ends runs whose time is up, and takes those that last unusually long as
@@ -60,12 +64,20 @@
 
 // keep renews or gives up the right to admit to one backend server.
 func (s *System) keep(now int64, sv *server, asks map[fleet.ID][]config.Number) {
-	sv.first = sv.chosen && !s.leaving && sv.State != config.Gone
-	if !sv.first && len(sv.running)+len(sv.queue) == 0 {
+	first := sv.chosen && !s.leaving && sv.State != config.Gone
+	if sv.first && !first {
+		sv.lost = now
+	}
+	sv.first = first
+	if !first && len(sv.running)+len(sv.queue) == 0 && !sv.takes(now) {
 		s.giveUp(now, sv)
 		return
 	}
-	if now-sv.asked < int64(s.timing.Renew) && sv.asked != 0 {
+	every := s.timing.Renew
+	if sv.pending(now) {
+		every = AskEvery
+	}
+	if now-sv.asked < int64(every) && sv.asked != 0 {
 		return
 	}
 	if sv.asked == 0 {
@@ -87,8 +99,9 @@
 		}
 		sv.votes[i] = vote{}
 	}
-	if sv.State == config.Gone {
+	if !sv.chosen || sv.State == config.Gone {
 		delete(s.servers, sv.Number)
+		s.stale = true
 	}
 }
 
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -37,6 +37,13 @@
 	// MaxWaiting is how many requests may wait in all. Once half of them wait, a
 	// service may have no more than its equal part, one part left for a newcomer.
 	MaxWaiting = 4096
+	// HandOver is how long requests wait at a new admitting instance for the lease
+	// that its predecessor gives up; AskEvery is how often it asks meanwhile.
+	HandOver = time.Second
+	AskEvery = 50 * time.Millisecond
+	// Overlap is how long an admitting instance still takes requests after it has
+	// learned of its successor, of which others may learn later.
+	Overlap = 200 * time.Millisecond
 	// DrainQueue is how long a draining backend server still gets requests that
 	// wait for it already.
 	DrainQueue = 1500 * time.Millisecond
--- a/internal/requestpath/faults_test.go
+++ b/internal/requestpath/faults_test.go
@@ -147,9 +147,15 @@
 	}
 }
 
-// TestDrainCutsNothing drains an instance under load: requests in progress end, new
-// ones go elsewhere, and none is refused or lost.
+// TestDrainCutsNothing drains each instance in turn under load: requests in progress
+// end, new ones go elsewhere, and none is refused or lost.
 func TestDrainCutsNothing(t *testing.T) {
+	for at := range 4 {
+		t.Run(fmt.Sprint(at), func(t *testing.T) { drainUnderLoad(t, at) })
+	}
+}
+
+func drainUnderLoad(t *testing.T, at int) {
 	within(t, 4, 4, func(t *testing.T, is *is.I, s *site) {
 		var wg sync.WaitGroup
 		errs := make(chan error, 1000)
@@ -163,12 +169,12 @@
 			})
 		}
 		time.Sleep(200 * time.Millisecond)
-		s.setState(1, fleet.Leaving)
+		s.setState(at, fleet.Leaving)
 		began := time.Now()
-		is.NoErr(s.paths[1].Drain(t.Context()))
+		is.NoErr(s.paths[at].Drain(t.Context()))
 		is.True(time.Since(began) < 5*time.Second)
-		s.paths[1].Close()
-		s.setState(1, fleet.Dead)
+		s.paths[at].Close()
+		s.setState(at, fleet.Dead)
 		wg.Wait()
 		close(errs)
 		for err := range errs {
