--- a/internal/demo/daemon.go
+++ b/internal/demo/daemon.go
@@ -72,6 +72,10 @@
 	Slots int
 	// Time is how long one request takes.
 	Time time.Duration
+	// Late is how much later than that its answers are sent; Double has each of
+	// them sent twice.
+	Late   time.Duration
+	Double bool
 	// Began and Finished are told the ID of each request that begins to run and
 	// of each that has run to its end.
 	Began    func(id string)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -45,6 +45,7 @@
 		return nil, err
 	}
 	r := &run{world: w, result: &Result{Deployment: o.Deployment.Name, Seed: o.Seed, Violations: []string{}}, began: time.Now()}
+	r.say("seed %d chooses %+v", o.Seed, w.choices)
 	err = r.play(ctx)
 	if stopErr := w.close(context.WithoutCancel(ctx)); stopErr != nil {
 		r.result.violate("graceful shutdown: %v", stopErr)
--- a/internal/demo/phases.go
+++ b/internal/demo/phases.go
@@ -129,16 +129,15 @@
 // drainJoinReplace drains one backend server and lets another join, while an
 // instance is replaced.
 func (r *run) drainJoinReplace(ctx context.Context) error {
-	leaving := r.servers[0]
+	leaving := r.servers[r.choices.drained]
 	leaving.state = config.Draining
-	fresh, err := r.startServer(leaving.service, r.deployment.dataCentre(1))
+	fresh, err := r.startServer(leaving.service, r.choices.joins)
 	if err != nil {
 		return err
 	}
-	fresh.joined = true
 	var replaced sync.WaitGroup
 	var replaceErr error
-	replaced.Go(func() { replaceErr = r.replace(ctx, r.deployment.dataCentre(0)) })
+	replaced.Go(func() { replaceErr = r.replace(ctx, r.choices.replaced) })
 	before := r.opened(leaving.service.Name)
 	accepted, err := r.change(ctx)
 	if err == nil {
@@ -207,13 +206,8 @@
 	return err
 }
 
-// outside is the data centre that is taken out.
-func (r *run) outside() string {
-	return r.deployment.DataCentres[len(r.deployment.DataCentres)-1]
-}
-
 func (r *run) takeOut(ctx context.Context) error {
-	name := r.outside()
+	name := r.choices.out
 	r.setOutage(name, outage{out: time.Now()})
 	accepted, err := r.change(ctx)
 	if err == nil {
@@ -226,7 +220,7 @@
 }
 
 func (r *run) bringBack(ctx context.Context) error {
-	name := r.outside()
+	name := r.choices.out
 	o := r.outages[name]
 	o.back = time.Now()
 	r.setOutage(name, o)
@@ -245,7 +239,7 @@
 func (r *run) storeGone(ctx context.Context) error {
 	r.store.SetDown(true)
 	defer r.store.SetDown(false)
-	d, err := r.startInstance(ctx, r.deployment.dataCentre(1))
+	d, err := r.startInstance(ctx, r.choices.starts)
 	if err != nil {
 		return err
 	}
@@ -256,7 +250,7 @@
 }
 
 func (r *run) kill(ctx context.Context) error {
-	d := r.take(r.deployment.dataCentre(1))
+	d := r.take(r.choices.killed)
 	r.ledger.crash(time.Now())
 	d.Kill()
 	lag := time.AfterFunc(fabricLag, func() { r.fabric.Remove(d.id) })
@@ -266,7 +260,7 @@
 }
 
 func (r *run) undrain(ctx context.Context) error {
-	r.servers[0].state = config.Active
+	r.servers[r.choices.drained].state = config.Active
 	if _, err := r.change(ctx); err != nil {
 		return err
 	}
--- a/internal/demo/platform.go
+++ b/internal/demo/platform.go
@@ -80,11 +80,21 @@
 }
 
 func startWorker(o WorkerOptions) (Worker, error) {
-	return worker.Start(worker.Options{
-		Name: o.Name, Slots: o.Slots, Time: o.Time, ColdFactor: coldFactor,
+	w, err := worker.Start(worker.Options{
+		Name: o.Name, Slots: o.Slots, Time: o.Time, ColdFactor: coldFactor, Delay: o.Late,
 		Began:    func(params json.RawMessage) { o.Began(text(params)) },
 		Finished: func(params json.RawMessage) { o.Finished(text(params)) },
 	})
+	if err != nil {
+		return nil, err
+	}
+	switch {
+	case o.Late > 0:
+		w.SetFault(worker.Delay)
+	case o.Double:
+		w.SetFault(worker.Double)
+	}
+	return w, nil
 }
 
 // text returns the string that JSON holds, or nothing.
--- a/internal/demo/server.go
+++ b/internal/demo/server.go
@@ -17,11 +17,16 @@
 	flows      *backend.Server
 	worker     Worker
 	state      config.ServerState
-	// joined is set if it came after the start.
-	joined bool
 }
 
-const serverWeight = 100
+const (
+	serverWeight = 100
+	// lateServer and doublingServer are the backend servers of each service, by
+	// number, that answer late and twice.
+	lateServer     = 2
+	doublingServer = 3
+	lateAnswer     = 300 * time.Millisecond
+)
 
 // startServer starts the next backend server of a service in a data centre.
 func (w *world) startServer(plan ServicePlan, dataCentre string) (*server, error) {
@@ -35,9 +40,16 @@
 	}
 	s := &server{name: name, service: plan, dataCentre: dataCentre, flows: flows, state: config.Active}
 	w.servers = append(w.servers, s)
-	s.worker, err = w.platform.Worker(WorkerOptions{
+	options := WorkerOptions{
 		Name: name, Slots: plan.Slots, Time: requestTime, Began: w.ledger.began, Finished: w.ledger.finished,
-	})
+	}
+	switch w.started[plan.Name] {
+	case lateServer:
+		options.Late = lateAnswer
+	case doublingServer:
+		options.Double = true
+	}
+	s.worker, err = w.platform.Worker(options)
 	return s, err
 }
 
--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -53,6 +53,7 @@
 	servers []*server
 	checks  []*backend.Server
 	check   netip.AddrPort
+	choices choices
 	// started counts what was ever started, by service and by data centre.
 	started map[string]int
 
@@ -76,6 +77,7 @@
 		options:    o,
 		platform:   p,
 		deployment: o.Deployment,
+		choices:    choose(o.Seed, o.Deployment),
 		store:      store.New(),
 		fabric:     fabric.New(o.Seed),
 		ledger:     newLedger(),
@@ -218,7 +220,7 @@
 	return config.ServiceDocument{
 		ServiceSpec: config.ServiceSpec{Name: name, Address: w.check, Protocol: config.TCP, Slots: 1},
 		BackendServers: []config.ServerSpec{{
-			Name: name, DataCentre: w.deployment.DataCentres[0], Packets: backend.Packets(),
+			Name: name, DataCentre: w.choices.joins, Packets: backend.Packets(),
 			Health: backend.HealthURL(), Weight: serverWeight, State: config.Active,
 		}},
 	}, nil
