Probe backend servers and announce their conditions

Cause: health verdicts and cold starts found by traffic reached nobody. Change: the daemon runs the prober and follows the platform's list; a cold start that the admitting instance finds from answers goes to the keeper as evidence of its own kind.

--- a/internal/admission/system.go
+++ b/internal/admission/system.go
@@ -311,10 +311,11 @@
 
 func (s *System) report(now int64, sv *server, kind flow.EvidenceKind, took time.Duration) {
 	sv.settle(now)
+	s.emit(Effect{Kind: Report, Evidence: flow.Evidence{Server: sv.Number, Kind: kind, At: now}})
 	if sv.guard.Observe(now, kind, took) {
 		sv.credit = 0
+		s.emit(Effect{Kind: Report, Evidence: flow.Evidence{Server: sv.Number, Kind: flow.TurnedCold, At: now}})
 	}
-	s.emit(Effect{Kind: Report, Evidence: flow.Evidence{Server: sv.Number, Kind: kind, At: now}})
 }
 
 // finish answers the waiters of an attempt, once, and remembers it for as long as
--- a/internal/app/connect.go
+++ b/internal/app/connect.go
@@ -20,6 +20,8 @@
 	"balsamfork/internal/keys"
 	"balsamfork/internal/link"
 	"balsamfork/internal/placement"
+	"balsamfork/internal/platform"
+	"balsamfork/internal/prober"
 	"balsamfork/internal/requestpath"
 	"balsamfork/internal/telemetry"
 )
@@ -35,6 +37,7 @@
 	Keepers  *forward.Keepers
 	Requests *requestpath.Path
 	Settler  *confsettle.Settler
+	Prober   *prober.Prober
 	Ready    *configured
 }
 
@@ -57,16 +60,20 @@
 		w.Requests.SetView(v)
 		w.Sync.SetView(v)
 		w.Settler.SetView(v)
+		w.Prober.SetView(v)
 	})
 	w.Gossip.OnVersion(w.Sync.PeerVersion)
 	w.Gossip.OnAnnouncements(func([]flow.Announcement) {
 		all := w.Gossip.Announcements()
 		w.Engine.SetAnnouncements(now(), all)
 		w.Requests.SetAnnouncements(all)
+		w.Prober.SetAnnouncements(all)
 	})
+	w.Prober.OnAnnounce(w.Gossip.Announce)
 	w.Sync.OnChange(func(c *config.Config) {
 		w.Engine.SetConfig(now(), c)
 		w.Requests.SetConfig(c)
+		w.Prober.SetConfig(c)
 		w.Gossip.SetApplied(c.Version)
 		w.Ready.note()
 	})
@@ -90,6 +97,8 @@
 	Exchanger *handover.Exchanger
 	Settling  *handover.Coordinator
 	Settler   *confsettle.Settler
+	Prober    *prober.Prober
+	Platform  *platform.Reader
 	Ready     *configured
 }
 
@@ -111,6 +120,8 @@
 	s.Serving.run(s.Exchanger.Run)
 	s.Serving.run(s.Settling.Run)
 	s.Serving.run(s.settle)
+	s.Serving.run(s.Prober.Run)
+	s.Serving.run(s.Platform.Run)
 	s.Serving.run(s.watchKeys)
 	s.Serving.run(func(ctx context.Context) { s.Serving.begin(ctx, s.Ready.done) })
 }
--- a/internal/app/parts.go
+++ b/internal/app/parts.go
@@ -17,10 +17,13 @@
 	"balsamfork/internal/forward"
 	"balsamfork/internal/gossip"
 	"balsamfork/internal/handover"
+	"balsamfork/internal/health"
 	"balsamfork/internal/keys"
 	"balsamfork/internal/link"
 	"balsamfork/internal/member"
 	"balsamfork/internal/placement"
+	"balsamfork/internal/platform"
+	"balsamfork/internal/prober"
 	"balsamfork/internal/records"
 	"balsamfork/internal/requestpath"
 	"balsamfork/internal/settings"
@@ -32,7 +35,7 @@
 var Module = fx.Module("instance",
 	fx.Provide(
 		newSockets, newMetrics, newScope, newKeys, newBook, newLink, newGossip, newStoreClient, newRepository,
-		newSync, newEngine, newTrust, newKeepers, newForwarder, newRequests, newServing, newAdmin, newConfigured, newSettler, newExchanger, newCoordinator,
+		newSync, newEngine, newTrust, newKeepers, newForwarder, newRequests, newServing, newAdmin, newConfigured, newSettler, newExchanger, newCoordinator, newProber, newPlatform,
 	),
 	fx.Invoke(connect, report, run),
 )
@@ -146,6 +149,21 @@
 	}, l)
 }
 
+func newProber(s *settings.Valid, e *placement.Engine, l *link.Link, log *slog.Logger, scope tally.Scope) *prober.Prober {
+	return prober.New(prober.Options{
+		Self:    s.Self.ID,
+		Params:  health.Default(),
+		Seed:    seed(),
+		Records: e,
+	}, l, l, log, scope)
+}
+
+func newPlatform(
+	s *settings.Valid, c *storeclient.Client, g *gossip.Gossip, log *slog.Logger, scope tally.Scope,
+) *platform.Reader {
+	return platform.New(c, func(list []fleet.Instance) { g.Seed(append(list, s.Peers...)) }, seed(), log, scope)
+}
+
 func newExchanger(e *placement.Engine, l *link.Link, log *slog.Logger, scope tally.Scope) *handover.Exchanger {
 	return handover.NewExchanger(e, l, l, scope, log)
 }
@@ -182,7 +200,7 @@
 	return forward.New(c, e, t.has, log, scope)
 }
 
-func newRequests(s *settings.Valid, g *gossip.Gossip, l *link.Link, log *slog.Logger, scope tally.Scope) *requestpath.Path {
+func newRequests(s *settings.Valid, g *gossip.Gossip, p *prober.Prober, l *link.Link, log *slog.Logger, scope tally.Scope) *requestpath.Path {
 	self, _ := g.View().Get(s.Self.ID)
 	return requestpath.New(requestpath.Options{
 		Self:        self.ID,
@@ -190,6 +208,7 @@
 		DataCentre:  self.DataCentre,
 		Region:      self.Region,
 		Listen:      s.Requests.Listen,
+		Evidence:    p.Evidence,
 	}, l, l, log, scope)
 }
 
--- a/internal/flow/health.go
+++ b/internal/flow/health.go
@@ -38,6 +38,9 @@
 	Shed
 	Slow
 	Failed
+	// TurnedCold is drawn from several answers: the server has begun a cold start
+	// without a word.
+	TurnedCold
 )
 
 // Evidence is one observation of a backend server made by traffic, at a time in
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -153,6 +153,10 @@
 
 // Evidence gives one thing that traffic has shown.
 func (p *Prober) Evidence(e flow.Evidence) {
+	if e.Kind == flow.TurnedCold {
+		p.SawCold(e.Server)
+		return
+	}
 	p.with(func(t *health.Table, _ int64) { t.Evidence([]flow.Evidence{e}) })
 }
 
