--- a/internal/atmostonce/claims.go
+++ b/internal/atmostonce/claims.go
@@ -39,13 +39,11 @@
 type Verdict uint8
 
 // The verdicts on a claim. CannotTell means that the member does not know whether
-// the key was claimed before. Withheld means that it knows the key was not, and
-// will never grant it to anyone.
+// the key was claimed before.
 const (
 	Granted Verdict = iota + 1
 	Denied
 	CannotTell
-	Withheld
 )
 
 type claim struct {
@@ -99,9 +97,6 @@
 	if !c.tells(now, created) {
 		return CannotTell, Claimant{}
 	}
-	if c.before != 0 && created >= c.before {
-		return Withheld, Claimant{}
-	}
 	if len(c.byKey) >= c.most {
 		c.drop()
 	}
@@ -115,6 +110,9 @@
 	if Expired(now, created) || created > now+int64(request.MaxAhead) {
 		return false
 	}
+	if c.before != 0 && created >= c.before {
+		return false
+	}
 	return created > c.from && created > c.horizon
 }
 
--- a/internal/keyowner/claim.go
+++ b/internal/keyowner/claim.go
@@ -58,7 +58,7 @@
 
 // tally goes on with a job once its claim is won or lost.
 func (s *System) tally(now int64, j *job) {
-	granted, open, unsure := 0, 0, 0
+	granted, open := 0, 0
 	var other fleet.ID
 	for _, b := range j.votes {
 		switch b.verdict {
@@ -66,8 +66,6 @@
 			granted++
 		case atmostonce.Denied:
 			other = b.by.Holder.ID
-		case atmostonce.CannotTell:
-			unsure++
 		case 0:
 			open++
 		}
@@ -79,10 +77,6 @@
 	case other != "" && other != s.Self.ID:
 		j.stage = asking
 		s.out = append(s.out, Effect{Kind: Ask, To: other, Key: j.entry.ID, Request: j.req, Claimant: j.claimant})
-	case unsure+open < j.need && other == "" && len(j.votes) > 0:
-		// The rest either granted the key to this job or grant it to nobody, so no
-		// other claim has or gets a majority: the request never runs.
-		s.finish(now, j, request.Refuse(request.Undecided))
 	default:
 		s.finish(now, j, request.Unsure(request.Undecided))
 	}
