Measure the ratio of a settled packet in many short rounds

Cause: TestBoundSettledPacket failed in a full run at a ratio of 4.11: rounds of 10 ms meet other work on a busy machine. Change: the least of 400 rounds of under a millisecond each, the bound as it was. Measured: before 2.5 idle, 4.1 in the full run; after 2.3 to 2.5 idle, 2.4 to 2.5 with 12 busy processes on 10 cores. Conclusion: the bound of 3 holds, with the same verdict on a busy machine.

--- a/internal/placement/bound_test.go
+++ b/internal/placement/bound_test.go
@@ -87,24 +87,26 @@
 	p := flow.Packet{Key: keys[0], Origin: flow.FromFabric}
 	is.Equal(testing.AllocsPerRun(1000, func() { e.Decide(second, &p) }), 0.0)
 
+	// The least of many short rounds in turn is free of what else the machine does.
+	const rounds = 400
 	var sum uint64
 	hash, decide := time.Hour, time.Hour
-	for range 9 {
+	for range rounds {
 		start := time.Now()
-		for r := range 20 * len(keys) {
-			sum += h.Flow(&keys[r%len(keys)])
+		for r := range keys {
+			sum += h.Flow(&keys[r])
 		}
 		hash = min(hash, time.Since(start))
 		start = time.Now()
-		for r := range 20 * len(keys) {
-			p := flow.Packet{Key: keys[r%len(keys)], Origin: flow.FromFabric}
+		for r := range keys {
+			p := flow.Packet{Key: keys[r], Origin: flow.FromFabric}
 			sum += uint64(e.Decide(second, &p).Server)
 		}
 		decide = min(decide, time.Since(start))
 	}
 	ratio := float64(decide) / float64(hash)
 	t.Logf("settled packet %.1f ns, keyed hash %.1f ns, ratio %.2f (%d)",
-		float64(decide)/float64(20*len(keys)), float64(hash)/float64(20*len(keys)), ratio, sum&1)
+		float64(decide)/float64(len(keys)), float64(hash)/float64(len(keys)), ratio, sum&1)
 	is.True(ratio <= 3)
 }
 
