Refuse a first version without a hash key

Cause: a caller of Accept that forgot the key would have made buckets that anybody can compute. Change: the first version needs a key that is not zero. Conclusion: callers cannot choose their buckets.

--- a/internal/config/accept.go
+++ b/internal/config/accept.go
@@ -24,7 +24,8 @@
 	Seen Version
 	// Force allows a change that stops a service or the last data centre.
 	Force bool
-	// HashKey becomes the key of the first version and is ignored afterwards.
+	// HashKey, drawn at random, becomes the key of the first version and is
+	// ignored afterwards. The first version needs one.
 	HashKey [HashKeySize]byte
 	// Who, When, What and Commit go into the audit trail. What may be empty.
 	Who    string
@@ -78,6 +79,8 @@
 	var declared, newest Version
 	if old != nil {
 		declared, newest = old.Declared, old.Version
+	} else if change.HashKey == ([HashKeySize]byte{}) {
+		return Invalid.New("the first version needs a hash key, so that callers cannot choose their buckets")
 	}
 	if change.Seen < declared || change.Seen > newest {
 		return Conflict.New("made against version %d, the newest declaration is %d, the newest version %d",
--- a/internal/config/accept_test.go
+++ b/internal/config/accept_test.go
@@ -26,6 +26,8 @@
 func TestAccept(t *testing.T) {
 	is := is.New(t)
 	doc := deployment(3)
+	_, _, err := Accept(nil, doc, Change{ID: "without a key"})
+	is.True(Invalid.Has(err))
 	one := must(t, nil, doc, false)
 	is.Equal(one.Version, Version(1))
 	is.Equal(numbers(one.Services[0].Settled), []Number{1, 2, 3})
--- a/internal/confsettle/settler_test.go
+++ b/internal/confsettle/settler_test.go
@@ -64,7 +64,7 @@
 	b := &bed{server: standin.New(), network: &network{handlers: map[fleet.ID]peer.Handler{}, dead: map[fleet.ID]bool{}}}
 	b.operator = confstore.New(b.client(0, 1))
 	doc := configtest.Document(services, 2, "a", "b")
-	change := config.Change{ID: "first", When: time.Now()}
+	change := config.Change{ID: "first", When: time.Now(), HashKey: [16]byte{1}}
 	_, err := b.operator.Apply(t.Context(), doc, change)
 	is.NoErr(err)
 	out, err := doc.WithOut("a", true)
--- a/internal/confsync/fuzz_test.go
+++ b/internal/confsync/fuzz_test.go
@@ -11,7 +11,7 @@
 
 // FuzzAnswers feeds the methods with what a broken peer might send.
 func FuzzAnswers(f *testing.F) {
-	state, _, err := config.Accept(nil, configtest.Document(2, 2, "dc0"), config.Change{ID: "first"})
+	state, _, err := config.Accept(nil, configtest.Document(2, 2, "dc0"), config.Change{ID: "first", HashKey: [16]byte{1}})
 	if err != nil {
 		f.Fatal(err)
 	}
