--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -28,32 +28,17 @@
 // it, check the whole and build the configuration.
 func BenchmarkFollow(b *testing.B) {
 	old, next := planned(b)
-	data, err := json.Marshal(next.DeltaFrom(old.Held()))
-	if err != nil {
-		b.Fatal(err)
-	}
-	b.SetBytes(int64(len(data)))
-	b.ReportAllocs()
-	for b.Loop() {
-		var d Delta
-		if err := json.Unmarshal(data, &d); err != nil {
-			b.Fatal(err)
-		}
-		state, err := d.Apply(old)
-		if err != nil {
-			b.Fatal(err)
-		}
-		if _, err := state.Config(); err != nil {
-			b.Fatal(err)
-		}
-	}
+	follow(b, old, next)
 }
 
-// BenchmarkWhole is what a start costs: to decode the whole and build the
-// configuration.
+// BenchmarkWhole is what a start costs: the same from nothing.
 func BenchmarkWhole(b *testing.B) {
 	_, next := planned(b)
-	data, err := json.Marshal(next.DeltaFrom(Held{}))
+	follow(b, nil, next)
+}
+
+func follow(b *testing.B, old, next *State) {
+	data, err := json.Marshal(next.DeltaFrom(old.Held()))
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -64,7 +49,7 @@
 		if err := json.Unmarshal(data, &d); err != nil {
 			b.Fatal(err)
 		}
-		state, err := d.Apply(nil)
+		state, err := d.Apply(old)
 		if err != nil {
 			b.Fatal(err)
 		}
