--- a/internal/admission/tick.go
+++ b/internal/admission/tick.go
@@ -15,17 +15,21 @@
 // Tick does what is due: it asks for grants, gives them up, ends what has run out
 // of time, and starts what may start.
 func (s *System) Tick(now int64) {
-	asks := make(map[fleet.ID][]config.Number)
+	asks := s.asks
 	for _, sv := range s.order {
 		s.overdue(now, sv)
 		s.keep(now, sv, asks)
-		if !sv.runs(now) {
+		if !sv.runs(now) && !(sv.takes(now) && sv.pending(now)) {
 			s.refuseQueue(now, sv)
 		}
 		s.pump(now, sv)
 	}
 	s.ask(now, asks)
 	s.forget(now)
+	if s.stale {
+		s.stale = false
+		s.sort()
+	}
 }
 
 // overdue ends runs whose time is up, and takes those that last unusually long as
@@ -60,12 +64,20 @@
 
 // keep renews or gives up the right to admit to one backend server.
 func (s *System) keep(now int64, sv *server, asks map[fleet.ID][]config.Number) {
-	sv.first = sv.chosen && !s.leaving && sv.State != config.Gone
-	if !sv.first && len(sv.running)+len(sv.queue) == 0 {
+	first := sv.chosen && !s.leaving && sv.State != config.Gone
+	if sv.first && !first {
+		sv.lost = now
+	}
+	sv.first = first
+	if !first && len(sv.running)+len(sv.queue) == 0 && !sv.takes(now) {
 		s.giveUp(now, sv)
 		return
 	}
-	if now-sv.asked < int64(s.timing.Renew) && sv.asked != 0 {
+	every := s.timing.Renew
+	if sv.pending(now) {
+		every = AskEvery
+	}
+	if now-sv.asked < int64(every) && sv.asked != 0 {
 		return
 	}
 	if sv.asked == 0 {
@@ -80,14 +92,16 @@
 
 func (s *System) giveUp(now int64, sv *server) {
 	sv.asked = 0
+	sv.leased = false
 	for i := range sv.votes {
 		if v := sv.votes[i]; v.id != "" {
 			s.release(now, v.id, sv.Number)
 		}
 		sv.votes[i] = vote{}
 	}
-	if sv.State == config.Gone {
+	if !sv.chosen || sv.State == config.Gone {
 		delete(s.servers, sv.Number)
+		s.stale = true
 	}
 }
 
@@ -108,14 +122,19 @@
 	}
 }
 
+// ask sends what keep has collected.
 func (s *System) ask(now int64, asks map[fleet.ID][]config.Number) {
 	if own := asks[s.self.ID]; own != nil {
 		s.Granted(now, s.self.ID, now, s.Ask(now, s.self, own, now))
 		delete(asks, s.self.ID)
 	}
+	if len(asks) == 0 {
+		return
+	}
 	for _, id := range sortedIDs(asks) {
 		s.emit(Effect{Kind: AskGrant, To: id, Servers: asks[id], SentAt: now})
 	}
+	clear(asks)
 }
 
 func (s *System) forget(now int64) {
