Test the healing of a data centre that was cut off

Cause: the design note said what happens, and no test showed it. Change: TestHealing. Conclusion: the newest version wins with the first heartbeats.

--- a/internal/confsync/confsync_test.go
+++ b/internal/confsync/confsync_test.go
@@ -153,6 +153,39 @@
 	})
 }
 
+// TestHealing cuts a data centre off from the others and from the store while a
+// change is accepted. It goes on under its version and has the change with the
+// first heartbeats after healing, with the store still out of its reach.
+func TestHealing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBed(t, 3, 4)
+		defer b.stopAll()
+		_, err := b.apply(b.operator(), 1)
+		is.NoErr(err)
+		b.startAll()
+		time.Sleep(5 * time.Second)
+		b.cutOff("dc2-00", 1, true)
+		_, err = b.apply(b.operator(), 2)
+		is.NoErr(err)
+		time.Sleep(time.Minute)
+		low, count := b.lowest()
+		is.Equal(low, config.Version(1))
+		is.Equal(count, 4)
+		b.store.SetDown(true)
+		b.cutOff("dc2-00", 0, false)
+		healed := time.Now()
+		time.Sleep(5 * time.Second)
+		var last time.Duration
+		for _, n := range b.nodes {
+			is.Equal(n.sync.holder.version(), config.Version(2))
+			last = max(last, n.at[2].Sub(healed))
+		}
+		t.Logf("in force everywhere %v after healing", last)
+		is.True(last <= 3*b.period)
+	})
+}
+
 // TestFaults draws faults, alone and in pairs: the store down, slow, losing
 // answers or answering old values, instances killed and restarted, a data centre cut off
 // from the others, from the store or from both. No instance may ever go back,
