Run the demonstration with all connections of the deployments

Cause: it kept 1200 flows for each backend server open, the deployments have 4300 and 4500; and steady state is promised at 1.05, not 1.10. Change: Options.FlowsPerServer defaults to the deployment's connections; the bound of the imbalance is 1.05; cli/demo.go no longer sets the number of flows.

--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -56,7 +56,6 @@
 		return nil, err
 	}
 	defer fleet.Close()
-	o.FlowsPerServer = demo.DefaultFlowsPerServer
 	o.RequestsPerSecond = demo.DefaultRequestsPerSecond
 	result, err := demo.Run(ctx, o, demo.NewPlatform(fleet.Start))
 	if err != nil {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -14,7 +14,8 @@
 	Deployment Deployment
 	// Seed makes the traffic and the faults repeat.
 	Seed uint64
-	// FlowsPerServer is how many flows are kept open for each backend server.
+	// FlowsPerServer is how many flows are kept open for each backend server; zero
+	// means as many as the deployment has.
 	FlowsPerServer int
 	// RequestsPerSecond is the rate of all requests.
 	RequestsPerSecond int
@@ -24,22 +25,22 @@
 	Progress io.Writer
 }
 
-// The traffic of a demonstration unless set otherwise.
-const (
-	DefaultFlowsPerServer    = 1200
-	DefaultRequestsPerSecond = 150
-)
+// DefaultRequestsPerSecond is the rate of requests unless set otherwise.
+const DefaultRequestsPerSecond = 150
 
 const (
-	openTime   = 4 * time.Second
-	flowPause  = 4 * time.Second
-	shortShare = 0.3
+	openTime   = 7 * time.Second
+	flowPause  = 8 * time.Second
+	shortShare = 0.1
 	shortLife  = 6 * time.Second
 )
 
 // Run runs the demonstration. The error says what kept it from going on; a
 // promise that was not kept is in the result.
 func Run(ctx context.Context, o Options, p Platform) (*Result, error) {
+	if o.FlowsPerServer == 0 {
+		o.FlowsPerServer = o.Deployment.Connections
+	}
 	w, err := newWorld(o, p)
 	if err != nil {
 		return nil, err
--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -14,6 +14,8 @@
 	Region      string
 	DataCentres []string
 	Instances   int
+	// Connections is how many flows a backend server has as a rule.
+	Connections int
 	Services    []ServicePlan
 }
 
@@ -45,6 +47,7 @@
 		Region:      "ost-plain",
 		DataCentres: []string{"ost-plain-a", "ost-plain-b", "ost-plain-c"},
 		Instances:   instances,
+		Connections: 4300,
 		Services:    services("order-desk", "catalogue", 4),
 	}
 }
@@ -56,6 +59,7 @@
 		Region:      "kurzeme",
 		DataCentres: []string{"kuldiga", "talsi", "ventspils"},
 		Instances:   instances,
+		Connections: 4500,
 		Services:    services("order-board", "pattern-library", 3),
 	}
 }
--- a/internal/demo/result.go
+++ b/internal/demo/result.go
@@ -10,8 +10,9 @@
 
 // The promises that a demonstration holds the product to.
 const (
-	// maxImbalance is the largest ratio of the fullest backend server to the mean.
-	maxImbalance = 1.10
+	// maxImbalance is the largest ratio of the fullest backend server to the mean,
+	// in steady state.
+	maxImbalance = 1.05
 	// maxSeconds bounds how long a change may take to be in force everywhere.
 	maxSeconds = 4.0
 	// maxFreshShare bounds the new flows of a backend server on its ramp, as a
