Lose the store's answer when the data centre returns

Cause: an answer lost after the write has taken effect was not in the scenario. Change: the stand-in store loses one; the operator repeats a change whose outcome is unknown.

--- a/internal/demo/phases.go
+++ b/internal/demo/phases.go
@@ -219,7 +219,10 @@
 	return err
 }
 
+// bringBack returns the data centre, while the store loses the answer to the
+// write.
 func (r *run) bringBack(ctx context.Context) error {
+	r.store.LoseAnswers(1)
 	name := r.choices.out
 	o := r.outages[name]
 	o.back = time.Now()
--- a/internal/demo/platform.go
+++ b/internal/demo/platform.go
@@ -23,7 +23,7 @@
 	// coldFactor is how much longer a cold worker takes.
 	coldFactor = 4
 	// applyAttempts bounds how often an operator repeats a change that lost a race
-	// with an instance that settled a service.
+	// with an instance that settled a service, or whose outcome is not known.
 	applyAttempts = 10
 	applyPause    = 50 * time.Millisecond
 	// method is the method of all requests.
@@ -70,7 +70,7 @@
 		if err == nil {
 			return outcome.Version, nil
 		}
-		if !config.Conflict.Has(err) && !store.Unavailable.Has(err) {
+		if !config.Conflict.Has(err) && !store.Unavailable.Has(err) && !store.Unknown.Has(err) {
 			return 0, err
 		}
 		last = err
