--- a/internal/member/membertest/network.go
+++ b/internal/member/membertest/network.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"balsamfork/internal/config"
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/member"
 )
@@ -282,6 +283,36 @@
 	return alive == len(expected)
 }
 
+// Confirmed reports whether every running instance knows that all serve by v.
+func (n *Network) Confirmed(v config.Version) bool {
+	for _, node := range n.Running() {
+		if low, ok := node.Table.View().Confirmed(); !ok || low != v {
+			return false
+		}
+	}
+	return true
+}
+
+// AllTake reports whether every running instance takes one to be in a state.
+func (n *Network) AllTake(of fleet.ID, s fleet.State) bool {
+	for _, node := range n.Running() {
+		if i, _ := node.Table.View().Get(of); i.State != s {
+			return false
+		}
+	}
+	return true
+}
+
+// Announced reports whether every running instance knows so many announcements.
+func (n *Network) Announced(count int) bool {
+	for _, node := range n.Running() {
+		if len(node.Table.Announcements()) != count {
+			return false
+		}
+	}
+	return true
+}
+
 // ResetCounts sets the counters of all instances to zero.
 func (n *Network) ResetCounts() {
 	for _, node := range n.Nodes {
