Call back at once an instance that calls

Cause: an instance that came back was not dialled until the back-off from its absence had passed, up to three seconds, longer than it waits for a peer. Change: a call from an instance ends the wait.

--- a/internal/link/peers.go
+++ b/internal/link/peers.go
@@ -15,13 +15,15 @@
 )
 
 // remote is the outgoing connection to one instance. turn is held while the
-// connection is looked up or dialled.
+// connection is looked up or dialled; redial and earliest are under the table's
+// lock.
 type remote struct {
 	turn chan struct{}
 
-	conn     *jsonrpc2.Conn
-	addr     netip.AddrPort
-	used     time.Time
+	conn *jsonrpc2.Conn
+	addr netip.AddrPort
+	used time.Time
+
 	redial   *backoff.ExponentialBackOff
 	earliest time.Time
 }
@@ -76,22 +78,44 @@
 }
 
 func (r *remotes) dial(ctx context.Context, id fleet.ID, addr netip.AddrPort, e *remote) (*jsonrpc2.Conn, error) {
-	if time.Now().Before(e.earliest) && e.addr == addr {
+	if r.mustWait(e) && e.addr == addr {
 		return nil, peer.Unreachable.New("instance %q at %s: waiting to dial again", id, addr)
 	}
 	e.drop()
 	e.addr = addr
 	conn, err := dial(ctx, addr, string(id), r.self, r.keys, r.count)
 	if err != nil {
-		e.earliest = time.Now().Add(e.redial.NextBackOff())
+		r.putOff(e)
 		return nil, peer.Unreachable.New("instance %q at %s: %v", id, addr, err)
 	}
-	e.redial.Reset()
-	e.earliest = time.Time{}
 	e.conn = conn
+	r.revive(id)
 	return conn, nil
 }
 
+func (r *remotes) mustWait(e *remote) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Before(e.earliest)
+}
+
+// putOff makes the next dial wait, longer each time.
+func (r *remotes) putOff(e *remote) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e.earliest = time.Now().Add(e.redial.NextBackOff())
+}
+
+// revive lets an instance be dialled at once: it was reached, or has called.
+func (r *remotes) revive(id fleet.ID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.byID[id]; e != nil {
+		e.redial.Reset()
+		e.earliest = time.Time{}
+	}
+}
+
 // standing reports whether the connection is open and to the given address.
 func (e *remote) standing(addr netip.AddrPort) bool {
 	if e.conn == nil || e.addr != addr {
--- a/internal/link/serve.go
+++ b/internal/link/serve.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		return nil, Refused.Wrap(err)
 	}
-	s.id, s.known = id, true
+	s.know(id)
 	return secure, nil
 }
 
@@ -131,9 +131,17 @@
 	if err := json.Unmarshal(*req.Params, &id); err != nil {
 		return
 	}
+	s.know(id)
+}
+
+// know takes the peer's identity; an instance that calls can be called.
+func (s *session) know(id keys.Identity) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.id, s.known = id, true
+	s.mu.Unlock()
+	if id.Role == keys.Instance {
+		s.link.remotes.revive(fleet.ID(id.Name))
+	}
 }
 
 func (s *session) identity() (keys.Identity, bool) {
