Ask about an unsettled service ever less often

Cause: at 410 instances the one that settles a service asked all others every 5 s: 20 kB a second for each service, the whole budget. A service mostly waits for its idle limit. Change: the first look after 2 s, then by exponential back-off up to 60 s with jitter, anew after each change of the service. At the slope of docs/CAPACITY.md (20,286 bytes a second at 5 s) a look a minute is some 1.7 kB a second.

--- a/internal/handover/doc.go
+++ b/internal/handover/doc.go
@@ -19,7 +19,7 @@
 	// tickInterval is the time between two looks at what is to be sent.
 	tickInterval = 100 * time.Millisecond
 	// settleInterval is the time between two looks at unsettled services.
-	settleInterval = 5 * time.Second
+	settleInterval = time.Second
 	// part names this package in logs.
 	part = "handover"
 )
--- a/internal/handover/settle.go
+++ b/internal/handover/settle.go
@@ -45,6 +45,7 @@
 	source  Source
 	settler Settler
 	log     *slog.Logger
+	pace    *pace
 	steps   tally.Counter
 	refused tally.Counter
 }
@@ -54,7 +55,7 @@
 	scope = scope.SubScope("settling")
 	return &Coordinator{
 		self: self, engine: e, caller: c, source: src, settler: s, log: log.With("part", part),
-		steps: scope.Counter("steps"), refused: scope.Counter("refused"),
+		pace: newPace(), steps: scope.Counter("steps"), refused: scope.Counter("refused"),
 	}
 }
 
@@ -79,10 +80,7 @@
 	if cfg == nil || view == nil {
 		return
 	}
-	for _, name := range placement.Unsettled(cfg) {
-		if First(view, name) != c.self {
-			continue
-		}
+	for _, name := range c.due(cfg, view) {
 		step := placement.Settle(cfg, name, view, c.summaries(ctx, view, name))
 		if step != placement.NoStep {
 			c.take(ctx, step, name, cfg.Version)
@@ -91,6 +89,24 @@
 	}
 }
 
+// due returns the unsettled services of this instance that it is time to look at.
+func (c *Coordinator) due(cfg *config.Config, view *fleet.View) []string {
+	mine := map[string]bool{}
+	for _, name := range placement.Unsettled(cfg) {
+		mine[name] = First(view, name) == c.self
+	}
+	c.pace.keep(mine)
+	var names []string
+	now := time.Now()
+	for i := range cfg.Services {
+		s := &cfg.Services[i]
+		if mine[s.Name] && c.pace.due(now, s) {
+			names = append(names, s.Name)
+		}
+	}
+	return names
+}
+
 func (c *Coordinator) take(ctx context.Context, step placement.Step, service string, seen config.Version) {
 	act := c.settler.Clear
 	if step == placement.Rebase {
