--- a/internal/app/connect.go
+++ b/internal/app/connect.go
@@ -10,6 +10,7 @@
 
 	"balsamfork/internal/admin"
 	"balsamfork/internal/config"
+	"balsamfork/internal/confsettle"
 	"balsamfork/internal/confsync"
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/flow"
@@ -19,6 +20,8 @@
 	"balsamfork/internal/keys"
 	"balsamfork/internal/link"
 	"balsamfork/internal/placement"
+	"balsamfork/internal/platform"
+	"balsamfork/internal/prober"
 	"balsamfork/internal/requestpath"
 	"balsamfork/internal/telemetry"
 )
@@ -33,6 +36,8 @@
 	Trust    *trust
 	Keepers  *forward.Keepers
 	Requests *requestpath.Path
+	Settler  *confsettle.Settler
+	Prober   *prober.Prober
 	Ready    *configured
 }
 
@@ -54,16 +59,21 @@
 		w.Engine.SetView(now(), v)
 		w.Requests.SetView(v)
 		w.Sync.SetView(v)
+		w.Settler.SetView(v)
+		w.Prober.SetView(v)
 	})
 	w.Gossip.OnVersion(w.Sync.PeerVersion)
 	w.Gossip.OnAnnouncements(func([]flow.Announcement) {
 		all := w.Gossip.Announcements()
 		w.Engine.SetAnnouncements(now(), all)
 		w.Requests.SetAnnouncements(all)
+		w.Prober.SetAnnouncements(all)
 	})
+	w.Prober.OnAnnounce(w.Gossip.Announce)
 	w.Sync.OnChange(func(c *config.Config) {
 		w.Engine.SetConfig(now(), c)
 		w.Requests.SetConfig(c)
+		w.Prober.SetConfig(c)
 		w.Gossip.SetApplied(c.Version)
 		w.Ready.note()
 	})
@@ -86,6 +96,9 @@
 	Serving   *serving
 	Exchanger *handover.Exchanger
 	Settling  *handover.Coordinator
+	Settler   *confsettle.Settler
+	Prober    *prober.Prober
+	Platform  *platform.Reader
 	Ready     *configured
 }
 
@@ -106,6 +119,9 @@
 	s.Serving.run(s.syncConfiguration)
 	s.Serving.run(s.Exchanger.Run)
 	s.Serving.run(s.Settling.Run)
+	s.Serving.run(s.settle)
+	s.Serving.run(s.Prober.Run)
+	s.Serving.run(s.Platform.Run)
 	s.Serving.run(s.watchKeys)
 	s.Serving.run(func(ctx context.Context) { s.Serving.begin(ctx, s.Ready.done) })
 }
@@ -116,6 +132,12 @@
 	}
 }
 
+func (s started) settle(ctx context.Context) {
+	if err := s.Settler.Run(ctx); err != nil && ctx.Err() == nil {
+		s.Log.Error("Services are no longer settled", "error", err)
+	}
+}
+
 func (s started) watchKeys(ctx context.Context) {
 	if s.Keys == nil {
 		return
--- a/internal/app/parts.go
+++ b/internal/app/parts.go
@@ -10,16 +10,20 @@
 
 	"balsamfork/internal/admin"
 	"balsamfork/internal/config"
+	"balsamfork/internal/confsettle"
 	"balsamfork/internal/confstore"
 	"balsamfork/internal/confsync"
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/forward"
 	"balsamfork/internal/gossip"
 	"balsamfork/internal/handover"
+	"balsamfork/internal/health"
 	"balsamfork/internal/keys"
 	"balsamfork/internal/link"
 	"balsamfork/internal/member"
 	"balsamfork/internal/placement"
+	"balsamfork/internal/platform"
+	"balsamfork/internal/prober"
 	"balsamfork/internal/records"
 	"balsamfork/internal/requestpath"
 	"balsamfork/internal/settings"
@@ -31,9 +35,9 @@
 var Module = fx.Module("instance",
 	fx.Provide(
 		newSockets, newMetrics, newScope, newKeys, newBook, newLink, newGossip, newStoreClient, newRepository,
-		newSync, newEngine, newTrust, newKeepers, newForwarder, newRequests, newServing, newAdmin, newConfigured, newSettler, newExchanger, newCoordinator,
+		newSync, newEngine, newTrust, newKeepers, newForwarder, newRequests, newServing, newAdmin, newConfigured, newSettler, newExchanger, newCoordinator, newProber, newPlatform,
 	),
-	fx.Invoke(connect, run),
+	fx.Invoke(connect, report, run),
 )
 
 // parts are those that a Daemon uses itself.
@@ -132,8 +136,32 @@
 	}, l)
 }
 
-func newSettler(s *settings.Valid, r *confstore.Repository) handover.Settler {
-	return confstore.NewSettler(r, string(s.Self.ID), time.Now)
+func newSettler(
+	s *settings.Valid, r *confstore.Repository, c *storeclient.Client, l *link.Link, log *slog.Logger, scope tally.Scope,
+) *confsettle.Settler {
+	return confsettle.New(confsettle.Options{
+		Self:   s.Self.ID,
+		Writer: confstore.NewSettler(r, string(s.Self.ID), time.Now),
+		Limits: c,
+		Peers:  l,
+		Scope:  scope,
+		Log:    log,
+	}, l)
+}
+
+func newProber(s *settings.Valid, e *placement.Engine, l *link.Link, log *slog.Logger, scope tally.Scope) *prober.Prober {
+	return prober.New(prober.Options{
+		Self:    s.Self.ID,
+		Params:  health.Default(),
+		Seed:    seed(),
+		Records: e,
+	}, l, l, log, scope)
+}
+
+func newPlatform(
+	s *settings.Valid, c *storeclient.Client, g *gossip.Gossip, log *slog.Logger, scope tally.Scope,
+) *platform.Reader {
+	return platform.New(c, func(list []fleet.Instance) { g.Seed(append(list, s.Peers...)) }, seed(), log, scope)
 }
 
 func newExchanger(e *placement.Engine, l *link.Link, log *slog.Logger, scope tally.Scope) *handover.Exchanger {
@@ -153,7 +181,7 @@
 func (n newest) View() *fleet.View { return n.gossip.View() }
 
 func newCoordinator(
-	s *settings.Valid, e *placement.Engine, l *link.Link, g *gossip.Gossip, cs *confsync.Syncer, settler handover.Settler,
+	s *settings.Valid, e *placement.Engine, l *link.Link, g *gossip.Gossip, cs *confsync.Syncer, settler *confsettle.Settler,
 	log *slog.Logger, scope tally.Scope,
 ) *handover.Coordinator {
 	return handover.NewCoordinator(s.Self.ID, e, l, newest{gossip: g, sync: cs}, settler, scope, log)
@@ -172,7 +200,7 @@
 	return forward.New(c, e, t.has, log, scope)
 }
 
-func newRequests(s *settings.Valid, g *gossip.Gossip, l *link.Link, log *slog.Logger, scope tally.Scope) *requestpath.Path {
+func newRequests(s *settings.Valid, g *gossip.Gossip, p *prober.Prober, l *link.Link, log *slog.Logger, scope tally.Scope) *requestpath.Path {
 	self, _ := g.View().Get(s.Self.ID)
 	return requestpath.New(requestpath.Options{
 		Self:        self.ID,
@@ -180,6 +208,7 @@
 		DataCentre:  self.DataCentre,
 		Region:      self.Region,
 		Listen:      s.Requests.Listen,
+		Evidence:    p.Evidence,
 	}, l, l, log, scope)
 }
 
--- a/internal/confsync/role.go
+++ b/internal/confsync/role.go
@@ -38,46 +38,61 @@
 	}
 	// Half of the reads belongs to the watchers. On the smaller side of a
 	// partition there may be watchers beyond the number reckoned with.
-	if reachesMost(view, self.DataCentre) {
-		r.readers = 2 * watchersPerDataCentre * len(dataCentres(view))
+	if ReachesMost(view, self.DataCentre) {
+		r.readers = 2 * watchersPerDataCentre * DataCentres(view)
 	}
 	r.tell = audience(view, self.DataCentre, watchers)
 	return r
 }
 
-// watchersByDataCentre ranks the usable instances of each data centre by
-// rendezvous hashing (Thaler and Ravishankar, 1998) and returns the first ones.
+// watchersByDataCentre returns the first usable instances of each data centre by
+// rendezvous hashing (Thaler and Ravishankar, 1998).
 func watchersByDataCentre(view *fleet.View) map[string][]fleet.ID {
-	ranked := map[string][]fleet.ID{}
+	first := map[string][]ranked{}
 	for _, i := range view.Instances {
 		if i.Usable() {
-			ranked[i.DataCentre] = append(ranked[i.DataCentre], i.ID)
+			first[i.DataCentre] = insert(first[i.DataCentre], ranked{i.ID, rank(i.ID)})
 		}
 	}
-	for name, ids := range ranked {
-		slices.SortFunc(ids, func(a, b fleet.ID) int {
-			return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a, b))
-		})
-		ranked[name] = ids[:min(len(ids), watchersPerDataCentre)]
+	ids := make(map[string][]fleet.ID, len(first))
+	for name, list := range first {
+		for _, r := range list {
+			ids[name] = append(ids[name], r.id)
+		}
 	}
-	return ranked
+	return ids
+}
+
+type ranked struct {
+	id   fleet.ID
+	rank uint64
+}
+
+// insert keeps the list in order of rank, and no longer than there are watchers.
+func insert(list []ranked, r ranked) []ranked {
+	at, _ := slices.BinarySearchFunc(list, r, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.id, b.id))
+	})
+	list = slices.Insert(list, at, r)
+	return list[:min(len(list), watchersPerDataCentre)]
 }
 
 func rank(id fleet.ID) uint64 {
 	return xxh3.HashString("config watcher " + string(id))
 }
 
-func dataCentres(view *fleet.View) map[string]bool {
+// DataCentres returns the number of data centres that a view has instances of.
+func DataCentres(view *fleet.View) int {
 	names := map[string]bool{}
 	for _, i := range view.Instances {
 		names[i.DataCentre] = true
 	}
-	return names
+	return len(names)
 }
 
-// reachesMost reports whether more than half of the instances of a data centre
-// are reachable.
-func reachesMost(view *fleet.View, dataCentre string) bool {
+// ReachesMost reports whether more than half of the instances of a data centre
+// are reachable: at most one side of a partition does.
+func ReachesMost(view *fleet.View, dataCentre string) bool {
 	reachable, all := 0, 0
 	for _, i := range view.Instances {
 		if i.DataCentre != dataCentre {
