Say what an unsettled service waits for

Cause: operators could not see why a service does not settle. Change: Settle returns the reason; the coordinator logs it when it changes.

--- a/internal/handover/settle.go
+++ b/internal/handover/settle.go
@@ -48,6 +48,8 @@
 	pace    *pace
 	steps   tally.Counter
 	refused tally.Counter
+	// waits is what was logged last for each service. Only Run uses it.
+	waits map[string]placement.Wait
 }
 
 // NewCoordinator returns a Coordinator, whose Run does the work.
@@ -55,7 +57,8 @@
 	scope = scope.SubScope("settling")
 	return &Coordinator{
 		self: self, engine: e, caller: c, source: src, settler: s, log: log.With("part", part),
-		pace: newPace(), steps: scope.Counter("steps"), refused: scope.Counter("refused"),
+		waits: map[string]placement.Wait{},
+		pace:  newPace(), steps: scope.Counter("steps"), refused: scope.Counter("refused"),
 	}
 }
 
@@ -81,7 +84,8 @@
 		return
 	}
 	for _, name := range c.due(cfg, view) {
-		step := placement.Settle(cfg, name, view, c.summaries(ctx, view, name))
+		step, wait := placement.Settle(cfg, name, view, c.summaries(ctx, view, name))
+		c.explain(name, wait)
 		if step != placement.NoStep {
 			c.take(ctx, step, name, cfg.Version)
 			return
@@ -107,6 +111,17 @@
 	return names
 }
 
+// explain logs what a service waits for when that has changed.
+func (c *Coordinator) explain(service string, wait placement.Wait) {
+	if c.waits[service] == wait {
+		return
+	}
+	c.waits[service] = wait
+	if wait != placement.Nothing {
+		c.log.Info("Service waits.", "service", service, "for", wait.String())
+	}
+}
+
 func (c *Coordinator) take(ctx context.Context, step placement.Step, service string, seen config.Version) {
 	act := c.settler.Clear
 	if step == placement.Rebase {
@@ -118,7 +133,7 @@
 		return
 	}
 	c.steps.Inc(1)
-	c.log.Info("Service came nearer to being settled.", "service", service, "version", seen, "step", step)
+	c.log.Info("Service came nearer to being settled.", "service", service, "version", seen, "step", step.String())
 }
 
 // First returns the usable instance that settles a service, or "".
--- a/internal/placement/schedule_test.go
+++ b/internal/placement/schedule_test.go
@@ -274,7 +274,8 @@
 	next := *m.config
 	next.Services = slices.Clone(next.Services)
 	s := &next.Services[i]
-	switch Settle(m.config, s.Name, v, all) {
+	step, _ := Settle(m.config, s.Name, v, all)
+	switch step {
 	case Rebase:
 		s.Past = append([]config.Set{s.Settled}, s.Past...)
 		s.Settled = s.Current
--- a/internal/placement/settle.go
+++ b/internal/placement/settle.go
@@ -93,36 +93,76 @@
 	return out
 }
 
+// Wait says why a service is not brought nearer to being settled.
+type Wait uint8
+
+// The reasons for which Settle waits, in the order in which it looks at them.
+const (
+	Nothing Wait = iota
+	DataCentreOutOfReach
+	SummaryMissing
+	VersionNotInForce
+	RecordsIncomplete
+	ServerOnRamp
+	OlderFlowsUnknown
+	FlowsAwayFromBase
+)
+
+// String returns the reason in words.
+func (w Wait) String() string {
+	return [...]string{
+		"nothing", "data centre out of reach", "summary missing", "version not in force everywhere",
+		"records incomplete at an instance", "backend server on its ramp", "older flows not all known",
+		"flows away from their base",
+	}[w]
+}
+
 // Settle decides the next step of a service from the summaries of the reachable
-// instances. It waits for all of them, and while a data centre that was not taken
-// out has instances but none in reach, since those may still place flows.
-func Settle(c *config.Config, service string, v *fleet.View, all map[fleet.ID]Summary) Step {
+// instances, and says what it waits for if there is none. It waits for all of them,
+// and while a data centre that was not taken out has instances but none in reach,
+// since those may still place flows.
+func Settle(c *config.Config, service string, v *fleet.View, all map[fleet.ID]Summary) (Step, Wait) {
 	i := slices.IndexFunc(c.Services, func(s config.Service) bool { return s.Name == service })
-	if i < 0 || cutOff(c, v) {
-		return NoStep
+	if i < 0 || c.Services[i].IsSettled() {
+		return NoStep, Nothing
+	}
+	if cutOff(c, v) {
+		return NoStep, DataCentreOutOfReach
 	}
-	s := &c.Services[i]
-	watched, away := true, 0
+	rebase := !slices.Equal(c.Services[i].Settled, c.Services[i].Current)
 	for _, instance := range v.Instances {
 		if !instance.Reachable() {
 			continue
 		}
 		summary, ok := all[instance.ID]
-		if !ok || summary.Version != c.Version || !summary.Complete {
-			return NoStep
+		if !ok {
+			return NoStep, SummaryMissing
 		}
-		watched = watched && summary.Watched && !summary.Ramping
-		for _, a := range summary.Away {
-			away += a.Flows
+		if w := summary.waits(c.Version, rebase); w != Nothing {
+			return NoStep, w
 		}
 	}
+	if rebase {
+		return Rebase, Nothing
+	}
+	return Clear, Nothing
+}
+
+// waits returns what this instance's part of a step waits for.
+func (s Summary) waits(version config.Version, rebase bool) Wait {
 	switch {
-	case !slices.Equal(s.Settled, s.Current):
-		return stepIf(watched, Rebase)
-	case len(s.Past) > 0:
-		return stepIf(away == 0, Clear)
+	case s.Version != version:
+		return VersionNotInForce
+	case !s.Complete:
+		return RecordsIncomplete
+	case rebase && s.Ramping:
+		return ServerOnRamp
+	case rebase && !s.Watched:
+		return OlderFlowsUnknown
+	case !rebase && len(s.Away) > 0:
+		return FlowsAwayFromBase
 	default:
-		return NoStep
+		return Nothing
 	}
 }
 
@@ -145,13 +185,6 @@
 	return n, true
 }
 
-func stepIf(ok bool, s Step) Step {
-	if ok {
-		return s
-	}
-	return NoStep
-}
-
 // cutOff reports whether some data centre that was not taken out is out of reach.
 func cutOff(c *config.Config, v *fleet.View) bool {
 	for _, d := range c.DataCentres {
