Search on through an instance that is behind

Change: it passes searches on, and decides what it has the authority for. The schedules end when all has settled.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -73,10 +73,11 @@
 		d.engine.counts.hops.Add(1)
 		return d.derive()
 	}
-	if d.state.behind {
+	authority := d.engine.buckets[d.bucket].authority
+	if d.state.behind && !authority && p.Origin != flow.Delegated {
 		return d.pass()
 	}
-	if !d.service.isUnsettled(d.bucket) {
+	if !d.state.behind && !d.service.isUnsettled(d.bucket) {
 		return forward(d.service.baseOf(d.bucket))
 	}
 	ring := d.state.ring
@@ -84,7 +85,7 @@
 	if owner := ring.at(d.bucket, 0); steered && p.Hops < maxSteered && owner != nil && owner.ID != d.engine.self {
 		return relay(owner, flow.Steered)
 	}
-	if d.engine.buckets[d.bucket].authority {
+	if authority {
 		return d.unrecorded(d.state.confirmed >= d.service.since)
 	}
 	if next := ring.next(d.bucket, steered); next != nil {
--- a/internal/placement/schedule_run_test.go
+++ b/internal/placement/schedule_run_test.go
@@ -41,13 +41,29 @@
 	for _, c := range changes {
 		m.after(8*time.Second+c.at, func() { m.do(c) })
 	}
-	m.run(320 * time.Second)
+	m.run(122 * time.Second)
+	for range 10 {
+		if m.left() > 0 {
+			m.run(20 * time.Second)
+		}
+	}
 	return m
 }
 
+// left counts the services that are not settled and the records that are held.
+func (m *model) left() int {
+	n := len(Unsettled(m.config))
+	for _, node := range m.nodes {
+		if node.up {
+			n += node.engine.records.Total()
+		}
+	}
+	return n
+}
+
 func TestNoFlowBreaksOverSchedules(t *testing.T) {
 	is := is.New(t)
-	flows, packets, relays, unsettled, left := 0, 0, 0, 0, 0
+	flows, packets, relays, left := 0, 0, 0, 0
 	for seed := range scheduleSeeds {
 		m := play(seed, float64(seed%2)*lossShare)
 		none := func(int) bool { return false }
@@ -57,16 +73,11 @@
 		flows += len(m.clients)
 		packets += m.packets
 		relays += m.relays
-		unsettled += len(Unsettled(m.config))
-		for _, n := range m.nodes {
-			if n.up && len(Unsettled(m.config)) == 0 && len(m.told) == 0 {
-				left += n.engine.records.Total()
-			}
-		}
+		left += m.left()
 	}
-	t.Logf("%d flows, %d packets, %d relays, %d services and %d records left at the end", flows, packets, relays, unsettled, left)
+	t.Logf("%d flows, %d packets, %d relays, %d services and records left at the end", flows, packets, relays, left)
 	is.True(flows >= 10000)
-	is.Equal([]int{unsettled, left}, []int{0, 0})
+	is.Equal(left, 0)
 }
 
 // churn drains one of three backend servers, then changes the table of instances
