--- a/internal/app/serving.go
+++ b/internal/app/serving.go
@@ -93,7 +93,9 @@
 	s.forwarder.Start()
 	s.requests.StartOn(s.sockets.Requests)
 	s.phase.CompareAndSwap(int32(learning), int32(serves))
-	s.log.Info("Instance serves", "version", s.engine.Version())
+	self, _ := s.gossip.View().Get(s.gossip.View().Self)
+	s.log.Info("Instance serves", "version", s.engine.Version(),
+		"packets", self.Packets, "requests", self.Requests, "control", self.Control)
 }
 
 func (s *serving) leave() { s.phase.Store(int32(leaving)) }
--- a/internal/localfleet/localfleet.go
+++ b/internal/localfleet/localfleet.go
@@ -69,10 +69,14 @@
 
 // Start starts an instance and waits until it serves. It is a demo.StartDaemon.
 func (f *Fleet) Start(ctx context.Context, i demo.Instance) (demo.Daemon, error) {
-	s, err := f.settings(i)
+	raw, err := f.Settings(i)
 	if err != nil {
 		return nil, err
 	}
+	s, err := raw.Validate()
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
 	daemon, err := app.New(s, app.Logger(s, f.log))
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -83,10 +87,11 @@
 	return instance{daemon}, awaitReady(ctx, daemon)
 }
 
-func (f *Fleet) settings(i demo.Instance) (*settings.Valid, error) {
+// Settings returns the settings of an instance, whose certificate it makes.
+func (f *Fleet) Settings(i demo.Instance) (settings.Settings, error) {
 	files, err := f.Files(keys.Identity{Role: keys.Instance, Name: i.ID})
 	if err != nil {
-		return nil, err
+		return settings.Settings{}, err
 	}
 	s := settings.Settings{
 		ID:           i.ID,
@@ -105,8 +110,7 @@
 			ID: p.ID, DataCentre: p.DataCentre, Region: p.Region, Control: p.Control.String(),
 		})
 	}
-	valid, err := s.Validate()
-	return valid, Error.Wrap(err)
+	return s, nil
 }
 
 func tlsOf(f keys.Files) *settings.TLS {
