Give each instance three different watchers

Cause: two rings may have the same neighbour. In fleets of three and four, and by chance in larger ones, an instance then had one watcher, no second suspicion came, and its crash was found in 4 s. Change: watchers are the next on each ring that are not one already, and each instance works out whom it watches by the same rule. Conclusion: the bound holds whatever the rings are.

--- a/internal/member/bound_test.go
+++ b/internal/member/bound_test.go
@@ -104,6 +104,40 @@
 	is.True(perTick <= 2)
 }
 
+func TestBoundDepartureIsKnownIn300Milliseconds(t *testing.T) {
+	is := is.New(t)
+	r := newRun(t, today, 15)
+	leaver := r.Nodes[9]
+	leaver.Table.Leave(r.Now())
+	took, ok := r.Until(time.Second, func() bool { return r.AllTake(leaver.ID, fleet.Leaving) })
+	is.True(ok)
+	is.True(took <= 300*time.Millisecond)
+	leaver.Table.Finish(r.Now())
+	r.Run(100 * time.Millisecond)
+	leaver.Down = true
+	_, ok = r.Until(200*time.Millisecond, func() bool { return r.AllTake(leaver.ID, fleet.Dead) })
+	is.True(ok)
+}
+
+// Each instance has three watchers in any fleet that is large enough, by whatever
+// chance the rings fall.
+func TestBoundCrashOfAnyInstanceIsFoundInTime(t *testing.T) {
+	for seed := range uint64(3) {
+		is := is.New(t)
+		r := newRun(t, today, seed)
+		for n, victim := range r.Nodes {
+			victim.Down = true
+			took, ok := r.Until(3*time.Second, func() bool { return r.AllTake(victim.ID, fleet.Dead) })
+			is.True(ok)
+			is.True(took <= 1500*time.Millisecond)
+			r.Start(n)
+			_, ok = r.Until(2*time.Second, r.Agreed)
+			is.True(ok)
+			r.Run(time.Second)
+		}
+	}
+}
+
 func TestReturningInstanceIsKnownByItsNewIncarnation(t *testing.T) {
 	is := is.New(t)
 	r := newRun(t, today, 10)
--- a/internal/member/fault_test.go
+++ b/internal/member/fault_test.go
@@ -296,3 +296,29 @@
 	}
 	return out
 }
+
+// The smallest fleets form, find a crash and take the instance back. With one
+// watcher alone there is no second suspicion, and the verdict takes longer.
+func TestSmallFleets(t *testing.T) {
+	for count := 1; count <= 6; count++ {
+		is := is.New(t)
+		r := newRun(t, count, uint64(count))
+		r.Run(10 * time.Second)
+		is.True(r.Agreed())
+		if count == 1 {
+			continue
+		}
+		victim := r.Nodes[count-1]
+		victim.Down = true
+		limit := 1600 * time.Millisecond
+		if count == 2 {
+			limit = 4500 * time.Millisecond
+		}
+		_, ok := r.Until(limit, func() bool { return r.AllTake(victim.ID, fleet.Dead) })
+		is.True(ok)
+		r.Start(count - 1)
+		_, ok = r.Until(2*time.Second, r.Agreed)
+		is.True(ok)
+		is.Equal(len(r.wrong), 0)
+	}
+}
--- a/internal/member/rows.go
+++ b/internal/member/rows.go
@@ -17,8 +17,9 @@
 // row is one instance of the table.
 type row struct {
 	fleet.Instance
-	// place is the position on each ring.
+	// place is the position on each ring, index its number there.
 	place [rings]uint64
+	index [rings]int
 	hash  uint64
 	// suspicion is nil while nobody suspects the instance.
 	suspicion *suspicion
@@ -97,67 +98,3 @@
 	}
 	return out
 }
-
-// neighbours returns the next and the one before on each ring among the
-// instances that are not dead, without doubles; nil if there is no other.
-func (r *rows) neighbours(self fleet.ID) (after, before []fleet.ID) {
-	own := places(self)
-	for ring := range rings {
-		next, last := r.adjacent(self, own[ring], ring, present)
-		if next == nil {
-			return nil, nil
-		}
-		after = appendNew(after, next.ID)
-		before = appendNew(before, last.ID)
-	}
-	return after, before
-}
-
-// watchers returns the next instances on each ring, and beyond each that is
-// suspected the next that is not: others may have found it dead already.
-func (r *rows) watchers(self fleet.ID) []fleet.ID {
-	own := places(self)
-	var out []fleet.ID
-	for ring := range rings {
-		next, _ := r.adjacent(self, own[ring], ring, present)
-		if next == nil {
-			return nil
-		}
-		out = appendNew(out, next.ID)
-		sound, _ := r.adjacent(self, own[ring], ring, unsuspected)
-		if sound != nil {
-			out = appendNew(out, sound.ID)
-		}
-	}
-	return out
-}
-
-func present(x *row) bool { return x.State != fleet.Dead }
-
-func unsuspected(x *row) bool { return x.State != fleet.Dead && x.suspicion == nil }
-
-// adjacent finds the instances right after and right before a place on a ring,
-// of those that count.
-func (r *rows) adjacent(self fleet.ID, at uint64, ring int, counts func(*row) bool) (next, last *row) {
-	var gap, back uint64
-	for _, x := range r.list {
-		if x.ID == self || !counts(x) {
-			continue
-		}
-		forward := x.place[ring] - at
-		if next == nil || forward < gap {
-			next, gap = x, forward
-		}
-		if last == nil || -forward < back {
-			last, back = x, -forward
-		}
-	}
-	return next, last
-}
-
-func appendNew(list []fleet.ID, id fleet.ID) []fleet.ID {
-	if slices.Contains(list, id) {
-		return list
-	}
-	return append(list, id)
-}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -21,7 +21,7 @@
 	after  []fleet.ID
 	before []fleet.ID
 	// watchers are who heartbeats go to: those after this one on the rings, and
-	// while one of them is suspected the next.
+	// while one of them is suspected its stand-ins.
 	watchers []fleet.ID
 	// moved is set when the neighbours have to be found anew.
 	moved bool
@@ -201,17 +201,28 @@
 }
 
 func (t *Table) refreshNeighbours(now int64) {
-	if !t.moved {
+	if !t.moved || t.self.State == fleet.Dead {
 		return
 	}
 	t.moved = false
 	known := t.watchers
-	t.after, t.before = t.rows.neighbours(t.self.ID)
-	t.watchers = t.rows.watchers(t.self.ID)
+	t.after, t.before = nil, nil
+	t.lookAround()
 	t.greet(known)
 	t.rewatch(now)
 }
 
+// lookAround finds the neighbours on the rings.
+func (t *Table) lookAround() {
+	c := t.rows.circles()
+	watchers := c.watchers(t.self)
+	for _, x := range watchers {
+		t.after = append(t.after, x.ID)
+	}
+	t.before = c.watched(t.self)
+	t.watchers = append(slices.Clone(t.after), c.standIns(t.self, watchers)...)
+}
+
 func (t *Table) setState(now int64, x *row, s fleet.State) {
 	x.State = s
 	t.epoch++
