--- a/internal/demo/choices.go
+++ b/internal/demo/choices.go
@@ -9,6 +9,9 @@
 type choices struct {
 	// drained is the index of the backend server that drains.
 	drained int
+	// misread is the index of the backend server whose health endpoint says that it
+	// fails while it serves.
+	misread int
 	// out is the data centre that is taken out; the backend server that joins is
 	// placed in another one.
 	out   string
@@ -24,9 +27,12 @@
 func choose(seed uint64, d Deployment) choices {
 	random := rand.New(rand.NewPCG(seed, choiceStream))
 	somewhere := func() string { return d.dataCentre(random.IntN(len(d.DataCentres))) }
+	drained := random.IntN(d.Services[0].Servers)
+	misread := (drained + 1 + random.IntN(d.Services[0].Servers-1)) % d.Services[0].Servers
 	out := random.IntN(len(d.DataCentres))
 	return choices{
-		drained:  random.IntN(d.Services[0].Servers),
+		drained:  drained,
+		misread:  misread,
 		out:      d.dataCentre(out),
 		joins:    d.dataCentre(out + 1),
 		replaced: somewhere(),
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -167,7 +167,7 @@
 	var progress, table bytes.Buffer
 	r := play(t, &fleet{}, Kernhaven(), &progress)
 	is.Equal(r.Violations, []string{})
-	is.Equal(len(r.Phases), 9)
+	is.Equal(len(r.Phases), 10)
 	var flows, packets uint64
 	var requests int
 	for _, p := range r.Phases {
--- a/internal/demo/phases.go
+++ b/internal/demo/phases.go
@@ -6,18 +6,20 @@
 	"time"
 
 	"balsamfork/internal/config"
+	"balsamfork/internal/standin/backend"
 	"balsamfork/internal/standin/caller"
 )
 
 // How long each phase lasts beyond the changes in it.
 const (
-	steadyTime = 3 * time.Second
-	drainTime  = 9 * time.Second
-	outTime    = 4 * time.Second
-	backTime   = 5 * time.Second
-	storeTime  = 3 * time.Second
-	killTime   = 5 * time.Second
-	afterTime  = 3 * time.Second
+	steadyTime  = 3 * time.Second
+	drainTime   = 9 * time.Second
+	outTime     = 4 * time.Second
+	backTime    = 5 * time.Second
+	storeTime   = 3 * time.Second
+	killTime    = 5 * time.Second
+	misreadTime = 4 * time.Second
+	afterTime   = 3 * time.Second
 	// openTimeout bounds how long all flows take to open.
 	openTimeout = 20 * time.Second
 	// openShare is the share of flows that must be open; the short ones come and go.
@@ -38,6 +40,7 @@
 		{"data centre back", r.bringBack},
 		{"store gone while an instance starts", r.storeGone},
 		{"instance killed", r.kill},
+		{"health misread", r.misread},
 		{"undrain", r.undrain},
 	} {
 		if err := r.phase(p.name, func() error { return p.part(ctx) }); err != nil {
@@ -262,6 +265,15 @@
 	return r.hold(ctx, killTime)
 }
 
+// misread lets the health endpoint of a backend server say that it fails, and
+// then that it does not, while it serves all along.
+func (r *run) misread(ctx context.Context) error {
+	endpoint := r.servers[r.choices.misread].flows
+	endpoint.SetHealth(backend.Health{Status: backend.Failing})
+	defer endpoint.SetHealth(backend.Health{Status: backend.OK})
+	return r.hold(ctx, misreadTime)
+}
+
 func (r *run) undrain(ctx context.Context) error {
 	r.servers[r.choices.drained].state = config.Active
 	if _, err := r.change(ctx); err != nil {
