--- a/internal/demo/daemon.go
+++ b/internal/demo/daemon.go
@@ -58,8 +58,9 @@
 // Platform is what a demonstration runs on.
 type Platform struct {
 	Start StartDaemon
-	// Operator returns an operator of the configuration in a store.
-	Operator func(storeURL string) Operator
+	// Operator returns an operator of the configuration in a store. The seed
+	// decides the key by which flows are spread.
+	Operator func(storeURL string, seed uint64) Operator
 	// Worker starts the request side of a backend server.
 	Worker func(o WorkerOptions) (Worker, error)
 	// Sender returns a sender of requests through the given instances.
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -39,7 +39,7 @@
 func (f *fleet) platform() Platform {
 	return Platform{
 		Start:    f.start,
-		Operator: func(string) Operator { return f },
+		Operator: func(string, uint64) Operator { return f },
 		Worker:   f.worker,
 		Sender:   func([]netip.AddrPort) Sender { return f },
 	}
--- a/internal/demo/platform.go
+++ b/internal/demo/platform.go
@@ -26,6 +26,8 @@
 	// with an instance that settled a service, or whose outcome is not known.
 	applyAttempts = 10
 	applyPause    = 50 * time.Millisecond
+	// keyStream numbers the random stream of the hash key.
+	keyStream = 1 << 22
 	// method is the method of all requests.
 	method = "order"
 )
@@ -42,15 +44,19 @@
 	hashKey    [config.HashKeySize]byte
 }
 
-func newOperator(storeURL string) Operator {
-	o := &operator{repository: confstore.New(storeclient.New(storeclient.Options{
+func newOperator(storeURL string, seed uint64) Operator {
+	random := rand.New(rand.NewPCG(seed, keyStream))
+	o := &operator{}
+	for i := range o.hashKey {
+		o.hashKey[i] = byte(random.Uint32())
+	}
+	o.repository = confstore.New(storeclient.New(storeclient.Options{
 		URL:    storeURL,
 		Fleet:  1,
-		Random: rand.New(rand.NewPCG(1, 1)),
+		Random: random,
 		Scope:  tally.NoopScope,
 		Log:    slog.New(slog.DiscardHandler),
-	}))}
-	_, _ = crand.Read(o.hashKey[:])
+	}))
 	return o
 }
 
--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -91,7 +91,7 @@
 	w.web = &http.Server{Handler: w.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = w.web.Serve(listener) }()
 	w.storeURL = "http://" + listener.Addr().String()
-	w.operator = p.Operator(w.storeURL)
+	w.operator = p.Operator(w.storeURL, o.Seed)
 	w.prober, err = newProber(w.fabric)
 	return w, err
 }
--- a/internal/localfleet/localfleet_test.go
+++ b/internal/localfleet/localfleet_test.go
@@ -47,7 +47,7 @@
 	b.fleet = fleet
 	doc, err := config.ParseDocument([]byte(declaration))
 	b.is.NoErr(err)
-	_, err = demo.NewPlatform(fleet.Start).Operator(b.url).Apply(ctx, doc)
+	_, err = demo.NewPlatform(fleet.Start).Operator(b.url, 1).Apply(ctx, doc)
 	b.is.NoErr(err)
 	return b
 }
