--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -39,7 +39,7 @@
 func (f *fleet) platform() Platform {
 	return Platform{
 		Start:    f.start,
-		Operator: func(string) Operator { return f },
+		Operator: func(string, uint64) Operator { return f },
 		Worker:   f.worker,
 		Sender:   func([]netip.AddrPort) Sender { return f },
 	}
@@ -167,7 +167,7 @@
 	var progress, table bytes.Buffer
 	r := play(t, &fleet{}, Kernhaven(), &progress)
 	is.Equal(r.Violations, []string{})
-	is.Equal(len(r.Phases), 9)
+	is.Equal(len(r.Phases), 10)
 	var flows, packets uint64
 	var requests int
 	for _, p := range r.Phases {
