Keep operators' marks apart from the declaration; apply against a planned version

Cause: drain, undrain, takeout and return edited the stored declaration, so the next apply of the declaration kept in version control undid a drain or takeout. And apply always took the newest version for what its operator had seen, so a plan that was read earlier could be stale without notice.

A declaration leaves marks alone, but for those on what it no longer has; undrain and return refuse, and say so, if the declaration itself says the same. plan, apply and the audit entries name the marks in effect. The stored form is format 2; a version with marks is readable from 2 on, one without from 1. plan prints the version it was made against and apply -seen N makes the change against it.

TestNewerRelease of confsync and TestNewerForm of config put the number of the next release's form relative to this one's, as that has grown by one; they check the same.

Conclusion: a drain or takeout lasts until an operator ends it.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -116,6 +116,39 @@
 	is.Equal(trail.Entries[4].Who, "anna")
 }
 
+// TestMarksOutliveADeclaration drains and takes out, applies the declaration that
+// was kept elsewhere, and puts everything back.
+func TestMarksOutliveADeclaration(t *testing.T) {
+	is := is.New(t)
+	u := newTool(t)
+	does := func(code int, words string, command ...string) {
+		t.Helper()
+		got, out, errors := u.change("", command[0], command[1:]...)
+		is.Equal(got, code)
+		is.True(strings.Contains(out+errors, words))
+	}
+	path := u.file(declaration)
+	does(0, "Planned against version 0.", "plan", path)
+	does(0, "Accepted as version 1", "apply", "-seen", "0", path)
+	does(0, "MARK in effect: drain orders/o1", "drain", "orders/o1")
+	does(0, "Accepted as version 3", "takeout", "-yes", "b")
+	does(0, "MARK in effect: take out data centre b\nMARK in effect: drain orders/o1", "plan", path)
+	does(0, "Nothing to change: version 3 has it already.\nMARK in effect: take out data centre b", "apply", path)
+	does(int(ExitConflict), "version 3 by anna: set mark: take out data centre b", "apply", "-seen", "2", path)
+	does(1, "after version 4 was seen", "apply", "-seen", "4", path)
+	does(2, "", "apply", "-seen", "x", path)
+
+	other := u.file(strings.Replace(declaration, `9002","weight":1`, `9002","weight":2`, 1))
+	does(0, "Accepted as version 4", "apply", "-seen", "3", other)
+	does(0, "Accepted as version 5", "return", "b")
+	does(0, "Accepted as version 6", "undrain", "orders/o1")
+	does(0, "Nothing to change: version 6", "undrain", "orders/o1")
+	does(1, `no backend server "o9"`, "drain", "orders/o9")
+	u.file(strings.Replace(declaration, `9001","weight":1`, `9001","weight":1,"state":"draining"`, 1))
+	does(0, "Accepted as version 7", "apply", path)
+	does(int(ExitRefused), "the declaration itself says to drain orders/o1", "undrain", "orders/o1")
+}
+
 func TestUsage(t *testing.T) {
 	is := is.New(t)
 	u := newTool(t)
--- a/internal/cli/declare.go
+++ b/internal/cli/declare.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strconv"
 
 	"balsamfork/internal/config"
 )
@@ -66,7 +67,9 @@
 		synopsis: "show what a declaration would change",
 		help: `Compares a declaration with the configuration in the store: who joins, drains or
 leaves, which share of each service's buckets is unsettled meanwhile, and which
-established flows would be cut. Nothing is changed.
+established flows would be cut. Marks, which drain and takeout set, stay in effect
+and are listed. Nothing is changed. The first line names the version that the plan
+was made against: apply -seen with that version makes this change or none.
 
 Exit codes: 0 the change can be applied; 2 the declaration is faulty; 4 it needs
 apply -force.`,
@@ -80,7 +83,7 @@
 		if err != nil {
 			return nil, err
 		}
-		diff, err := e.plan(doc)
+		diff, err := e.plan(config.Declare(doc))
 		if diff == nil {
 			return nil, err
 		}
@@ -93,12 +96,15 @@
 	var access storeFlags
 	var ask consent
 	var commit string
+	var seen seenFlag
 	c := &command{
 		name: "apply", args: "FILE", env: env,
 		synopsis: "have a declaration accepted",
 		help: `Shows the plan, asks before anything that cuts flows, and writes the declaration
 to the store as the next version. If another operator's change comes first, nothing
-is written and both are shown.
+is written and both are shown. With -seen that holds from the plan on: a declaration
+or mark that was accepted after that version makes a conflict. Marks stay in effect,
+but for those on what the declaration no longer has.
 
 Exit codes: 0 accepted, or nothing to change; 2 the declaration is faulty; 3 another
 change came first; 4 not confirmed, or it needs -force; 5 it may have been accepted:
@@ -106,6 +112,7 @@
 		flags: func(f flagSet) {
 			access.declare(f)
 			ask.declare(f)
+			f.Func("seen", "the `version` that plan was made against; without it, the newest", seen.parse)
 			f.StringVar(&commit, "commit", "", "the declaration's commit, for the audit trail")
 		},
 	}
@@ -119,7 +126,25 @@
 			return nil, err
 		}
 		e.commit = commit
-		return e.apply(ctx, doc)
+		if seen.given {
+			e.seen = seen.version
+		}
+		return e.apply(ctx, config.Declare(doc))
 	}
 	return c
 }
+
+// seenFlag is a version that may be absent.
+type seenFlag struct {
+	version config.Version
+	given   bool
+}
+
+func (s *seenFlag) parse(text string) error {
+	number, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return fmt.Errorf("must be the number of a version")
+	}
+	*s = seenFlag{version: config.Version(number), given: true}
+	return nil
+}
--- a/internal/cli/editor.go
+++ b/internal/cli/editor.go
@@ -30,9 +30,11 @@
 
 // editor makes one change to the configuration that it was opened on.
 type editor struct {
-	env    Env
-	store  *confstore.Repository
-	base   confstore.Snapshot
+	env   Env
+	store *confstore.Repository
+	base  confstore.Snapshot
+	// seen is the version that the change is made against.
+	seen   config.Version
 	who    string
 	commit string
 	ask    consent
@@ -47,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &editor{env: env, store: repository, base: base, who: access.who, ask: ask}, nil
+	return &editor{env: env, store: repository, base: base, seen: base.Version(), who: access.who, ask: ask}, nil
 }
 
 // change returns what is asked of the store. Its ID is new: repeated attempts of
@@ -55,7 +57,7 @@
 func (e *editor) change() config.Change {
 	c := config.Change{
 		ID:     rand.Text(),
-		Seen:   e.base.Version(),
+		Seen:   e.seen,
 		Force:  e.ask.force,
 		Who:    e.who,
 		When:   time.Now(),
@@ -75,13 +77,17 @@
 	return float64(unsettled.Count()) / table.Buckets
 }
 
-func (e *editor) plan(doc config.Document) (*config.Diff, error) {
-	return config.Plan(e.base.State, doc, e.change(), share)
+func (e *editor) plan(propose config.Proposal) (*config.Diff, error) {
+	return config.Plan(e.base.State, propose, e.change(), share)
 }
 
 // apply plans, asks and writes.
-func (e *editor) apply(ctx context.Context, doc config.Document) (outcome, error) {
-	diff, err := e.plan(doc)
+func (e *editor) apply(ctx context.Context, propose config.Proposal) (outcome, error) {
+	diff, err := e.plan(propose)
+	if config.Conflict.Has(err) { // only the store can tell what was accepted since
+		_, err = e.store.Propose(ctx, propose, e.change())
+		return nil, err
+	}
 	if err != nil && diff == nil {
 		return nil, err
 	}
@@ -91,7 +97,7 @@
 	if err := e.confirm(diff); err != nil {
 		return planned{Diff: diff}, err
 	}
-	result, err := e.store.Apply(ctx, doc, e.change())
+	result, err := e.store.Propose(ctx, propose, e.change())
 	if err != nil {
 		return nil, err
 	}
@@ -122,11 +128,12 @@
 
 // Text prints one line for each step.
 func (p planned) Text(w io.Writer) {
+	defer printMarks(w, p.Marks)
+	fmt.Fprintf(w, "Planned against version %d.\n", p.From)
 	if p.Empty() {
 		fmt.Fprintln(w, "Nothing to change.")
 		return
 	}
-	fmt.Fprintf(w, "Version %d -> %d\n", p.From, p.To)
 	for _, step := range p.DataCentres {
 		printStep(w, "data centre ", step)
 	}
@@ -141,6 +148,13 @@
 	}
 }
 
+// printMarks says which marks are in effect, whatever the declaration says.
+func printMarks(w io.Writer, marks []config.Mark) {
+	for _, m := range marks {
+		fmt.Fprintf(w, "MARK in effect: %s\n", m)
+	}
+}
+
 func printStep(w io.Writer, indent string, step config.Step) {
 	line := fmt.Sprintf("%s%s %s", indent, step.Action, step.Name)
 	if step.Detail != "" {
@@ -159,7 +173,10 @@
 func (a applied) Text(w io.Writer) {
 	if a.Already {
 		fmt.Fprintf(w, "Nothing to change: version %d has it already.\n", a.Version)
-		return
+	} else {
+		fmt.Fprintf(w, "Accepted as version %d.\n", a.Version)
+	}
+	if a.Diff != nil {
+		printMarks(w, a.Diff.Marks)
 	}
-	fmt.Fprintf(w, "Accepted as version %d.\n", a.Version)
 }
--- a/internal/cli/mark.go
+++ b/internal/cli/mark.go
@@ -7,38 +7,50 @@
 	"balsamfork/internal/config"
 )
 
-// edit derives a document from the one in the store.
-type edit func(doc config.Document, name string) (config.Document, error)
+// readMark reads what a command's argument names.
+type readMark func(argument string) (config.Mark, error)
+
+const markHelp = `
+
+The mark is kept apart from the declaration: apply of a declaration leaves it in
+effect, and plan shows it.`
 
 const markExit = `
 
 Exit codes: 0 accepted, or so already; 3 another change came first; 4 not confirmed,
 or it needs -force; 5 it may have been accepted: run the same command again.`
 
+const unmarkExit = `
+
+Exit codes: 0 accepted, or so already; 3 another change came first; 4 the declaration
+itself says so and has to be changed; 5 it may have been accepted: run the same
+command again.`
+
 func drainCommand(env Env) *command {
 	return markCommand(env, "drain", "SERVICE/SERVER", "stop new work at a backend server",
 		`The backend server gets no new flow or request; established flows stay until they
-end. Nothing is cut. undrain stops it again, also half way.`+markExit, setState(config.Draining))
+end. Nothing is cut. undrain stops it again, also half way.`+markHelp+markExit, serverMark, config.SetMark)
 }
 
 func undrainCommand(env Env) *command {
 	return markCommand(env, "undrain", "SERVICE/SERVER", "give a backend server new work again",
-		`Takes back a drain, also half way. Flows placed elsewhere meanwhile stay there.`+markExit, setState(config.Active))
+		`Removes the mark that drain set, also half way. Flows placed elsewhere meanwhile
+stay there.`+unmarkExit, serverMark, config.RemoveMark)
 }
 
 func takeoutCommand(env Env) *command {
 	return markCommand(env, "takeout", "DATACENTRE", "take a data centre out of service",
 		`No packet and no request goes to the backend servers of the data centre any more.
-Established flows there end: the command asks first, unless -yes.`+markExit, setOut(true))
+Established flows there end: the command asks first, unless -yes.`+markHelp+markExit, dataCentreMark, config.SetMark)
 }
 
 func returnCommand(env Env) *command {
 	return markCommand(env, "return", "DATACENTRE", "bring a data centre back",
-		`The backend servers of the data centre take new work again, by their ramps. No
-flow elsewhere moves.`+markExit, setOut(false))
+		`Removes the mark that takeout set. The backend servers of the data centre take new
+work again, by their ramps. No flow elsewhere moves.`+unmarkExit, dataCentreMark, config.RemoveMark)
 }
 
-func markCommand(env Env, name, args, synopsis, help string, change edit) *command {
+func markCommand(env Env, name, args, synopsis, help string, read readMark, propose func(config.Mark) config.Proposal) *command {
 	var access storeFlags
 	var ask consent
 	c := &command{
@@ -53,31 +65,30 @@
 		if err != nil {
 			return nil, err
 		}
-		e, err := openEditor(ctx, env, access, ask)
+		mark, err := read(given[0])
 		if err != nil {
 			return nil, err
 		}
-		doc, err := change(e.base.State.Document(), given[0])
+		e, err := openEditor(ctx, env, access, ask)
 		if err != nil {
 			return nil, err
 		}
-		return e.apply(ctx, doc)
+		return e.apply(ctx, propose(mark))
 	}
 	return c
 }
 
-func setState(state config.ServerState) edit {
-	return func(doc config.Document, name string) (config.Document, error) {
-		service, server, found := strings.Cut(name, "/")
-		if !found {
-			return doc, usageError.New("%q is not of the form SERVICE/SERVER", name)
-		}
-		return doc.WithServerState(service, server, state)
+func serverMark(argument string) (config.Mark, error) {
+	service, server, found := strings.Cut(argument, "/")
+	if !found {
+		return config.Mark{}, usageError.New("%q is not of the form SERVICE/SERVER", argument)
 	}
+	return config.Mark{Service: service, Server: server}, nil
 }
 
-func setOut(out bool) edit {
-	return func(doc config.Document, name string) (config.Document, error) {
-		return doc.WithOut(name, out)
+func dataCentreMark(argument string) (config.Mark, error) {
+	if argument == "" {
+		return config.Mark{}, usageError.New("the data centre has no name")
 	}
+	return config.Mark{DataCentre: argument}, nil
 }
--- a/internal/config/accept.go
+++ b/internal/config/accept.go
@@ -46,9 +46,14 @@
 	if err := admissible(old, change); err != nil {
 		return nil, nil, err
 	}
+	return derive(old, doc, change, nil)
+}
+
+// derive builds the version after old from an admissible declaration and mark.
+func derive(old *State, doc Document, change Change, mark *marking) (*State, *Diff, error) {
 	next := start(old, change)
-	next.DataCentres = dataCentreRecords(next.DataCentres, doc.DataCentres)
-	a := accepting{version: next.Version, number: next.NextNumber, wasOut: map[string]bool{}, isOut: next.outDataCentres()}
+	next.DataCentres = dataCentreRecords(next.DataCentres, doc.DataCentres, mark)
+	a := accepting{version: next.Version, number: next.NextNumber, mark: mark, wasOut: map[string]bool{}, isOut: next.outDataCentres()}
 	if old != nil {
 		a.wasOut = old.outDataCentres()
 	}
@@ -60,8 +65,12 @@
 	}
 	next.NextNumber = a.number
 	next.Declared = next.Version
+	next.ReadableFrom = ReadableFrom
+	if len(next.Marks()) > 0 {
+		next.ReadableFrom = markedReadableFrom
+	}
 	diff := diffStates(old, next)
-	if diff.Empty() {
+	if diff.Empty() && mark == nil {
 		return old, diff, nil
 	}
 	if !change.Force {
@@ -100,7 +109,9 @@
 		h.Recent = []AcceptedChange{{ID: change.ID, Version: 1}}
 		return &State{StateHeader: h}
 	}
-	return &State{StateHeader: old.following(change.ID)}
+	h := old.following(change.ID)
+	h.Format = StoredFormat
+	return &State{StateHeader: h}
 }
 
 // following returns the header with the next version, made by the change.
@@ -115,7 +126,7 @@
 }
 
 // dataCentreRecords puts the declarations into the records of the same names.
-func dataCentreRecords(old []DataCentreRecord, declared []DataCentreSpec) []DataCentreRecord {
+func dataCentreRecords(old []DataCentreRecord, declared []DataCentreSpec, mark *marking) []DataCentreRecord {
 	known := make(map[string]DataCentreRecord, len(old))
 	for _, record := range old {
 		known[record.Name] = record
@@ -124,6 +135,7 @@
 	for _, spec := range declared {
 		record := known[spec.Name]
 		record.DataCentreSpec = spec
+		record.Marked = mark.after(Mark{DataCentre: spec.Name}, record.Marked)
 		out = append(out, record)
 	}
 	return out
@@ -140,6 +152,7 @@
 type accepting struct {
 	version Version
 	number  Number
+	mark    *marking
 	wasOut  map[string]bool
 	isOut   map[string]bool
 }
@@ -149,7 +162,7 @@
 		old = &ServiceRecord{}
 	}
 	r := ServiceRecord{ServiceSpec: doc.ServiceSpec, Written: old.Written, more: old.more}
-	r.Servers = a.servers(old.Servers, doc.BackendServers)
+	r.Servers = a.servers(doc.Name, old.Servers, doc.BackendServers)
 	r.Current = r.activeSet(a.isOut)
 	if old.Written == 0 {
 		r.Settled = r.Current
@@ -164,7 +177,7 @@
 	return r
 }
 
-func (a *accepting) servers(old []ServerRecord, declared []ServerSpec) []ServerRecord {
+func (a *accepting) servers(service string, old []ServerRecord, declared []ServerSpec) []ServerRecord {
 	rows := slices.Clone(old)
 	kept := make([]bool, len(rows))
 	var fresh []ServerRecord
@@ -176,11 +189,12 @@
 			continue
 		}
 		kept[i] = true
-		rows[i] = a.renew(rows[i], spec)
+		rows[i] = a.renew(service, rows[i], spec)
 	}
 	for i := range rows {
 		if !kept[i] && rows[i].Removed == 0 {
 			rows[i].Removed = a.version
+			rows[i].Marked = false
 		}
 	}
 	return append(rows, fresh...)
@@ -196,12 +210,13 @@
 	return -1
 }
 
-// renew puts a declaration into a known record. Whoever becomes active joins
+// renew puts a declaration and the mark into a known record. Whoever becomes active joins
 // anew: it may be cold.
-func (a *accepting) renew(row ServerRecord, spec ServerSpec) ServerRecord {
+func (a *accepting) renew(service string, row ServerRecord, spec ServerSpec) ServerRecord {
 	was := row.effective(a.wasOut)
 	row.ServerSpec = spec
 	row.Removed = 0
+	row.Marked = a.mark.after(Mark{Service: service, Server: spec.Name}, row.Marked)
 	if was != Active && row.effective(a.isOut) == Active {
 		row.Joined = a.version
 	}
--- a/internal/config/accept_test.go
+++ b/internal/config/accept_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math"
 	"net/netip"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
@@ -104,6 +105,11 @@
 			name := state.Services[0].Name
 			var err error
 			switch rapid.IntRange(0, 9).Draw(t, "act") {
+			case 2, 3:
+				state = drawMark(t, state)
+				if !reflect.DeepEqual(state.Document(), before.Document()) {
+					t.Fatalf("a mark changes the declaration from %+v to %+v", before.Document(), state.Document())
+				}
 			case 0:
 				state, err = Rebase(state, name, fmt.Sprint("rebase", step))
 			case 1:
@@ -114,6 +120,7 @@
 					continue
 				}
 				state = must(t, state, doc, true)
+				checkMarks(t, before, state)
 				if got, want := declared(state.Document()), declared(doc); !maps.Equal(got, want) {
 					t.Fatalf("declared %v, stored %v", want, got)
 				}
@@ -212,7 +219,7 @@
 	next, err = next.WithOut("c", true)
 	is.NoErr(err)
 	share := func(sets ...Set) float64 { return float64(len(sets)) / 10 }
-	diff, err := Plan(one, next, change("x", 1), share)
+	diff, err := Plan(one, Declare(next), change("x", 1), share)
 	is.NoErr(err)
 	is.Equal(diff.DataCentres, []Step{{Action: TakeOut, Name: "c"}})
 	is.Equal(diff.Summary(1000), "take out data centre c, drain service-0/s0-1, take out service-0/s0-2, "+
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -29,6 +29,10 @@
 	To          Version       `json:"to"`
 	DataCentres []Step        `json:"dataCentres,omitempty"`
 	Services    []ServiceDiff `json:"services,omitempty"`
+	// Mark says which mark the change sets or removes, if it is no declaration.
+	Mark string `json:"mark,omitempty"`
+	// Marks holds the marks that are in effect afterwards.
+	Marks []Mark `json:"marks,omitempty"`
 }
 
 // ServiceDiff is what a change does to one service.
@@ -57,27 +61,6 @@
 // the sets do not all agree.
 type ShareFunc func(sets ...Set) float64
 
-// Plan returns what Accept would do, with the share of the buckets of each
-// service that are unsettled afterwards. The errors are those of Accept; with
-// NeedsForce the Diff is there as well.
-func Plan(old *State, doc Document, change Change, share ShareFunc) (*Diff, error) {
-	next, diff, err := Accept(old, doc, change)
-	if NeedsForce.Has(err) {
-		change.Force = true
-		next, diff, _ = Accept(old, doc, change)
-	}
-	if next == nil || share == nil {
-		return diff, err
-	}
-	for i := range diff.Services {
-		record := next.Service(diff.Services[i].Name)
-		if record != nil {
-			diff.Services[i].BucketsUnsettled = share(record.sets()...)
-		}
-	}
-	return diff, err
-}
-
 // Empty reports whether the change does nothing.
 func (d *Diff) Empty() bool {
 	return len(d.DataCentres) == 0 && len(d.Services) == 0
@@ -108,7 +91,7 @@
 	if next == nil {
 		next = &State{}
 	}
-	d.From, d.To = old.Version, next.Version
+	d.From, d.To, d.Marks = old.Version, next.Version, next.Marks()
 	d.DataCentres = diffDataCentres(old.DataCentres, next.DataCentres)
 	pair := statePair{wasOut: old.outDataCentres(), isOut: next.outDataCentres()}
 	for i := range next.Services {
@@ -129,25 +112,18 @@
 
 func diffDataCentres(old, next []DataCentreRecord) []Step {
 	var steps []Step
-	was := make(map[string]DataCentreSpec, len(old))
+	was := make(map[string]DataCentreRecord, len(old))
 	for _, dc := range old {
-		was[dc.Name] = dc.DataCentreSpec
+		was[dc.Name] = dc
 	}
 	for _, dc := range next {
 		before, known := was[dc.Name]
 		delete(was, dc.Name)
-		switch {
-		case !known:
+		if !known {
 			steps = append(steps, Step{Action: Add, Name: dc.Name})
-		case dc.Out && !before.Out:
-			steps = append(steps, Step{Action: TakeOut, Name: dc.Name})
-		case !dc.Out && before.Out:
-			steps = append(steps, Step{Action: Return, Name: dc.Name})
-		}
-		if known && dc.Region != before.Region {
-			steps = append(steps, Step{Action: Modify, Name: dc.Name,
-				Detail: fmt.Sprintf("region %q becomes %q", before.Region, dc.Region)})
+			continue
 		}
+		steps = append(steps, dataCentreSteps(before, dc)...)
 	}
 	for _, dc := range old {
 		if _, left := was[dc.Name]; left {
@@ -157,6 +133,23 @@
 	return steps
 }
 
+// dataCentreSteps compares two records of a data centre.
+func dataCentreSteps(old, next DataCentreRecord) []Step {
+	var steps []Step
+	switch {
+	case next.isOut() && !old.isOut():
+		steps = append(steps, Step{Action: TakeOut, Name: next.Name})
+		old.Out = next.Out
+	case !next.isOut() && old.isOut():
+		steps = append(steps, Step{Action: Return, Name: next.Name})
+		old.Out = next.Out
+	}
+	if detail := changedFields(old.DataCentreSpec, next.DataCentreSpec); detail != "" {
+		steps = append(steps, Step{Action: Modify, Name: next.Name, Detail: detail})
+	}
+	return steps
+}
+
 // statePair carries the data centres that are out before and after a change.
 type statePair struct {
 	wasOut map[string]bool
@@ -241,9 +234,9 @@
 		step.Action, step.Detail = TakeOut, next.DataCentre
 	case is != Gone && was == Gone:
 		step.Action, step.Detail = Return, next.DataCentre
-	case next.State == Draining && old.State != Draining:
+	case next.wanted() == Draining && old.wanted() != Draining:
 		step.Action = Drain
-	case next.State != Draining && old.State == Draining:
+	case next.wanted() != Draining && old.wanted() == Draining:
 		step.Action = Undrain
 	case old.Weight != next.Weight:
 		step.Action, step.Detail = Reweight, changedFields(old.ServerSpec, next.ServerSpec)
@@ -284,8 +277,21 @@
 	return sum
 }
 
-// Summary returns the steps of the change as one line of at most limit bytes.
+// Summary returns what the change does and the marks in effect afterwards, as
+// one line of at most limit bytes.
 func (d *Diff) Summary(limit int) string {
+	what, marks := d.Mark, d.marks()
+	if what == "" {
+		what = d.steps()
+	}
+	if marks == "" {
+		return clip(what, limit)
+	}
+	return clip(clip(what, limit/2)+"; "+marks, limit)
+}
+
+// steps returns the steps of the change as one line.
+func (d *Diff) steps() string {
 	var parts []string
 	for _, step := range d.DataCentres {
 		parts = append(parts, fmt.Sprintf("%s data centre %s", step.Action, step.Name))
@@ -299,7 +305,25 @@
 			parts = append(parts, fmt.Sprintf("%s %s/%s", step.Action, s.Name, step.Name))
 		}
 	}
-	line := strings.Join(parts, ", ")
+	if len(parts) == 0 {
+		return "nothing"
+	}
+	return strings.Join(parts, ", ")
+}
+
+// marks returns the marks in effect afterwards as one line, empty without any.
+func (d *Diff) marks() string {
+	if len(d.Marks) == 0 {
+		return ""
+	}
+	names := make([]string, len(d.Marks))
+	for i, m := range d.Marks {
+		names[i] = m.String()
+	}
+	return "marks in effect: " + strings.Join(names, ", ")
+}
+
+func clip(line string, limit int) string {
 	if len(line) <= limit {
 		return line
 	}
--- a/internal/config/main_test.go
+++ b/internal/config/main_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -99,3 +100,53 @@
 	}
 	return doc
 }
+
+// drawMark sets or removes a mark that is drawn, wherever that makes sense.
+func drawMark(t *rapid.T, state *State) *State {
+	mark := Mark{DataCentre: dataCentreNames[rapid.IntRange(0, 2).Draw(t, "marked data centre")]}
+	servers := state.Document().Services[0].BackendServers
+	if rapid.Bool().Draw(t, "mark server") && len(servers) > 0 {
+		i := rapid.IntRange(0, len(servers)-1).Draw(t, "marked server")
+		mark = Mark{Service: state.Services[0].Name, Server: servers[i].Name}
+	}
+	propose := SetMark(mark)
+	if slices.Contains(state.Marks(), mark) {
+		propose = RemoveMark(mark)
+	}
+	c := change(fmt.Sprintf("mark-%d", state.Version), state.Version)
+	c.Force = true
+	next, _, err := propose(state, c)
+	if DeclaredSo.Has(err) {
+		return state
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	if slices.Contains(next.Marks(), mark) == slices.Contains(state.Marks(), mark) {
+		t.Fatalf("mark %v stays as it was", mark)
+	}
+	return next
+}
+
+// checkMarks compares the marks before and after a declaration: those stay whose
+// data centre or machine is still declared, and none is new.
+func checkMarks(t *rapid.T, before, state *State) {
+	var want []Mark
+	for _, dc := range state.DataCentres {
+		if slices.Contains(before.Marks(), Mark{DataCentre: dc.Name}) {
+			want = append(want, Mark{DataCentre: dc.Name})
+		}
+	}
+	for _, s := range state.Services {
+		for _, row := range s.Servers {
+			mark := Mark{Service: s.Name, Server: row.Name}
+			old := before.find(s.Name).server(row.Number)
+			if old != nil && old.Removed == 0 && row.Removed == 0 && slices.Contains(before.Marks(), mark) {
+				want = append(want, mark)
+			}
+		}
+	}
+	if !slices.Equal(state.Marks(), want) {
+		t.Fatalf("marks %v become %v, want %v", before.Marks(), state.Marks(), want)
+	}
+}
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -12,10 +12,13 @@
 // would serve wrongly.
 const (
 	// StoredFormat is the stored form that this release writes.
-	StoredFormat = 1
+	StoredFormat = 2
 	// ReadableFrom is the oldest release, by its StoredFormat, that may serve by
-	// what this one writes.
+	// what this one writes if nothing is marked.
 	ReadableFrom = 1
+	// markedReadableFrom is the one that may serve if something is: those before
+	// would send packets to a data centre that is out.
+	markedReadableFrom = 2
 	// MaxPast bounds the sets that Past holds.
 	MaxPast = 24
 	// maxRecent bounds the changes that a repeated attempt is recognised among.
@@ -39,8 +42,8 @@
 	Format       int     `json:"format"`
 	ReadableFrom int     `json:"readableFrom"`
 	Version      Version `json:"version"`
-	// Declared is the version that changed the declaration last. The versions
-	// after it only settled services.
+	// Declared is the version that changed the declaration or a mark last. The
+	// versions after it only settled services.
 	Declared Version `json:"declared"`
 	// HashKey has HashKeySize bytes.
 	HashKey []byte `json:"hashKey"`
@@ -56,6 +59,8 @@
 // DataCentreRecord is the stored form of one data centre.
 type DataCentreRecord struct {
 	DataCentreSpec
+	// Marked is set while an operator's mark has the data centre out.
+	Marked bool `json:"marked,omitempty"`
 
 	more extra
 }
@@ -89,6 +94,8 @@
 	// Removed is the version from which on the backend server is no longer
 	// declared. Zero means that it is.
 	Removed Version `json:"removed,omitempty"`
+	// Marked is set while an operator's mark has the backend server drain.
+	Marked bool `json:"marked,omitempty"`
 
 	more extra
 }
@@ -130,7 +137,7 @@
 	return nil
 }
 
-// Document returns what is declared. A nil State has an empty document.
+// Document returns what is declared, without the marks. A nil State has an empty document.
 func (s *State) Document() Document {
 	doc := Document{Format: DocumentFormat}
 	if s == nil {
@@ -161,7 +168,7 @@
 	copy(c.HashKey[:], s.HashKey)
 	out := s.outDataCentres()
 	for _, dc := range s.DataCentres {
-		c.DataCentres = append(c.DataCentres, DataCentre(dc.DataCentreSpec))
+		c.DataCentres = append(c.DataCentres, DataCentre{Name: dc.Name, Region: dc.Region, Out: dc.isOut()})
 	}
 	for _, record := range s.Services {
 		c.Services = append(c.Services, record.service(out))
@@ -169,10 +176,12 @@
 	return c, nil
 }
 
+func (r DataCentreRecord) isOut() bool { return r.Out || r.Marked }
+
 func (h *StateHeader) outDataCentres() map[string]bool {
 	out := map[string]bool{}
 	for _, dc := range h.DataCentres {
-		if dc.Out {
+		if dc.isOut() {
 			out[dc.Name] = true
 		}
 	}
@@ -216,6 +225,14 @@
 	if r.Removed != 0 || out[r.DataCentre] {
 		return Gone
 	}
+	return r.wanted()
+}
+
+// wanted returns what the declaration and the mark together ask for.
+func (r ServerRecord) wanted() ServerState {
+	if r.Marked {
+		return Draining
+	}
 	return r.State
 }
 
--- a/internal/config/stored_test.go
+++ b/internal/config/stored_test.go
@@ -39,12 +39,33 @@
 	is.Equal(next, s)
 }
 
+// TestMarkedForm reads what the release that brought marks stored. One before it
+// refuses that version, and one without a mark it may serve by.
+func TestMarkedForm(t *testing.T) {
+	is := is.New(t)
+	s := readState(t, "state-2.json")
+	c, err := s.Config()
+	is.NoErr(err)
+	is.True(c.DataCentres[1].Out)
+	is.True(s.ReadableFrom > 1)
+	returned, _, err := RemoveMark(Mark{DataCentre: "b"})(s, change("return", s.Version))
+	is.NoErr(err)
+	is.Equal(len(returned.Marks()), 0)
+	is.Equal(returned.ReadableFrom, 1)
+	is.Equal(returned.Format, StoredFormat)
+	older := must(t, nil, deployment(3), false)
+	older.Format = 1
+	marked, _, err := SetMark(Mark{Service: "service-0", Server: "s0-1"})(older, change("drain", 1))
+	is.NoErr(err)
+	is.Equal([]int{marked.Format, marked.ReadableFrom}, []int{2, 2})
+}
+
 // TestNewerForm reads a form with fields of a later release at every level. This
 // release serves by it and settles it without losing any of them, but accepts no
 // declaration over it. Decoding without keeping them would lose them all.
 func TestNewerForm(t *testing.T) {
 	is := is.New(t)
-	s := readState(t, "state-2.json")
+	s := readState(t, "state-3.json")
 	_, err := s.Config()
 	is.NoErr(err)
 	unknown := func(v any) int {
@@ -64,7 +85,7 @@
 	_, _, err = Accept(s, s.Document(), change("old tool", s.Version))
 	is.True(Newer.Has(err))
 
-	s.ReadableFrom = 2
+	s.ReadableFrom = StoredFormat + 1
 	_, err = s.Config()
 	is.True(Newer.Has(err))
 	_, err = Rebase(s, "service-0", "rebase")
@@ -84,7 +105,11 @@
 			if rapid.IntRange(0, 9).Draw(t, "remove") == 0 && len(doc.Services) > 1 {
 				doc.Services = doc.Services[1:]
 			}
-			if len(doc.Validate()) == 0 {
+			if step%3 == 0 {
+				if next := drawMark(t, last); next != last {
+					versions = append(versions, next)
+				}
+			} else if len(doc.Validate()) == 0 {
 				if next := must(t, last, doc, true); next != last {
 					versions = append(versions, next)
 				}
--- a/internal/confstore/apply.go
+++ b/internal/confstore/apply.go
@@ -30,7 +30,7 @@
 	Newest config.Version `json:"newest"`
 	// Since holds the entries of the audit trail after Seen, oldest first.
 	Since []audit.Entry `json:"since"`
-	// Diff is what the operator's declaration would do to the newest version.
+	// Diff is what the operator's change would do to the newest version.
 	Diff *config.Diff `json:"diff"`
 
 	cause error
@@ -39,12 +39,12 @@
 // Error says what was accepted and what the operator's change would undo.
 func (e *ConflictError) Error() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "the declaration was made against version %d; version %d is in force", e.Seen, e.Newest)
+	fmt.Fprintf(&b, "the change was made against version %d; version %d is in force", e.Seen, e.Newest)
 	for _, entry := range e.Since {
 		fmt.Fprintf(&b, "\n  version %d by %s: %s", entry.Version, entry.Who, entry.What)
 	}
 	if e.Diff != nil {
-		fmt.Fprintf(&b, "\n  applied now, this declaration would: %s", e.Diff.Summary(audit.MaxText))
+		fmt.Fprintf(&b, "\n  applied now, this change would: %s", e.Diff.Summary(audit.MaxText))
 	}
 	return b.String()
 }
@@ -58,6 +58,22 @@
 // outcome cannot be found out (repeat the same change), or those of the store,
 // after which nothing was changed.
 func (r *Repository) Apply(ctx context.Context, doc config.Document, change config.Change) (Outcome, error) {
+	return r.Propose(ctx, config.Declare(doc), change)
+}
+
+// Mark sets a mark, or removes it, as the next version, by the rules of Apply.
+// The declaration stays as it is. Further errors are config.Invalid if it does not
+// have what the mark names, and config.DeclaredSo.
+func (r *Repository) Mark(ctx context.Context, mark config.Mark, set bool, change config.Change) (Outcome, error) {
+	if set {
+		return r.Propose(ctx, config.SetMark(mark), change)
+	}
+	return r.Propose(ctx, config.RemoveMark(mark), change)
+}
+
+// Propose brings the version that a proposal derives into the store, by the
+// rules of Apply. The proposal may be asked several times.
+func (r *Repository) Propose(ctx context.Context, propose config.Proposal, change config.Change) (Outcome, error) {
 	var base Snapshot
 	for range writeAttempts {
 		var err error
@@ -73,9 +89,9 @@
 			return Outcome{}, store.Unavailable.New("the store answers with version %d, after version %d was seen",
 				base.Version(), change.Seen)
 		}
-		next, diff, err := config.Accept(base.State, doc, change)
+		next, diff, err := propose(base.State, change)
 		if config.Conflict.Has(err) {
-			return Outcome{}, r.conflict(ctx, base, doc, change, err)
+			return Outcome{}, r.conflict(ctx, base, propose, change, err)
 		}
 		if err != nil {
 			return Outcome{Diff: diff}, err
@@ -100,10 +116,10 @@
 	return audit.Entry{Who: change.Who, When: change.When, What: what, Commit: change.Commit}
 }
 
-func (r *Repository) conflict(ctx context.Context, base Snapshot, doc config.Document, change config.Change, cause error) error {
+func (r *Repository) conflict(ctx context.Context, base Snapshot, propose config.Proposal, change config.Change, cause error) error {
 	conflict := &ConflictError{Seen: change.Seen, Newest: base.Version(), cause: cause}
 	change.Seen, change.Force = base.Version(), true
-	if _, diff, err := config.Accept(base.State, doc, change); err == nil {
+	if _, diff, err := propose(base.State, change); err == nil {
 		conflict.Diff = diff
 	}
 	// Without the trail the conflict is still told, with less to read.
--- a/internal/confstore/confstore_test.go
+++ b/internal/confstore/confstore_test.go
@@ -143,6 +143,45 @@
 	})
 }
 
+// TestMark marks in the store, by the rules of a declaration.
+func TestMark(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBed(t)
+		r := b.repository()
+		doc := document(2, 3)
+		drain, out := config.Mark{Service: "service-0", Server: "server-0"}, config.Mark{DataCentre: "a"}
+		_, err := r.Mark(b.ctx, drain, true, change("too early", 0))
+		is.True(config.Invalid.Has(err))
+		_, err = r.Apply(b.ctx, doc, change("one", 0))
+		is.NoErr(err)
+		b.server.LoseAnswers(1)
+		two, err := r.Mark(b.ctx, drain, true, change("two", 1))
+		is.NoErr(err)
+		again, err := r.Mark(b.ctx, drain, true, change("two", 1))
+		is.NoErr(err)
+		is.True(again.Already && again.Version == two.Version)
+		_, err = r.Mark(b.ctx, out, true, change("blind", 1))
+		is.True(config.Conflict.Has(err))
+		is.True(strings.Contains(err.Error(), "would: set mark: take out data centre a; marks in effect: take out data centre a, drain service-0/server-0"))
+		_, err = r.Apply(b.ctx, doc, change("same", 2))
+		is.NoErr(err)
+		_, err = r.Apply(b.ctx, drained(t, doc, 1, 1), change("three", 2))
+		is.NoErr(err)
+		now, err := r.Read(b.ctx, Snapshot{})
+		is.NoErr(err)
+		is.Equal(now.State.Marks(), []config.Mark{drain})
+		_, err = r.Mark(b.ctx, drain, false, change("four", 3))
+		is.NoErr(err)
+		entries, err := r.Audit(b.ctx, 0)
+		is.NoErr(err)
+		is.Equal(len(entries), 4)
+		is.Equal(entries[1].What, "set mark: drain service-0/server-0; marks in effect: drain service-0/server-0")
+		is.Equal(entries[2].What, "drain service-1/server-1; marks in effect: drain service-0/server-0")
+		is.Equal(entries[3].What, "remove mark: drain service-0/server-0")
+	})
+}
+
 // TestPausedWriter stops a writer before each write up to the head while others move
 // on so far that its values are allocated anew. It must change nothing.
 func TestPausedWriter(t *testing.T) {
@@ -232,7 +271,7 @@
 		})
 	})
 	t.Logf("attempts by outcome: %v", seen)
-	for _, kind := range []string{"accepted", "conflict", "unknown", "unavailable"} {
+	for _, kind := range []string{"accepted", "marked", "conflict", "unknown", "unavailable"} {
 		if seen[kind] == 0 {
 			t.Errorf("no attempt ended %s", kind)
 		}
@@ -244,8 +283,10 @@
 	id              string
 	service, server int
 	weight          uint32
-	outcome         Outcome
-	err             error
+	// mark has the operator mark the backend server, or remove the mark, instead of weighing it.
+	mark, set bool
+	outcome   Outcome
+	err       error
 }
 
 func drawAttempts(rt *rapid.T, step int) []attempt {
@@ -256,6 +297,8 @@
 			service: rapid.IntRange(0, 3).Draw(rt, "service"),
 			server:  rapid.IntRange(0, 2).Draw(rt, "server"),
 			weight:  rapid.Uint32Range(1, 1000).Draw(rt, "weight"),
+			mark:    rapid.IntRange(0, 2).Draw(rt, "mark") == 0,
+			set:     rapid.Bool().Draw(rt, "set"),
 		})
 	}
 	return all
@@ -277,6 +320,11 @@
 		a.err = err
 		return
 	}
+	if a.mark {
+		mark := config.Mark{Service: fmt.Sprint("service-", a.service), Server: fmt.Sprint("server-", a.server)}
+		a.outcome, a.err = r.Mark(ctx, mark, a.set, change(a.id, now.Version()))
+		return
+	}
 	doc := now.State.Document()
 	doc.Services[a.service].BackendServers[a.server].Weight = a.weight
 	a.outcome, a.err = r.Apply(ctx, doc, change(a.id, now.Version()))
@@ -284,6 +332,8 @@
 
 func (a *attempt) kind() string {
 	switch {
+	case a.err == nil && a.mark && !a.outcome.Already:
+		return "marked"
 	case a.err == nil:
 		return "accepted"
 	case store.Unknown.Has(a.err):
--- a/internal/confsync/confsync_test.go
+++ b/internal/confsync/confsync_test.go
@@ -99,7 +99,7 @@
 		time.Sleep(5 * time.Second)
 		n := b.nodes["dc0-00"]
 		newer := *n.sync.State()
-		newer.Version, newer.Format, newer.ReadableFrom = 2, 2, 2
+		newer.Version, newer.Format, newer.ReadableFrom = 2, config.StoredFormat+1, config.StoredFormat+1
 		is.True(!n.sync.holder.adopt(&newer, fromPeer))
 		is.True(!n.sync.holder.wants(2)) // and is not asked for again
 		_, err = b.apply(b.operator(), 2)
