Reckon settling with the longer back-off

Cause: the page reckoned a round of questions every 5 s; there is at most one a minute in the long run now. The capacity tests lacked the hash key that a first version now needs. Conclusion: bursts remain, and are listed.

--- a/cmd/balsamforkd/process_test.go
+++ b/cmd/balsamforkd/process_test.go
@@ -136,7 +136,7 @@
 		DataCentres: []config.DataCentreSpec{{Name: "a", Region: "r"}},
 		Services:    []config.ServiceDocument{spec},
 	}
-	_, err = demo.NewPlatform(nil).Operator(w.url).Apply(w.ctx, doc)
+	_, err = demo.NewPlatform(nil).Operator(w.url, 1).Apply(w.ctx, doc)
 	w.is.NoErr(err)
 }
 
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -79,7 +79,7 @@
 
 // settleSeconds is the time between two rounds of questions about an unsettled
 // service.
-const settleSeconds = 5
+const settleSeconds = 60
 
 // Row is one line of the reckoning, in bytes a second.
 type Row struct {
