--- a/internal/placement/model_test.go
+++ b/internal/placement/model_test.go
@@ -22,27 +22,6 @@
 	SetAnnouncements(int64, []flow.Announcement)
 }
 
-// event is something that happens at a time in the model.
-type event struct {
-	at    int64
-	order int
-	do    func()
-}
-
-type events []event
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
-}
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *events) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // node is one instance of the model with its own view of the others.
 type node struct {
 	id      fleet.ID
@@ -177,16 +156,28 @@
 		if n.id == row.ID {
 			d = 0
 		}
-		m.after(d, func() {
-			old, known := n.rows[row.ID]
-			newer := row.Incarnation > old.Incarnation ||
-				row.Incarnation == old.Incarnation && (row.State > old.State || row.State == old.State && row.Applied > old.Applied)
-			if n.up && (!known || newer) {
-				row.Applied = max(row.Applied, old.Applied)
-				n.rows[row.ID] = row
-				m.view(n)
-			}
-		})
+		m.after(d, func() { m.hear(n, row) })
+	}
+}
+
+// hear gives an instance a row of the table, which it keeps if it is newer.
+func (m *model) hear(n *node, row fleet.Instance) {
+	old, known := n.rows[row.ID]
+	newer := row.Incarnation > old.Incarnation || row.Incarnation == old.Incarnation &&
+		(row.State > old.State || row.State == old.State && row.Applied > old.Applied)
+	if n.up && (!known || newer) {
+		row.Applied = max(row.Applied, old.Applied)
+		n.rows[row.ID] = row
+		m.view(n)
+	}
+}
+
+// sync gives an instance all rows that another one has.
+func (m *model) sync(n, from *node) {
+	for _, row := range from.rows {
+		if row.ID != n.id && from.up {
+			m.hear(n, row)
+		}
 	}
 }
 
