--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -260,3 +260,42 @@
 	is.True(many <= few*5/4)
 	is.True(first <= 100*58)
 }
+
+// TestStaleGrant lets the answer to an old ask come after the lease was given up.
+func TestStaleGrant(t *testing.T) {
+	is := is.New(t)
+	state := func(others fleet.State) *fleet.View {
+		v := &fleet.View{}
+		for _, id := range []fleet.ID{"a", "b", "c"} {
+			v.Instances = append(v.Instances, fleet.Instance{ID: id, DataCentre: "d", Region: "r", State: others})
+		}
+		v.Instances[0].State = fleet.Alive
+		return v
+	}
+	members := quorum.New(quorum.Timing{DeadMemory: time.Hour})
+	members.Update(start, state(fleet.Alive))
+	n := config.Number(1)
+	for id, _ := members.First(ServerName(n), "d", "r", 0); id == a.ID; id, _ = members.First(ServerName(n), "d", "r", 0) {
+		n++
+	}
+	rows := []Server{row(int(n))}
+	now := granting
+	s := New(start, a, timing, members)
+	look := func(others fleet.State) {
+		members.Update(now, state(others))
+		s.SetServers(now, rows)
+	}
+	look(fleet.Dead)
+	asked := now
+	s.Granted(now, "b", asked, []config.Number{n})
+	is.True(s.servers[n].held(now))
+	look(fleet.Alive)
+	now += int64(Overlap)
+	s.Tick(now)
+	is.Equal(s.servers[n], nil) // given up
+	look(fleet.Dead)
+	s.Granted(now, "b", asked, []config.Number{n})
+	is.True(!s.servers[n].held(now))
+	s.Granted(now, "b", now, []config.Number{n})
+	is.True(s.servers[n].held(now))
+}
--- a/internal/keyowner/compare_test.go
+++ b/internal/keyowner/compare_test.go
@@ -62,7 +62,7 @@
 	id := admission.AttemptID{Owner: quorum.Holder{ID: p.n.id, Incarnation: p.n.inc}, Seq: p.seq}
 	p.m.after(p.m.delay(), func() {
 		left := time.Duration(r.o.deadline - p.m.now)
-		p.m.servers[b].start(p.m, id, r.o.id, false, max(left, 0), func(run admission.Run) {
+		p.m.servers[b].start(p.m, id, r.o.id, max(left, 0), func(run admission.Run) {
 			p.m.after(p.m.delay(), func() { end(run) })
 		})
 	})
--- a/internal/keyowner/faults_test.go
+++ b/internal/keyowner/faults_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"balsamfork/internal/config"
 	"balsamfork/internal/request"
 )
 
@@ -33,7 +34,7 @@
 
 func drawFault(t *rapid.T) fault {
 	return fault{
-		kind: rapid.SampledFrom([]string{"crash", "pause", "partition", "leave", "suspect", "loss", "delay", "double"}).Draw(t, "kind"),
+		kind: rapid.SampledFrom([]string{"crash", "pause", "partition", "leave", "suspect", "loss", "delay", "double", "server", "drain"}).Draw(t, "kind"),
 		node: rapid.IntRange(0, 6).Draw(t, "node"),
 		at:   time.Duration(rapid.IntRange(4000, 14000).Draw(t, "at")) * time.Millisecond,
 		last: time.Duration(rapid.IntRange(50, 4000).Draw(t, "last")) * time.Millisecond,
@@ -73,6 +74,13 @@
 		// The view is wrong until the next news.
 		begin = func() { cut := n.cut; n.cut = 99; m.news(); m.after(10*time.Millisecond, func() { n.cut = cut }) }
 		end = m.news
+	case "server":
+		b := m.servers[f.node%len(m.servers)]
+		begin, end = func() { b.crash(m) }, func() { b.down = false }
+	case "drain":
+		b := m.servers[f.node%len(m.servers)]
+		begin = func() { b.row.State = config.Draining; m.news() }
+		end = func() { b.row.State, b.row.ColdSince = config.Active, m.now; m.news() }
 	case "loss":
 		begin, end = func() { m.loss = 0.2 }, func() { m.loss = 0 }
 	case "delay":
