Test the client against instances that stop, break and talk nonsense

Cause: the client's resending was tested only along the way. Change: a table of what instances may do; after a result that breaks the interface the client goes on to the next instance (it asked the same one again, which the new test showed).

--- a/client/client.go
+++ b/client/client.go
@@ -216,7 +216,8 @@
 		return res, true, err
 	}
 	if err := res.Validate(); err != nil {
-		return res, true, err
+		c.forget(address, s)
+		return request.Result{}, true, err
 	}
 	if again(res) {
 		c.forget(address, nil)
--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,136 @@
+package client_test
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"balsamfork/client"
+	"balsamfork/internal/request"
+	"balsamfork/internal/requestpath"
+	"balsamfork/internal/standin/memnet"
+)
+
+// instance is a stand-in that answers as it is told, one answer per copy.
+type instance struct {
+	mu      sync.Mutex
+	answers []func(conn *jsonrpc2.Conn, req *jsonrpc2.Request)
+	copies  []request.Request
+	cancels int
+}
+
+func (i *instance) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	switch req.Method {
+	case "request.home":
+		_ = conn.Reply(ctx, req.ID, requestpath.HomeResult{Home: "a", Now: time.Now().Add(time.Hour).UnixMilli()})
+	case "request.cancel":
+		i.cancels++
+	case "request.do":
+		r, err := request.DecodeRequest(*req.Params)
+		if err != nil {
+			panic(err)
+		}
+		i.copies = append(i.copies, r)
+		answer := i.answers[0]
+		i.answers = i.answers[1:]
+		answer(conn, req)
+	}
+}
+
+func (i *instance) serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(c), i, jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
+	}
+}
+
+func result(r request.Result) func(*jsonrpc2.Conn, *jsonrpc2.Request) {
+	return func(conn *jsonrpc2.Conn, req *jsonrpc2.Request) { _ = conn.Reply(context.Background(), req.ID, r) }
+}
+
+func hangUp(conn *jsonrpc2.Conn, _ *jsonrpc2.Request) { go conn.Close() }
+func silence(_ *jsonrpc2.Conn, _ *jsonrpc2.Request)   {}
+func invalid(conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	_ = conn.ReplyWithError(context.Background(), req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "key.id"})
+}
+
+// TestResend goes through what instances may do to the copies of a request: the
+// first of two instances is tried first, the other one after it.
+func TestResend(t *testing.T) {
+	done := result(request.Result{Status: request.Answered, Value: []byte("7")})
+	type answers = []func(*jsonrpc2.Conn, *jsonrpc2.Request)
+	for name, c := range map[string]struct {
+		first, second answers
+		repeatable    bool
+		copies        int
+		class         interface{ Has(error) bool }
+	}{
+		"answered":             {first: answers{done}, copies: 1},
+		"fault":                {first: answers{result(request.Result{Status: request.Answered, Fault: &request.Fault{Code: 1}})}, copies: 1, class: &client.Fault},
+		"refused":              {first: answers{result(request.Refuse(request.Overloaded))}, copies: 1, class: &client.Refused},
+		"answer lost":          {first: answers{result(request.Unsure(request.Lost))}, copies: 1, class: &client.Unknown},
+		"invalid":              {first: answers{invalid}, copies: 1, class: &client.Invalid},
+		"stopping":             {first: answers{result(request.Unsure(request.Stopping))}, second: answers{done}, copies: 2},
+		"broken":               {first: answers{hangUp}, second: answers{done}, copies: 2},
+		"broken, then refused": {first: answers{hangUp}, second: answers{result(request.Refuse(request.Overloaded))}, copies: 2, class: &client.Refused},
+		"repeatable, the same": {first: answers{hangUp}, second: answers{result(request.Refuse(request.Overloaded))}, copies: 2, repeatable: true, class: &client.Unknown},
+		"silence":              {first: answers{silence}, copies: 1, class: &client.Unknown},
+		"cut result":           {first: answers{result(request.Result{Status: request.Answered})}, second: answers{done}, copies: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var n memnet.Net
+				all := []*instance{{answers: c.first}, {answers: c.second}}
+				for i, address := range []string{"10.0.0.1:1", "10.0.0.2:1"} {
+					l := n.Listen(address)
+					defer l.Close()
+					go all[i].serve(l)
+				}
+				cl := client.New("10.0.0.1:1", "10.0.0.2:1")
+				cl.Dial = n.Dial
+				var v int
+				err := cl.Do(t.Context(), client.Request{Service: "s", Method: "m", Repeatable: c.repeatable}, &v)
+				if c.class == nil {
+					is.NoErr(err)
+					is.Equal(v, 7)
+				} else {
+					is.True(c.class.Has(err))
+				}
+				is.NoErr(cl.Close())
+				synctest.Wait()
+				copies := append(all[0].copies, all[1].copies...)
+				is.Equal(len(copies), c.copies)
+				for _, r := range copies {
+					is.Equal(r.Key, copies[0].Key)
+					is.Equal(r.Key.Home, "a")
+					is.True(r.Key.CreatedAt() > time.Now().Add(50*time.Minute).UnixNano()) // by the instance's clock
+				}
+				is.Equal(all[0].cancels == 1, name == "silence")
+			})
+		})
+	}
+}
+
+// TestNobodyThere says that a request was not sent.
+func TestNobodyThere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var n memnet.Net
+		cl := client.New("10.0.0.1:1")
+		cl.Dial = n.Dial
+		is.New(t).True(client.Refused.Has(cl.Do(t.Context(), client.Request{Service: "s", Method: "m"}, nil)))
+	})
+}
