--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -65,7 +66,7 @@
 	Servers []Server
 	// Settled gives each bucket its base, Current its target. Past holds the
 	// targets between the two, oldest first: a bucket on which all of them agree
-	// needs no owner.
+	// needs no owner. An empty set in Past agrees with no other.
 	Settled Set
 	Past    []Set
 	Current Set
@@ -114,3 +115,9 @@
 	Number Number
 	Weight uint32
 }
+
+// IsSettled reports whether no change of the service is under way: every bucket
+// has the same base and target.
+func (s *Service) IsSettled() bool {
+	return len(s.Past) == 0 && slices.Equal(s.Settled, s.Current)
+}
--- /dev/null
+++ b/internal/confstore/confstore_test.go
@@ -0,0 +1,399 @@
+package confstore
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"balsamfork/internal/config"
+	"balsamfork/internal/configtest"
+	standin "balsamfork/internal/standin/store"
+	"balsamfork/internal/store"
+	"balsamfork/internal/storeclient"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "40")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func document(services, servers int) config.Document {
+	return configtest.Document(services, servers, "a", "b")
+}
+
+// bed is a stand-in with clients of it.
+type bed struct {
+	server *standin.Server
+	ctx    context.Context
+	// crash has the store go down for a while after the next swap of the head,
+	// without an answer.
+	crash atomic.Bool
+}
+
+// RoundTrip carries a call to the stand-in.
+func (b *bed) RoundTrip(request *http.Request) (*http.Response, error) {
+	isSwap := request.Method == http.MethodPut && strings.HasSuffix(request.URL.Path, headKey)
+	if !isSwap || !b.crash.CompareAndSwap(true, false) {
+		return b.server.RoundTrip(request)
+	}
+	b.server.LoseAnswers(1)
+	answer, err := b.server.RoundTrip(request)
+	b.server.SetDown(true)
+	time.AfterFunc(10*time.Second, func() { b.server.SetDown(false) })
+	return answer, err
+}
+
+func newBed(t *testing.T) *bed {
+	return &bed{server: standin.New(), ctx: t.Context()}
+}
+
+func (b *bed) client() *storeclient.Client {
+	return storeclient.New(storeclient.Options{
+		URL: "http://store", Transport: b, Fleet: 1, Random: rand.New(rand.NewPCG(1, 2)),
+	})
+}
+
+func (b *bed) repository() *Repository { return New(b.client()) }
+
+func change(id string, seen config.Version) config.Change {
+	return config.Change{ID: id, Seen: seen, Who: "operator " + id, When: time.Now(), HashKey: [16]byte{1}}
+}
+
+func drained(t interface{ Fatal(...any) }, doc config.Document, service, server int) config.Document {
+	next, err := doc.WithServerState(fmt.Sprintf("service-%d", service), fmt.Sprintf("server-%d", server), config.Draining)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+func TestApplySettleAudit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBed(t)
+		r := b.repository()
+		doc := document(3, 4)
+		one, err := r.Apply(b.ctx, doc, change("one", 0))
+		is.NoErr(err)
+		is.Equal(one.Version, config.Version(1))
+		two, err := r.Apply(b.ctx, drained(t, doc, 1, 0), change("two", 1))
+		is.NoErr(err)
+		again, err := r.Apply(b.ctx, drained(t, doc, 1, 0), change("two", 1))
+		is.NoErr(err)
+		is.True(again.Already && again.Version == two.Version)
+
+		settler := NewSettler(r, "instance", time.Now)
+		is.NoErr(settler.Rebase(b.ctx, "service-1", 2))
+		is.NoErr(settler.Rebase(b.ctx, "service-1", 2)) // repeated: done already
+		is.True(config.Conflict.Has(settler.Clear(b.ctx, "service-1", 2)))
+		is.NoErr(settler.Clear(b.ctx, "service-1", 3))
+		now, err := r.Read(b.ctx, Snapshot{})
+		is.NoErr(err)
+		is.Equal(now.Version(), config.Version(4))
+		is.Equal(len(now.State.Services[1].Past), 0)
+		entries, err := r.Audit(b.ctx, 0)
+		is.NoErr(err)
+		is.Equal(len(entries), 4)
+		is.Equal(entries[1].What, "drain service-1/server-0")
+	})
+}
+
+// TestConflict lets two operators race from the same version.
+func TestConflict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBed(t)
+		doc := document(3, 4)
+		_, err := b.repository().Apply(b.ctx, doc, change("one", 0))
+		is.NoErr(err)
+		errs := make([]error, 2)
+		var group sync.WaitGroup
+		for i := range errs {
+			group.Go(func() {
+				_, errs[i] = b.repository().Apply(b.ctx, drained(t, doc, i, i), change(fmt.Sprint("racer-", i), 1))
+			})
+		}
+		group.Wait()
+		is.True((errs[0] == nil) != (errs[1] == nil)) // one wins
+		lost := errors.Join(errs...)
+		var conflict *ConflictError
+		is.True(errors.As(lost, &conflict) && config.Conflict.Has(lost))
+		is.True(strings.Contains(lost.Error(), "version 2 by operator racer-"))
+		loser, winner := 0, 1
+		if errs[0] == nil {
+			loser, winner = 1, 0
+		}
+		is.True(strings.Contains(lost.Error(), fmt.Sprintf(" drain service-%d/", loser)))    // its own
+		is.True(strings.Contains(lost.Error(), fmt.Sprintf(" undrain service-%d/", winner))) // what it would undo
+	})
+}
+
+// TestPausedWriter stops a writer before each write up to the head while others move
+// on so far that its values are allocated anew. It must change nothing.
+func TestPausedWriter(t *testing.T) {
+	for pauseAt := 1; pauseAt <= 3; pauseAt++ {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newBed(t)
+			r := b.repository()
+			doc := document(2, 4)
+			_, err := r.Apply(b.ctx, doc, change("one", 0))
+			is.NoErr(err)
+			paused := &pausing{Store: b.client(), at: pauseAt, resume: make(chan struct{})}
+			result := make(chan error, 1)
+			go func() {
+				_, err := New(paused).Apply(b.ctx, drained(t, doc, 0, 0), change("paused", 1))
+				result <- err
+			}()
+			synctest.Wait()
+			for i := range 4 * keepHeads {
+				toggled := doc
+				if i%2 == 0 {
+					toggled = drained(t, doc, 1, 1)
+				}
+				_, err := r.Apply(b.ctx, toggled, change(fmt.Sprint("other-", i), config.Version(i+1)))
+				is.NoErr(err)
+			}
+			close(paused.resume)
+			is.True(config.Conflict.Has(<-result))
+			now, err := r.Read(b.ctx, Snapshot{})
+			is.NoErr(err)
+			is.Equal(now.Version(), config.Version(4*keepHeads+1))
+			_, err = r.Audit(b.ctx, 0)
+			is.NoErr(err)
+		})
+	}
+}
+
+// pausing stops before its write number at until it may resume.
+type pausing struct {
+	store.Store
+	at     int
+	writes int
+	resume chan struct{}
+}
+
+func (p *pausing) CompareAndSwap(ctx context.Context, key string, old store.Revision, data []byte) (store.Revision, error) {
+	p.writes++
+	if p.writes == p.at {
+		<-p.resume
+	}
+	return p.Store.CompareAndSwap(ctx, key, old, data)
+}
+
+// TestFaults has two operators race with random changes under every fault of
+// the store, alone and in pairs, while a reader follows. Whatever was reported
+// must be so, nothing may be applied twice, and no reader may see a version that
+// was not accepted whole.
+func TestFaults(t *testing.T) {
+	seen := map[string]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBed(t)
+			if _, err := b.repository().Apply(b.ctx, document(4, 3), change("first", 0)); err != nil {
+				rt.Fatal(err)
+			}
+			reported := map[string]config.Version{}
+			clients := []*Repository{b.repository(), b.repository()}
+			var last Snapshot
+			for step := range rapid.IntRange(1, 25).Draw(rt, "steps") {
+				b.inject(rt)
+				for _, a := range race(b.ctx, clients, drawAttempts(rt, step)) {
+					seen[a.kind()]++
+					if version, known := a.reported(); known {
+						reported[a.id] = version
+					}
+				}
+				time.Sleep(time.Duration(rapid.IntRange(1, 10).Draw(rt, "pause")) * time.Second)
+				if now, err := clients[0].Read(b.ctx, last); err == nil && now.Version() >= last.Version() {
+					if err := verifyState(now); err != nil {
+						rt.Fatal(err)
+					}
+					last = now
+				}
+			}
+			b.heal()
+			b.judge(rt, reported)
+		})
+	})
+	t.Logf("attempts by outcome: %v", seen)
+	for _, kind := range []string{"accepted", "conflict", "unknown", "unavailable"} {
+		if seen[kind] == 0 {
+			t.Errorf("no attempt ended %s", kind)
+		}
+	}
+}
+
+// attempt is one change by one operator, and what became of it.
+type attempt struct {
+	id              string
+	service, server int
+	weight          uint32
+	outcome         Outcome
+	err             error
+}
+
+func drawAttempts(rt *rapid.T, step int) []attempt {
+	var all []attempt
+	for operator := range 2 {
+		all = append(all, attempt{
+			id:      fmt.Sprintf("change-%d-%d", step, operator),
+			service: rapid.IntRange(0, 3).Draw(rt, "service"),
+			server:  rapid.IntRange(0, 2).Draw(rt, "server"),
+			weight:  rapid.Uint32Range(1, 1000).Draw(rt, "weight"),
+		})
+	}
+	return all
+}
+
+// race has each operator read the configuration and change it, at the same time.
+func race(ctx context.Context, clients []*Repository, all []attempt) []attempt {
+	var group sync.WaitGroup
+	for i := range all {
+		group.Go(func() { all[i].run(ctx, clients[i]) })
+	}
+	group.Wait()
+	return all
+}
+
+func (a *attempt) run(ctx context.Context, r *Repository) {
+	now, err := r.Read(ctx, Snapshot{})
+	if err != nil {
+		a.err = err
+		return
+	}
+	doc := now.State.Document()
+	doc.Services[a.service].BackendServers[a.server].Weight = a.weight
+	a.outcome, a.err = r.Apply(ctx, doc, change(a.id, now.Version()))
+}
+
+func (a *attempt) kind() string {
+	switch {
+	case a.err == nil:
+		return "accepted"
+	case store.Unknown.Has(a.err):
+		return "unknown"
+	case config.Conflict.Has(a.err):
+		return "conflict"
+	case store.Unavailable.Has(a.err):
+		return "unavailable"
+	}
+	return "other"
+}
+
+// reported returns the version that the operator was told of, zero for none, and
+// false if the operator was told that it is not known, or that there was nothing to change.
+func (a *attempt) reported() (config.Version, bool) {
+	if a.kind() == "unknown" || a.err == nil && a.outcome.Already && a.outcome.Diff != nil {
+		return 0, false
+	}
+	return a.outcome.Version, true
+}
+
+func (b *bed) inject(rt *rapid.T) {
+	for range rapid.IntRange(0, 2).Draw(rt, "faults") {
+		switch rapid.IntRange(0, 6).Draw(rt, "fault") {
+		case 0:
+			b.server.LoseAnswers(rapid.IntRange(1, 3).Draw(rt, "lost"))
+		case 1:
+			b.server.AnswerOld(rapid.IntRange(1, 4).Draw(rt, "old"))
+		case 2:
+			b.server.SetDelay(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "delay")) * time.Millisecond)
+		case 3:
+			b.server.SetDown(rapid.Bool().Draw(rt, "down"))
+		case 4:
+			b.server.LapseLeases()
+		case 5:
+			b.crash.Store(true)
+		case 6: // in the middle of a write
+			b.server.SetDelay(time.Duration(rapid.IntRange(50, 500).Draw(rt, "delay")) * time.Millisecond)
+			b.server.LoseEvery(rapid.IntRange(0, 3).Draw(rt, "lost"))
+			in := time.Duration(rapid.IntRange(0, 3000).Draw(rt, "in")) * time.Millisecond
+			time.AfterFunc(in, func() { b.server.SetDown(true) })
+			time.AfterFunc(in+2*time.Second, func() { b.server.SetDown(false) })
+		}
+	}
+}
+
+func (b *bed) heal() {
+	b.crash.Store(false)
+	b.server.LoseAnswers(0)
+	b.server.LoseEvery(0)
+	b.server.AnswerOld(0)
+	b.server.SetDelay(0)
+	time.Sleep(time.Minute) // what goes down later is up again
+	b.server.SetDown(false)
+	time.Sleep(time.Minute)
+}
+
+// judge compares what was reported with what the trail holds.
+func (b *bed) judge(rt *rapid.T, reported map[string]config.Version) {
+	r := b.repository()
+	entries, err := r.Audit(b.ctx, 0)
+	if err != nil {
+		rt.Fatal(err)
+	}
+	accepted := map[string]config.Version{}
+	for _, e := range entries {
+		if accepted[e.ChangeID] != 0 {
+			rt.Fatalf("change %s was applied twice", e.ChangeID)
+		}
+		accepted[e.ChangeID] = e.Version
+	}
+	now, err := r.Read(b.ctx, Snapshot{})
+	if err != nil || int(now.Version()) != len(entries) {
+		rt.Fatalf("version %d with %d entries: %v", now.Version(), len(entries), err)
+	}
+	for id, version := range reported {
+		if accepted[id] != version {
+			rt.Fatalf("change %s was reported as version %d and is version %d", id, version, accepted[id])
+		}
+	}
+}
+
+// TestBoundStoreUse counts what a long run of changes leaves and costs: 290 services
+// with 3,300 backend servers, changed one by one.
+func TestBoundStoreUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBed(t)
+		r := b.repository()
+		doc := document(290, 11)
+		_, err := r.Apply(b.ctx, doc, change("first", 0))
+		is.NoErr(err)
+		known, err := r.Read(b.ctx, Snapshot{})
+		is.NoErr(err)
+		const changes = 40
+		reads := 0
+		for i := range changes {
+			doc = drained(t, doc, i, i%11)
+			_, err := r.Apply(b.ctx, doc, change(fmt.Sprint(i), config.Version(i+1)))
+			is.NoErr(err)
+			before := b.server.Counts().Reads
+			known, err = r.Read(b.ctx, known)
+			is.NoErr(err)
+			reads += b.server.Counts().Reads - before
+		}
+		is.True(reads <= 3*changes) // the head, the new value, and now and then all anew
+		before := b.server.Counts().Reads
+		_, err = r.Read(b.ctx, Snapshot{})
+		is.NoErr(err)
+		is.True(b.server.Counts().Reads-before <= maxValues+5)
+		is.True(b.server.Keys() <= 64) // values are allocated again
+	})
+}
--- a/internal/flow/health.go
+++ b/internal/flow/health.go
@@ -38,6 +38,9 @@
 	Shed
 	Slow
 	Failed
+	// TurnedCold is drawn from several answers: the server has begun a cold start
+	// without a word.
+	TurnedCold
 )
 
 // Evidence is one observation of a backend server made by traffic, at a time in
@@ -47,3 +50,18 @@
 	Kind   EvidenceKind
 	At     int64
 }
+
+// String returns the name of the condition.
+func (c Condition) String() string {
+	switch c {
+	case Healthy:
+		return "healthy"
+	case Cold:
+		return "cold"
+	case Down:
+		return "down"
+	case Recovering:
+		return "recovering"
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/health/health_test.go
@@ -0,0 +1,227 @@
+package health_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"balsamfork/internal/config"
+	"balsamfork/internal/fleet"
+	"balsamfork/internal/flow"
+	"balsamfork/internal/health"
+	"balsamfork/internal/health/healthtest"
+	"balsamfork/internal/placement"
+)
+
+func TestBoundDownIsAnnouncedIn2850Milliseconds(t *testing.T) {
+	for seed := range uint64(10) {
+		is := is.New(t)
+		r := healthtest.New(seed)
+		r.Run(3*time.Second + time.Duration(seed)*110*time.Millisecond)
+		r.Servers[4].Dead = true
+		took, ok := r.Until(5*time.Second, 5, flow.Down)
+		is.True(ok)
+		is.True(took+healthtest.Spread <= 3*time.Second)
+		is.Equal(len(r.Announced), 1)
+	}
+}
+
+func TestBoundNoFalseVerdictInAnHourAtOnePercentLoss(t *testing.T) {
+	is := is.New(t)
+	r := healthtest.New(1)
+	r.Loss = 0.01
+	r.Run(time.Hour)
+	is.Equal(len(r.Announced), 0)
+}
+
+func TestBoundFlappingIsSlowedDown(t *testing.T) {
+	is := is.New(t)
+	r := healthtest.New(2)
+	const periods = 180
+	for n := range periods {
+		r.Servers[6].Dead = n%2 == 0
+		r.Run(10 * time.Second)
+	}
+	is.True(r.Count(flow.Down) >= 2)
+	is.True(r.Count(flow.Down) <= periods/2/4)
+}
+
+func TestWhatGoesBeforeWhat(t *testing.T) {
+	cases := []struct {
+		name string
+		set  healthtest.Server
+		want flow.Condition
+	}{
+		{"nothing wrong", healthtest.Server{Requests: true}, flow.Healthy},
+		{"the endpoint is silent, requests are answered", healthtest.Server{Requests: true, Dead: true}, flow.Healthy},
+		{"the endpoint answers, requests fail", healthtest.Server{Requests: true, Refusing: true}, flow.Down},
+		{"both fail", healthtest.Server{Requests: true, Refusing: true, Dead: true}, flow.Down},
+		{"the endpoint is silent, there are no requests", healthtest.Server{Dead: true}, flow.Down},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := healthtest.New(3)
+			r.Run(2 * time.Second)
+			const several = 6
+			for n := range several {
+				r.Servers[n] = c.set
+			}
+			r.Run(5 * time.Second)
+			for n := range config.Number(several) {
+				is.New(t).Equal(r.Condition(n+1), c.want)
+			}
+		})
+	}
+}
+
+func TestHalfOfAServiceStays(t *testing.T) {
+	is := is.New(t)
+	r := healthtest.New(4)
+	r.Run(2 * time.Second)
+	for n := range healthtest.Desk {
+		r.Servers[n].Dead = true
+	}
+	r.Run(20 * time.Second)
+	down := 0
+	for n := range healthtest.Desk {
+		if r.Condition(config.Number(n+1)) == flow.Down {
+			down++
+		}
+	}
+	is.True(down <= healthtest.Desk/2)
+	is.True(r.Doubted > 0)
+	is.True(r.Count(flow.Down) <= healthtest.Desk)
+}
+
+func TestOneInstanceThatFailsEverywhereDoubtsItself(t *testing.T) {
+	is := is.New(t)
+	r := healthtest.New(5)
+	r.Run(2 * time.Second)
+	broken := r.Nodes[0].Table
+	for range 100 {
+		for n := range config.Number(6) {
+			broken.Evidence([]flow.Evidence{{Server: n + 1, Kind: flow.Failed, At: r.Now()}})
+		}
+		r.Run(healthtest.Tick)
+	}
+	is.Equal(len(r.Announced), 0)
+}
+
+func TestServerWithoutEndpointIsJudgedByTraffic(t *testing.T) {
+	is := is.New(t)
+	r := healthtest.New(8)
+	r.List[3].URL = ""
+	for _, n := range r.Nodes {
+		n.Table.Configure(r.Now(), r.List)
+	}
+	r.Servers[3].Dead = true
+	r.Run(5 * time.Second)
+	is.Equal(r.Condition(4), flow.Healthy)
+	r.Servers[3].Requests, r.Servers[3].Refusing = true, true
+	_, ok := r.Until(3*time.Second, 4, flow.Down)
+	is.True(ok)
+	r.Servers[3].Requests = false
+	_, ok = r.Until(10*time.Second, 4, flow.Cold)
+	is.True(ok)
+}
+
+// A server that comes back is cold, then recovering, and healthy once released.
+func TestReturn(t *testing.T) {
+	is := is.New(t)
+	r := healthtest.New(6)
+	r.Run(2 * time.Second)
+	r.Servers[8].Dead = true
+	_, ok := r.Until(5*time.Second, 9, flow.Down)
+	is.True(ok)
+	r.Servers[8].Dead = false
+	for _, want := range []flow.Condition{flow.Cold, flow.Recovering} {
+		_, ok = r.Until(20*time.Second, 9, want)
+		is.True(ok)
+	}
+	r.Run(5 * time.Second)
+	is.Equal(r.Condition(9), flow.Recovering)
+	r.Keeper(9).Table.Release(9)
+	_, ok = r.Until(time.Second, 9, flow.Healthy)
+	is.True(ok)
+
+	r.Nodes[0].Table.SawCold(r.Now(), 9)
+	_, ok = r.Until(time.Second, 9, flow.Cold)
+	is.True(ok)
+}
+
+func TestKeeperCrashesBeforeItsVerdict(t *testing.T) {
+	is := is.New(t)
+	r := healthtest.New(7)
+	r.Run(2 * time.Second)
+	r.Servers[10].Dead = true
+	r.Run(time.Second)
+	r.Keeper(11).Down = true
+	r.Run(1500 * time.Millisecond)
+	r.View()
+	took, ok := r.Until(5*time.Second, 11, flow.Down)
+	is.True(ok)
+	is.True(took <= 3*time.Second)
+}
+
+// Any mix of dead servers, crashed instances and loss: no living server is found
+// down, and the dead ones of a service are up to its half.
+func TestAnyFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r := healthtest.New(rapid.Uint64Range(0, 1000).Draw(rt, "seed"))
+		r.Loss = rapid.SampledFrom([]float64{0, 0.01, 0.03}).Draw(rt, "loss")
+		dead := rapid.SliceOfNDistinct(rapid.IntRange(0, healthtest.Desk-1), 0, 5, rapid.ID).Draw(rt, "dead")
+		crashed := rapid.SliceOfNDistinct(rapid.IntRange(0, healthtest.Instances-1), 0, 2, rapid.ID).Draw(rt, "crashed")
+		r.Run(time.Second)
+		for _, n := range dead {
+			r.Servers[n].Dead = true
+		}
+		for _, n := range crashed {
+			r.Nodes[n].Down = true
+		}
+		r.Run(1500 * time.Millisecond)
+		r.View()
+		r.Run(6 * time.Second)
+		for n := range healthtest.Servers {
+			if down := r.Condition(config.Number(n+1)) == flow.Down; down != r.Servers[n].Dead {
+				rt.Fatalf("server %d: dead %v, found down %v", n+1, r.Servers[n].Dead, down)
+			}
+		}
+	})
+}
+
+func TestCleared(t *testing.T) {
+	v := &fleet.View{Instances: []fleet.Instance{{ID: "a", State: fleet.Alive}, {ID: "b", State: fleet.Leaving}, {ID: "c", State: fleet.Dead}}}
+	whole := placement.Summary{Complete: true}
+	away := placement.Summary{Complete: true, Away: []placement.Away{{Base: 7, Flows: 1}}}
+	cases := []struct {
+		name string
+		told map[fleet.ID]placement.Summary
+		want bool
+	}{
+		{"all reachable ones hold nothing", map[fleet.ID]placement.Summary{"a": whole, "b": whole}, true},
+		{"one holds a flow", map[fleet.ID]placement.Summary{"a": whole, "b": away}, false},
+		{"one has not told", map[fleet.ID]placement.Summary{"a": whole}, false},
+		{"one is not complete", map[fleet.ID]placement.Summary{"a": whole, "b": {}}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(health.Cleared(v, c.told, 7), c.want) })
+	}
+	is.New(t).True(health.Cleared(v, map[fleet.ID]placement.Summary{"a": away, "b": whole}, 8))
+}
+
+func TestServersLeavesOutWhatIsNotInService(t *testing.T) {
+	is := is.New(t)
+	list := health.Servers(&config.Config{
+		DataCentres: []config.DataCentre{{Name: "a"}, {Name: "b", Out: true}},
+		Services: []config.Service{{Name: "s", Servers: []config.Server{
+			{Number: 4, DataCentre: "a", State: config.Active, Health: "http://127.0.0.1/"},
+			{Number: 3, DataCentre: "b", State: config.Active},
+			{Number: 2, DataCentre: "a", State: config.Draining},
+			{Number: 1, DataCentre: "a", State: config.Active},
+		}}},
+	})
+	is.Equal(len(list), 2)
+	is.Equal(list[1], health.Server{Number: 4, Service: "s", DataCentre: "a", URL: "http://127.0.0.1/"})
+}
--- /dev/null
+++ b/internal/prober/prober_test.go
@@ -0,0 +1,124 @@
+package prober_test
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"balsamfork/internal/config"
+	"balsamfork/internal/fleet"
+	"balsamfork/internal/flow"
+	"balsamfork/internal/health"
+	"balsamfork/internal/peer/peertest"
+	"balsamfork/internal/placement"
+	"balsamfork/internal/prober"
+)
+
+// recorded is the records of one instance: it holds flows for a while.
+type recorded struct {
+	asked atomic.Int64
+	clear int64
+}
+
+func (r *recorded) Summary(int64, string) (placement.Summary, bool) {
+	s := placement.Summary{Complete: true}
+	if r.asked.Add(1) < r.clear {
+		s.Away = []placement.Away{{Base: 1, Flows: 3}}
+	}
+	return s, true
+}
+
+// A recovering server becomes healthy once no instance holds a flow elsewhere
+// that belongs on it.
+func TestRecoveringIsReleasedByTheRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		link := new(peertest.Bus).Port("i1")
+		held := &recorded{clear: 3}
+		p := prober.New(prober.Options{Self: "i1", Params: health.Default(), Records: held}, link, link,
+			slog.New(slog.DiscardHandler), tally.NoopScope)
+		said := make(chan flow.Announcement, 1)
+		p.OnAnnounce(func(a flow.Announcement) { said <- a })
+		p.SetConfig(&config.Config{Services: []config.Service{{Name: "desk", Servers: []config.Server{
+			{Number: 1, DataCentre: "a", State: config.Active},
+		}}}})
+		p.SetView(&fleet.View{Instances: []fleet.Instance{{ID: "i1", DataCentre: "a", State: fleet.Alive}}})
+		begun := time.Now()
+		p.SetAnnouncements([]flow.Announcement{{Server: 1, Condition: flow.Recovering, Sequence: 1, Since: begun.UnixNano()}})
+		ctx, stop := context.WithCancel(t.Context())
+		go p.Run(ctx)
+		is.Equal((<-said).Condition, flow.Healthy)
+		is.Equal(held.asked.Load(), held.clear)
+		is.True(time.Since(begun) >= 15*time.Second)
+		stop()
+		synctest.Wait()
+	})
+}
+
+// quick are parameters that let a test on real sockets end soon.
+func quick() health.Params {
+	p := health.Default()
+	p.Period, p.Fast, p.Timeout = 60*time.Millisecond, 30*time.Millisecond, 500*time.Millisecond
+	p.Ask, p.Hold = 10*time.Millisecond, 10*time.Millisecond
+	return p
+}
+
+func TestProbersAnnounceOverHTTP(t *testing.T) {
+	is := is.New(t)
+	var broken atomic.Bool
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if broken.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	defer endpoint.Close()
+	servers := []config.Server{
+		{Number: 1, DataCentre: "a", State: config.Active, Health: endpoint.URL},
+		{Number: 2, DataCentre: "elsewhere", State: config.Active},
+	}
+	c := &config.Config{Services: []config.Service{{Name: "desk", Servers: servers}}}
+	view := &fleet.View{Instances: []fleet.Instance{
+		{ID: "i1", DataCentre: "a", State: fleet.Alive},
+		{ID: "i2", DataCentre: "a", State: fleet.Alive},
+	}}
+	between := &peertest.Bus{}
+	said := make(chan flow.Announcement, 16)
+	ctx, stop := context.WithCancel(t.Context())
+	var all []*prober.Prober
+	var done sync.WaitGroup
+	for _, i := range view.Instances {
+		link := between.Port(i.ID)
+		all = append(all, prober.New(prober.Options{Self: i.ID, Params: quick()}, link, link, slog.New(slog.DiscardHandler), tally.NoopScope))
+	}
+	for _, p := range all {
+		p.OnAnnounce(func(a flow.Announcement) {
+			for _, other := range all {
+				go other.SetAnnouncements([]flow.Announcement{a})
+			}
+			said <- a
+		})
+		p.SetConfig(c)
+		p.SetView(view)
+		done.Go(func() { p.Run(ctx) })
+	}
+	broken.Store(true)
+	is.Equal((<-said).Condition, flow.Down)
+	broken.Store(false)
+	is.Equal((<-said).Condition, flow.Cold)
+	is.Equal((<-said).Condition, flow.Recovering)
+	for _, p := range all {
+		p.Release(1)
+	}
+	is.Equal((<-said).Condition, flow.Healthy)
+	stop()
+	done.Wait()
+}
