Share keys and backend servers between pairs of instances

Cause: the users want no consensus group; more than half of a group of three read as one. Change: both instances of a pair grant a claim and a lease. A claim that one of them recorded and that is given up is a true refusal. Of the two who grant a lease one must know all earlier promises, so that one that has just started or come into the pair takes part at once. An instance whose host refuses connections has ended and stops counting at once; a silent one goes on counting, since it may be beyond a partition.

--- a/internal/admission/grants.go
+++ b/internal/admission/grants.go
@@ -6,43 +6,31 @@
 
 	"balsamfork/internal/config"
 	"balsamfork/internal/fleet"
-	"balsamfork/internal/quorum"
+	"balsamfork/internal/pair"
 )
 
 type grant struct {
-	holder quorum.Holder
+	holder pair.Holder
 	until  int64
 	// asked is when the holder sent its newest ask, by its own clock.
 	asked int64
 }
 
-// Grants is what an instance has promised as a member of the groups of backend
+// Grants is what an instance has promised as a member of the pairs of backend
 // servers: for each at most one holder, until a time.
 type Grants struct {
-	timing Timing
-	// fresh is when everything promised before the start of this run has ended,
-	// in nanoseconds.
-	fresh    int64
+	timing   Timing
 	byServer map[config.Number]grant
 }
 
-// NewGrants returns an empty table of an instance that starts now. What an
-// earlier run of it promised is not known, and so nothing is granted until that
-// must have ended.
-func NewGrants(now int64, t Timing) *Grants {
-	return &Grants{
-		timing:   t,
-		fresh:    now + int64(t.Settle+t.Hold+t.MaxRun+2*t.Margin),
-		byServer: make(map[config.Number]grant),
-	}
+// NewGrants returns an empty table.
+func NewGrants(t Timing) *Grants {
+	return &Grants{timing: t, byServer: make(map[config.Number]grant)}
 }
 
 // Ask promises the server to the holder for Hold from now, unless another holder
 // may still have requests running there. The holder sent the ask at sentAt.
-func (g *Grants) Ask(now int64, h quorum.Holder, server config.Number, sentAt int64) bool {
-	if now < g.fresh {
-		return false
-	}
+func (g *Grants) Ask(now int64, h pair.Holder, server config.Number, sentAt int64) bool {
 	old, found := g.byServer[server]
 	if found && old.holder != h && now < old.until+int64(g.timing.MaxRun+g.timing.Margin) {
 		return false
@@ -56,7 +44,7 @@
 
 // Release ends a promise: when the holder sent it, no request of its own was
 // running there any more. One that was overtaken by a newer ask is void.
-func (g *Grants) Release(h quorum.Holder, server config.Number, sentAt int64) {
+func (g *Grants) Release(h pair.Holder, server config.Number, sentAt int64) {
 	if old := g.byServer[server]; old.holder == h && old.asked <= sentAt {
 		delete(g.byServer, server)
 	}
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -8,7 +8,7 @@
 	"balsamfork/internal/config"
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/flow"
-	"balsamfork/internal/quorum"
+	"balsamfork/internal/pair"
 )
 
 // creditCap bounds the slot time that a climbing server saves up while idle.
@@ -35,22 +35,27 @@
 	slow      bool
 }
 
-type vote struct {
+// promise is what a member of the pair has granted to this instance.
+type promise struct {
 	id    fleet.ID
 	until int64
+	// sure is until when it counts as one that knows all earlier promises.
+	sure int64
 }
 
 type server struct {
 	Server
-	name  uint64
-	group quorum.Group
+	name uint64
+	pair pair.Pair
 	// chosen is set if this instance ranks first, first if it also may admit.
 	chosen, first bool
 	// lost is when another instance came to rank first.
-	lost  int64
-	votes [quorum.GroupSize]vote
+	lost     int64
+	promises [pair.Size]promise
 	// since is when the lease was first asked for, asked when last; zero is never.
 	since, asked int64
+	// changed is when the pair last changed while the lease was asked for.
+	changed int64
 	// leased is set once the lease was had since it was first asked for.
 	leased  bool
 	guard   coldstart.Guard
@@ -67,38 +72,43 @@
 	drained int64
 }
 
-// held reports whether more than half of the group have granted the server.
+// held reports whether both of the pair have granted the server, and at least one
+// of them knows of all earlier promises.
 func (s *server) held(now int64) bool {
-	n := 0
-	for _, id := range s.group.IDs() {
-		if v := s.vote(id); v != nil && v.until > now {
-			n++
+	ids := s.pair.IDs()
+	sure := false
+	for _, id := range ids {
+		p := s.promise(id)
+		if p == nil || p.until <= now {
+			return false
 		}
+		sure = sure || p.sure > now
 	}
-	return s.group.Majority() <= n && n > 0
+	return sure && len(ids) > 0
 }
 
-func (s *server) vote(id fleet.ID) *vote {
-	for i := range s.votes {
-		if s.votes[i].id == id {
-			return &s.votes[i]
+func (s *server) promise(id fleet.ID) *promise {
+	for i := range s.promises {
+		if s.promises[i].id == id {
+			return &s.promises[i]
 		}
 	}
 	return nil
 }
 
-func (s *server) setVote(id fleet.ID, until int64) {
-	if v := s.vote(id); v != nil {
-		v.until = until
-		return
-	}
-	oldest := 0
-	for i := range s.votes {
-		if s.votes[i].until < s.votes[oldest].until {
-			oldest = i
+func (s *server) setPromise(id fleet.ID, until int64, sure bool) {
+	p := s.promise(id)
+	if p == nil {
+		p = &s.promises[0]
+		if s.promises[1].until < p.until {
+			p = &s.promises[1]
 		}
+		*p = promise{id: id}
+	}
+	p.until = max(p.until, until)
+	if sure {
+		p.sure = max(p.sure, until)
 	}
-	s.votes[oldest] = vote{id: id, until: until}
 }
 
 // takes reports whether new requests may wait for the server.
@@ -112,9 +122,13 @@
 	return s.held(now) || s.pending(now)
 }
 
-// pending reports whether the lease may still be handed over by a predecessor.
+// pending reports whether the lease may still be handed over by a predecessor, or
+// the new member of the pair has yet to grant it.
 func (s *server) pending(now int64) bool {
-	return s.first && !s.leased && now-s.since < int64(HandOver)
+	if s.leased && s.changed == 0 {
+		return false
+	}
+	return s.first && now-max(s.since, s.changed) < int64(HandOver) && !s.held(now)
 }
 
 // runs reports whether requests may be sent to the server. Those that wait for one
--- a/internal/admission/system.go
+++ b/internal/admission/system.go
@@ -8,7 +8,7 @@
 	"balsamfork/internal/config"
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/flow"
-	"balsamfork/internal/quorum"
+	"balsamfork/internal/pair"
 	"balsamfork/internal/request"
 )
 
@@ -20,17 +20,18 @@
 // System admits requests to the backend servers of one instance. It must not be
 // used by several goroutines at once. Times are in nanoseconds of Unix time.
 type System struct {
-	self     quorum.Holder
-	timing   Timing
-	members  *quorum.Electorate
-	grants   *Grants
-	servers  map[config.Number]*server
-	order    []*server
-	attempts map[AttemptID]*attempt
-	ended    []expiry
-	queued   map[string]int
-	total    int
-	leaving  bool
+	self      pair.Holder
+	timing    Timing
+	members   *pair.Table
+	grants    *Grants
+	knowledge *knowledge
+	servers   map[config.Number]*server
+	order     []*server
+	attempts  map[AttemptID]*attempt
+	ended     []expiry
+	queued    map[string]int
+	total     int
+	leaving   bool
 	// stale is set when order must be made anew.
 	stale bool
 	// asks collects the grants to ask for in one tick.
@@ -43,17 +44,18 @@
 }
 
 // New returns the system of an instance that starts now.
-func New(now int64, self quorum.Holder, t Timing, members *quorum.Electorate) *System {
+func New(now int64, self pair.Holder, t Timing, members *pair.Table) *System {
 	return &System{
-		self:     self,
-		timing:   t,
-		started:  now + int64(t.Margin),
-		members:  members,
-		grants:   NewGrants(now, t),
-		servers:  make(map[config.Number]*server),
-		attempts: make(map[AttemptID]*attempt),
-		queued:   make(map[string]int),
-		asks:     make(map[fleet.ID][]config.Number),
+		self:      self,
+		timing:    t,
+		started:   now + int64(t.Margin),
+		members:   members,
+		grants:    NewGrants(t),
+		knowledge: newKnowledge(self.ID, t),
+		servers:   make(map[config.Number]*server),
+		attempts:  make(map[AttemptID]*attempt),
+		queued:    make(map[string]int),
+		asks:      make(map[fleet.ID][]config.Number),
 	}
 }
 
@@ -68,20 +70,21 @@
 func (s *System) emit(e Effect) { s.out = append(s.out, e) }
 
 // shards is how many parts the backend servers are divided into. Those of a part
-// have the same admitting instance and the same group in their data centre, so that
+// have the same admitting instance and the same pair in their data centre, so that
 // one message asks for all of them.
 const shards = 128
 
-// ServerName is the name by which groups and admitting instances of a backend
+// ServerName is the name by which pairs and admitting instances of a backend
 // server are ranked.
-func ServerName(n config.Number) uint64 {
-	return quorum.Name("servers " + strconv.Itoa(int(n%shards)))
-}
+func ServerName(n config.Number) uint64 { return shardName(int(n % shards)) }
+
+func shardName(shard int) uint64 { return pair.Name("servers " + strconv.Itoa(shard)) }
 
 // SetServers takes in the backend servers. Call it as well after the table of
 // instances has changed.
 func (s *System) SetServers(now int64, rows []Server) {
 	known := make(map[config.Number]bool, len(rows))
+	s.knowledge.setRows(rows)
 	for _, row := range rows {
 		known[row.Number] = true
 		s.setServer(now, row)
@@ -92,6 +95,7 @@
 		}
 	}
 	s.sort()
+	s.knowledge.update(now, s.members)
 	s.Tick(now)
 }
 
@@ -123,7 +127,7 @@
 		sv.drained = now
 	}
 	sv.Server = row
-	sv.group = s.members.Group(sv.name, sv.DataCentre, sv.Region, now)
+	s.setPair(now, sv)
 	sv.guard.Configure(row.Ramp.Start, row.Ramp.Duration)
 	if row.ColdSince > sv.cold {
 		sv.cold = row.ColdSince
@@ -132,6 +136,19 @@
 	}
 }
 
+// setPair looks up the pair of a server, and asks a new member of it at once. One
+// that another instance is to admit to keeps the pair under which it was admitted to.
+func (s *System) setPair(now int64, sv *server) {
+	if sv.asked != 0 && (!sv.chosen || s.leaving) {
+		return
+	}
+	p := s.members.Pair(sv.name, sv.DataCentre, sv.Region, now)
+	if p != sv.pair && sv.asked != 0 {
+		sv.asked, sv.changed = 1, now
+	}
+	sv.pair = p
+}
+
 // SetLeaving makes the instance give up all backend servers as their requests end.
 func (s *System) SetLeaving(now int64) {
 	s.leaving = true
@@ -139,28 +156,33 @@
 }
 
 // Ask answers another instance's, or this one's, AskGrant: the servers granted.
-func (s *System) Ask(now int64, h quorum.Holder, servers []config.Number, sentAt int64) []config.Number {
-	var granted []config.Number
+func (s *System) Ask(now int64, h pair.Holder, servers []config.Number, sentAt int64) []Grant {
+	var granted []Grant
 	for _, n := range servers {
-		if s.grants.Ask(now, h, n, sentAt) {
-			granted = append(granted, n)
+		in, sure := s.knowledge.of(now, n)
+		if in && s.grants.Ask(now, h, n, sentAt) {
+			granted = append(granted, Grant{Server: n, Sure: sure})
 		}
 	}
 	return granted
 }
 
+// Alone reports whether an instance of the data centre that counts has not been in
+// contact with this one since its start.
+func (s *System) Alone() bool { return s.knowledge.heard == 0 }
+
 // Release takes in a ReleaseGrant.
-func (s *System) Release(h quorum.Holder, servers []config.Number, sentAt int64) {
+func (s *System) Release(h pair.Holder, servers []config.Number, sentAt int64) {
 	for _, n := range servers {
 		s.grants.Release(h, n, sentAt)
 	}
 }
 
 // Granted takes in the answer to an AskGrant that was sent at a time.
-func (s *System) Granted(now int64, from fleet.ID, sentAt int64, servers []config.Number) {
-	for _, n := range servers {
-		if sv := s.servers[n]; sv != nil && sv.asked != 0 && sentAt >= sv.since {
-			sv.setVote(from, sentAt+int64(s.timing.Hold))
+func (s *System) Granted(now int64, from fleet.ID, sentAt int64, granted []Grant) {
+	for _, g := range granted {
+		if sv := s.servers[g.Server]; sv != nil && sv.asked != 0 && sentAt >= sv.since {
+			sv.setPromise(from, sentAt+int64(s.timing.Hold), g.Sure)
 			if !sv.leased && sv.held(now) {
 				sv.leased = true
 				sv.settle(now)
--- a/internal/admission/tick.go
+++ b/internal/admission/tick.go
@@ -73,6 +73,7 @@
 		s.giveUp(now, sv)
 		return
 	}
+	s.setPair(now, sv)
 	every := s.timing.Renew
 	if sv.pending(now) {
 		every = AskEvery
@@ -84,8 +85,7 @@
 		sv.since = now
 	}
 	sv.asked = now
-	sv.group = s.members.Group(sv.name, sv.DataCentre, sv.Region, now)
-	for _, to := range sv.group.IDs() {
+	for _, to := range sv.pair.IDs() {
 		asks[to] = append(asks[to], sv.Number)
 	}
 }
@@ -93,11 +93,11 @@
 func (s *System) giveUp(now int64, sv *server) {
 	sv.asked = 0
 	sv.leased = false
-	for i := range sv.votes {
-		if v := sv.votes[i]; v.id != "" {
-			s.release(now, v.id, sv.Number)
+	for i := range sv.promises {
+		if p := sv.promises[i]; p.id != "" {
+			s.release(now, p.id, sv.Number)
 		}
-		sv.votes[i] = vote{}
+		sv.promises[i] = promise{}
 	}
 	if !sv.chosen || sv.State == config.Gone {
 		delete(s.servers, sv.Number)
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -1,10 +1,10 @@
 // Package admission counts the slots of backend servers. Each backend server has
 // one admitting instance; all requests for it pass there. The right to admit is a
-// lease (Gray and Cheriton, 1989) that more than half of a small group of
-// instances have granted, so that two instances never hold it at once; a new
-// holder gets it only after every request of its predecessor must have ended. The
-// package does no I/O: inputs are values, and what is to be done comes back as
-// effects.
+// lease (Gray and Cheriton, 1989) that a pair of instances have both granted, as a
+// rule the admitting instance itself and one that notes it, so that two instances
+// never hold it at once; a new holder gets it only after every request of its
+// predecessor must have ended. The package does no I/O: inputs are values, and what
+// is to be done comes back as effects.
 package admission
 
 import (
@@ -13,13 +13,13 @@
 	"balsamfork/internal/config"
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/flow"
-	"balsamfork/internal/quorum"
+	"balsamfork/internal/pair"
 	"balsamfork/internal/request"
 )
 
 // Timing is the same in all instances.
 type Timing struct {
-	// Settle is quorum.Timing.Settle.
+	// Settle is pair.Timing.Settle.
 	Settle time.Duration
 	// Hold is how long a grant lasts; Renew is how often it is asked for again.
 	Hold, Renew time.Duration
@@ -65,8 +65,8 @@
 
 // AttemptID identifies one attempt to run a request.
 type AttemptID struct {
-	Owner quorum.Holder `json:"owner"`
-	Seq   uint64        `json:"seq"`
+	Owner pair.Holder `json:"owner"`
+	Seq   uint64      `json:"seq"`
 }
 
 // Attempt asks to run a request on a backend server.
@@ -93,6 +93,13 @@
 	Load   Load           `json:"load"`
 }
 
+// Grant is one backend server granted. Sure is set if the one who grants it knows
+// of all earlier promises that may still matter.
+type Grant struct {
+	Server config.Number `json:"server"`
+	Sure   bool          `json:"sure,omitempty"`
+}
+
 // EffectKind says what is to be done.
 type EffectKind uint8
 
--- a/internal/atmostonce/claims.go
+++ b/internal/atmostonce/claims.go
@@ -1,8 +1,8 @@
 // Package atmostonce keeps what is needed to run a request that may not be
-// repeated at most once. Before such a request is sent to a backend server, more
-// than half of the group of its key must have recorded the claim of the one
-// attempt that may run it; two majorities have a member in common, so there is
-// only one (Gifford, 1979). What a member cannot know, because it has restarted,
+// repeated at most once. Before such a request is sent to a backend server, both
+// instances of the pair of its key must have recorded the claim of the one attempt
+// that may run it, so that there is only one. A claim that one of them has recorded
+// and that is then given up keeps the key from ever being run. What a member cannot know, because it has restarted,
 // has dropped it, or the key is too old, it never claims to know. The package does
 // no I/O.
 package atmostonce
@@ -12,7 +12,7 @@
 
 	"github.com/zeebo/xxh3"
 
-	"balsamfork/internal/quorum"
+	"balsamfork/internal/pair"
 	"balsamfork/internal/request"
 )
 
@@ -25,8 +25,8 @@
 
 // Claimant is the one entry of an owner's table that claims a key.
 type Claimant struct {
-	Holder quorum.Holder `json:"holder"`
-	Seq    uint64        `json:"seq"`
+	Holder pair.Holder `json:"holder"`
+	Seq    uint64      `json:"seq"`
 }
 
 // KeyHash stands for the ID of a key among the claims.
@@ -67,12 +67,15 @@
 	from, horizon int64
 	// before is the latest creation while the instance leaves.
 	before int64
-	byKey  map[KeyHash]claim
-	ages   []claimAge
+	// alone is set while instances that count have never been in contact with this
+	// one since its start.
+	alone bool
+	byKey map[KeyHash]claim
+	ages  []claimAge
 }
 
 // NewClaims returns the table of an instance that starts now, for at most so many
-// claims. Settle is quorum.Timing.Settle.
+// claims. Settle is pair.Timing.Settle.
 func NewClaims(now int64, settle time.Duration, most int) *Claims {
 	return &Claims{
 		most:   most,
@@ -85,6 +88,16 @@
 // SetLeaving makes the member grant no key that is created from now on.
 func (c *Claims) SetLeaving(now int64) { c.before = now }
 
+// SetAlone says whether an instance of the data centre that counts has not been in
+// contact with this one since its start: what its earlier run granted may then
+// still be acted on, and others may not know that this one is back.
+func (c *Claims) SetAlone(now int64, alone bool) {
+	if c.alone && !alone {
+		c.from = max(c.from, now+int64(c.settle+request.MaxAhead))
+	}
+	c.alone = alone
+}
+
 // Claim records a claim, or says by whom the key was claimed.
 func (c *Claims) Claim(now int64, key KeyHash, created int64, by Claimant) (Verdict, Claimant) {
 	c.forget(now)
@@ -113,7 +126,7 @@
 	if c.before != 0 && created >= c.before {
 		return false
 	}
-	return created > c.from && created > c.horizon
+	return !c.alone && created > c.from && created > c.horizon
 }
 
 // Expired reports whether a key created then may no longer be run.
--- a/internal/keyowner/attempt.go
+++ b/internal/keyowner/attempt.go
@@ -146,7 +146,7 @@
 	case now >= j.deadline:
 		s.expire(now, j)
 	case j.stage == claiming && now-j.began >= int64(ClaimFor):
-		s.finish(now, j, request.Unsure(request.Undecided))
+		s.withhold(now, j)
 	case j.stage == claiming && now-j.sent >= int64(ClaimEvery):
 		s.sendClaims(now, j)
 	case j.stage == choosing && now >= j.wake:
--- a/internal/keyowner/claim.go
+++ b/internal/keyowner/claim.go
@@ -3,7 +3,7 @@
 import (
 	"balsamfork/internal/atmostonce"
 	"balsamfork/internal/fleet"
-	"balsamfork/internal/quorum"
+	"balsamfork/internal/pair"
 	"balsamfork/internal/request"
 )
 
@@ -12,31 +12,30 @@
 	j.stage = claiming
 	j.claimant = atmostonce.Claimant{Holder: s.Self, Seq: j.entry.Seq}
 	home := j.req.Key.Home
-	g := s.Members.Group(quorum.Name(j.entry.ID), home, "", j.entry.Created)
-	j.need = g.Majority()
-	for _, id := range g.IDs() {
-		j.votes = append(j.votes, ballot{member: id})
+	p := s.Members.Pair(pair.Name(j.entry.ID), home, "", j.entry.Created)
+	for _, id := range p.IDs() {
+		j.marks = append(j.marks, mark{member: id})
 	}
 	s.sendClaims(now, j)
-	s.tally(now, j)
+	s.decide(now, j)
 }
 
 // sendClaims asks every member that has not answered yet.
 func (s *System) sendClaims(now int64, j *job) {
 	j.sent = now
 	hash := atmostonce.Hash(j.entry.ID)
-	for i := range j.votes {
-		b := &j.votes[i]
-		if b.verdict != 0 {
+	for i := range j.marks {
+		k := &j.marks[i]
+		if k.verdict != 0 {
 			continue
 		}
 		s.counts.Claims++
-		if b.member == s.Self.ID {
-			b.verdict, b.by = s.Claims.Claim(now, hash, j.entry.Created, j.claimant)
+		if k.member == s.Self.ID {
+			k.verdict, k.by = s.Claims.Claim(now, hash, j.entry.Created, j.claimant)
 			continue
 		}
 		s.out = append(s.out, Effect{
-			Kind: Claim, To: b.member, Key: j.entry.ID, Hash: hash,
+			Kind: Claim, To: k.member, Key: j.entry.ID, Hash: hash,
 			Created: j.entry.Created, Claimant: j.claimant,
 		})
 	}
@@ -48,38 +47,54 @@
 	if j == nil || j.stage != claiming || j.claimant != by {
 		return
 	}
-	for i := range j.votes {
-		if b := &j.votes[i]; b.member == from && b.verdict == 0 {
-			b.verdict, b.by = v, holder
+	for i := range j.marks {
+		if k := &j.marks[i]; k.member == from && k.verdict == 0 {
+			k.verdict, k.by = v, holder
 		}
 	}
-	s.tally(now, j)
+	s.decide(now, j)
 }
 
-// tally goes on with a job once its claim is won or lost.
-func (s *System) tally(now int64, j *job) {
+// decide goes on with a job once both of the pair have granted its claim, or one of
+// them has not.
+func (s *System) decide(now int64, j *job) {
 	granted, open := 0, 0
 	var other fleet.ID
-	for _, b := range j.votes {
-		switch b.verdict {
+	for _, k := range j.marks {
+		switch k.verdict {
 		case atmostonce.Granted:
 			granted++
 		case atmostonce.Denied:
-			other = b.by.Holder.ID
+			other = k.by.Holder.ID
 		case 0:
 			open++
 		}
 	}
 	switch {
-	case granted >= j.need && len(j.votes) > 0:
+	case granted == len(j.marks) && granted > 0:
 		s.dispatch(now, j)
-	case granted+open >= j.need && len(j.votes) > 0:
 	case other != "" && other != s.Self.ID:
 		j.stage = asking
 		s.out = append(s.out, Effect{Kind: Ask, To: other, Key: j.entry.ID, Request: j.req, Claimant: j.claimant})
-	default:
+	case other != "":
 		s.finish(now, j, request.Unsure(request.Undecided))
+	case open > 0:
+	default:
+		s.withhold(now, j)
+	}
+}
+
+// withhold gives up a job whose claim is not granted by both. If one of them has
+// recorded it, no other claim of the key will ever be granted by both, and the
+// refusal is true.
+func (s *System) withhold(now int64, j *job) {
+	for _, k := range j.marks {
+		if k.verdict == atmostonce.Granted {
+			s.finish(now, j, request.Refuse(request.Undecided))
+			return
+		}
 	}
+	s.finish(now, j, request.Unsure(request.Undecided))
 }
 
 // Told takes in the answer to an Ask: the result at the instance that has claimed
--- a/internal/keyowner/system.go
+++ b/internal/keyowner/system.go
@@ -6,7 +6,7 @@
 
 	"balsamfork/internal/atmostonce"
 	"balsamfork/internal/config"
-	"balsamfork/internal/quorum"
+	"balsamfork/internal/pair"
 	"balsamfork/internal/request"
 	"balsamfork/internal/retry"
 )
@@ -18,8 +18,8 @@
 
 // Options are what a System is made of.
 type Options struct {
-	Self    quorum.Holder
-	Members *quorum.Electorate
+	Self    pair.Holder
+	Members *pair.Table
 	// Claims is the table that this instance keeps as a member.
 	Claims *atmostonce.Claims
 	Table  *atmostonce.Table
--- a/internal/keyowner/types.go
+++ b/internal/keyowner/types.go
@@ -105,8 +105,7 @@
 	deadline int64
 	// claim
 	claimant atmostonce.Claimant
-	votes    []ballot
-	need     int
+	marks    []mark
 	began    int64
 	sent     int64
 	// attempts
@@ -120,7 +119,8 @@
 	cancelled bool
 }
 
-type ballot struct {
+// mark is what one of the pair has said to the claim.
+type mark struct {
 	member  fleet.ID
 	verdict atmostonce.Verdict
 	by      atmostonce.Claimant
--- a/internal/requestpath/callers.go
+++ b/internal/requestpath/callers.go
@@ -10,7 +10,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"balsamfork/internal/fleet"
-	"balsamfork/internal/quorum"
+	"balsamfork/internal/pair"
 	"balsamfork/internal/request"
 )
 
@@ -251,7 +251,7 @@
 func (p *Path) ownerOf(k *request.Key, skip int) (fleet.ID, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.members.First(quorum.Name(k.ID), k.Home, "", skip)
+	return p.members.First(pair.Name(k.ID), k.Home, "", skip)
 }
 
 // pass hands a request to the owner of its key. It returns false if another
--- a/internal/requestpath/effects.go
+++ b/internal/requestpath/effects.go
@@ -123,7 +123,7 @@
 	if err := p.peers.Call(ctx, e.To, peerHold, params, &r); err != nil {
 		return
 	}
-	p.input(func(now int64) { p.admitter.Granted(now, e.To, e.SentAt, r.Servers) })
+	p.input(func(now int64) { p.admitter.Granted(now, e.To, e.SentAt, r.Granted) })
 }
 
 // admit passes an attempt to the admitting instance. The caller holds mu.
--- a/internal/requestpath/messages.go
+++ b/internal/requestpath/messages.go
@@ -6,7 +6,7 @@
 	"balsamfork/internal/admission"
 	"balsamfork/internal/atmostonce"
 	"balsamfork/internal/config"
-	"balsamfork/internal/quorum"
+	"balsamfork/internal/pair"
 	"balsamfork/internal/request"
 )
 
@@ -50,8 +50,8 @@
 }
 
 type copyID struct {
-	From quorum.Holder `json:"from"`
-	Seq  uint64        `json:"seq"`
+	From pair.Holder `json:"from"`
+	Seq  uint64      `json:"seq"`
 }
 
 type runParams struct {
@@ -79,13 +79,13 @@
 }
 
 type holdParams struct {
-	Holder  quorum.Holder   `json:"holder"`
+	Holder  pair.Holder     `json:"holder"`
 	Servers []config.Number `json:"servers"`
 	SentAt  int64           `json:"sentAt"`
 }
 
 type holdResult struct {
-	Servers []config.Number `json:"servers"`
+	Granted []admission.Grant `json:"granted"`
 }
 
 // CancelServerParams are the params of ServerCancel: the ID of the JSON-RPC request.
--- a/internal/requestpath/options.go
+++ b/internal/requestpath/options.go
@@ -13,7 +13,7 @@
 	"balsamfork/internal/admission"
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/flow"
-	"balsamfork/internal/quorum"
+	"balsamfork/internal/pair"
 )
 
 // Options are the settings of the request path.
@@ -27,16 +27,19 @@
 	// Timing and Membership must be the same in all instances. Zero fields take
 	// their value from Defaults.
 	Timing     admission.Timing
-	Membership quorum.Timing
+	Membership pair.Timing
 	// Dial connects to a backend server; if nil, over TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// DialInstance connects to an instance's control address; if nil, over TCP. Only
+	// its error is of interest: a refused connection proves that the process ended.
+	DialInstance func(ctx context.Context, address string) (net.Conn, error)
 	// Evidence, if set, is called with what answers show of backend servers. It
 	// must not block, nor call the Path.
 	Evidence func(flow.Evidence)
 }
 
 // Defaults returns the usual timing.
-func Defaults() (admission.Timing, quorum.Timing) {
+func Defaults() (admission.Timing, pair.Timing) {
 	t := admission.Timing{
 		Settle: 2 * time.Second,
 		Hold:   2 * time.Second,
@@ -44,10 +47,9 @@
 		MaxRun: 5 * time.Second,
 		Margin: 250 * time.Millisecond,
 	}
-	return t, quorum.Timing{
-		Settle:      t.Settle,
-		DeadMemory:  10 * time.Minute,
-		LeaveMemory: t.Settle + t.Hold + t.MaxRun + 2*t.Margin,
+	return t, pair.Timing{
+		Settle:       t.Settle,
+		SilentMemory: 10 * time.Minute,
 	}
 }
 
@@ -61,6 +63,9 @@
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
+	if o.DialInstance == nil {
+		o.DialInstance = dialTCP
+	}
 	or := func(d *time.Duration, usual time.Duration) {
 		if *d == 0 {
 			*d = usual
@@ -72,6 +77,5 @@
 	or(&o.Timing.MaxRun, t.MaxRun)
 	or(&o.Timing.Margin, t.Margin)
 	or(&o.Membership.Settle, o.Timing.Settle)
-	or(&o.Membership.DeadMemory, q.DeadMemory)
-	or(&o.Membership.LeaveMemory, o.Timing.Settle+o.Timing.Hold+o.Timing.MaxRun+2*o.Timing.Margin)
+	or(&o.Membership.SilentMemory, q.SilentMemory)
 }
--- a/internal/requestpath/path.go
+++ b/internal/requestpath/path.go
@@ -17,8 +17,8 @@
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/flow"
 	"balsamfork/internal/keyowner"
+	"balsamfork/internal/pair"
 	"balsamfork/internal/peer"
-	"balsamfork/internal/quorum"
 	"balsamfork/internal/request"
 )
 
@@ -28,7 +28,7 @@
 // Path is the request path of one instance.
 type Path struct {
 	opts  Options
-	self  quorum.Holder
+	self  pair.Holder
 	peers peer.Caller
 	log   *slog.Logger
 	m     metrics
@@ -46,7 +46,7 @@
 
 	// mu guards all that follows.
 	mu       sync.Mutex
-	members  *quorum.Electorate
+	members  *pair.Table
 	claims   *atmostonce.Claims
 	owner    *keyowner.System
 	admitter *admission.System
@@ -78,11 +78,11 @@
 	p := &Path{
 		clock:    c,
 		opts:     o,
-		self:     quorum.Holder{ID: o.Self, Incarnation: o.Incarnation},
+		self:     pair.Holder{ID: o.Self, Incarnation: o.Incarnation},
 		peers:    peers,
 		log:      log.With("part", "requests"),
 		m:        newMetrics(scope),
-		members:  quorum.New(o.Membership),
+		members:  pair.New(o.Membership),
 		notices:  make(map[config.Number]flow.Announcement),
 		cold:     make(map[config.Number]joined),
 		results:  make(map[uint64]chan request.Result),
@@ -93,13 +93,14 @@
 	p.servers = newPools(p.ctx, o.Dial, p.clock, p.log, p.m)
 	p.drops = newDrops()
 	p.claims = atmostonce.NewClaims(now, o.Timing.Settle, atmostonce.MaxClaims)
+	p.claims.SetAlone(now, true)
 	p.admitter = admission.New(now, p.self, o.Timing, p.members)
 	p.owner = keyowner.New(keyowner.Options{
 		Self:    p.self,
 		Members: p.members,
 		Claims:  p.claims,
 		Table:   atmostonce.NewTable(atmostonce.MaxEntries, atmostonce.MaxAnswerBytes),
-		Rand:    rand.New(rand.NewPCG(o.Incarnation, quorum.Name(string(o.Self)))),
+		Rand:    rand.New(rand.NewPCG(o.Incarnation, pair.Name(string(o.Self)))),
 		MaxRun:  o.Timing.MaxRun,
 	})
 	p.register(reg)
@@ -121,6 +122,7 @@
 	p.listener = l
 	p.work.Go(p.accept)
 	p.work.Go(p.tick)
+	p.work.Go(p.watchSilent)
 	p.log.Info("Requests are taken", "address", l.Addr().String())
 }
 
--- a/internal/requestpath/peers.go
+++ b/internal/requestpath/peers.go
@@ -149,7 +149,7 @@
 		return nil, err
 	}
 	var r holdResult
-	p.input(func(now int64) { r.Servers = p.admitter.Ask(now, params.Holder, params.Servers, params.SentAt) })
+	p.input(func(now int64) { r.Granted = p.admitter.Ask(now, params.Holder, params.Servers, params.SentAt) })
 	return r, nil
 }
 
--- a/internal/requestpath/tables.go
+++ b/internal/requestpath/tables.go
@@ -100,6 +100,7 @@
 		}
 	}
 	p.admitter.SetServers(now, rows)
+	p.claims.SetAlone(now, p.admitter.Alone())
 	p.owner.SetServices(services)
 	p.flush()
 }
