Answer messages between instances at once; send results and outcomes as calls of their own

Cause: the link runs 256 handlers per connection and then stops reading; handlers that wait for a request's end could fill that, hold up claims, grants and heartbeats behind them, and lock two instances against each other. Change: request.run and request.admit are acknowledged, request.result and request.outcome carry what they led to; a drain waits for replies under way; copies that came through an instance that died are given up. Conclusion: no handler waits any more.

--- a/internal/requestpath/callers.go
+++ b/internal/requestpath/callers.go
@@ -147,10 +147,12 @@
 	s.seq++
 	id := s.seq
 	s.requests[id] = inFlight{key: key, cancel: cancel}
+	s.path.begin()
 	s.work.Go(func() {
 		f(ctx)
 		cancel(nil)
 		s.end(id)
+		s.path.leave()
 	})
 	return true
 }
@@ -237,14 +239,20 @@
 	case r.Key.Home == "" && !r.Repeatable:
 		return request.Invalid
 	}
-	p.callers++
+	p.busy++
 	return ""
 }
 
+func (p *Path) begin() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy++
+}
+
 func (p *Path) leave() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.callers--
+	p.busy--
 }
 
 // ownerOf returns the instance that owns a key, leaving out the first few.
@@ -264,20 +272,15 @@
 	defer cancel()
 	id := p.track(owner, cancel)
 	defer p.untrack(id)
-	c := p.newCopy()
-	var res request.Result
-	err := p.peers.Call(ctx, owner, peerRun, runParams{Copy: c, Request: r}, &res)
-	if err == nil && res.Validate() == nil {
+	res, err := p.remoteRun(ctx, owner, r, false)
+	if err == nil {
 		return res, res.Reason != request.Stopping
 	}
-	if ctx.Err() != nil {
-		p.drop(ctx, owner, c)
-	}
 	return declined(r, request.Unreachable), false
 }
 
 func (p *Path) passHere(ctx context.Context, r *request.Request) (request.Result, bool) {
-	w, ch := p.own(r, false)
+	w, ch := p.own(r)
 	select {
 	case res := <-ch:
 		return res, res.Reason != request.Stopping
--- a/internal/requestpath/decode_test.go
+++ b/internal/requestpath/decode_test.go
@@ -13,11 +13,18 @@
 	"github.com/uber-go/tally/v4"
 
 	"balsamfork/internal/admission"
+	"balsamfork/internal/fleet"
 	"balsamfork/internal/peer"
 	"balsamfork/internal/request"
 )
 
-type nowhere struct{ peer.Caller }
+type nowhere struct{}
+
+func (nowhere) Call(context.Context, fleet.ID, string, any, any) error {
+	return peer.Unreachable.New("")
+}
+
+func (nowhere) Notify(context.Context, fleet.ID, string, any) error { return peer.Unreachable.New("") }
 
 func (nowhere) Handle(string, peer.Handler) {}
 
@@ -27,12 +34,11 @@
 	f.Add([]byte(`{"id":{"owner":{"id":"i"},"seq":1},"server":1,"deadline":9,"request":{"key":{"id":"k","created":1},"service":"s","method":"m","deadline":1}}`))
 	f.Add([]byte(`{"high":1,"low":2,"created":-5,"claimant":{"seq":1}}`))
 	f.Add([]byte(`{"holder":{"id":"i"},"servers":[1,2],"sentAt":1}`))
-	p := New(Options{Self: "i", DataCentre: "a", Region: "r"}, nowhere{}, nowhere{}, slog.New(slog.NewTextHandler(io.Discard, nil)), tally.NoopScope)
-	gone, cancel := context.WithCancel(context.Background())
-	cancel()
 	f.Fuzz(func(_ *testing.T, raw []byte) {
-		for _, h := range []peer.Handler{p.handleRun, p.handleDrop, p.handleClaim, p.handleAdmit, p.handleStop, p.handleHold, p.handleRelease} {
-			_, _ = h(gone, "j", raw)
+		p := New(Options{Self: "i", DataCentre: "a", Region: "r"}, nowhere{}, nowhere{}, slog.New(slog.NewTextHandler(io.Discard, nil)), tally.NoopScope)
+		defer p.Close()
+		for _, h := range []peer.Handler{p.handleRun, p.handleDrop, p.handleClaim, p.handleAdmit, p.handleStop, p.handleHold, p.handleRelease, p.handleResult, p.handleOutcome} {
+			_, _ = h(context.Background(), "j", raw)
 		}
 	})
 }
--- a/internal/requestpath/effects.go
+++ b/internal/requestpath/effects.go
@@ -43,10 +43,7 @@
 		left := time.Duration(e.Request.Deadline - p.clock.now())
 		p.call(e.To, left, func(ctx context.Context) { p.ask(ctx, e) })
 	case keyowner.Answer:
-		if ch := p.results[e.Waiter]; ch != nil {
-			delete(p.results, e.Waiter)
-			ch <- e.Result
-		}
+		p.answer(e.Waiter, e.Result)
 	}
 }
 
@@ -57,10 +54,7 @@
 	case admission.CancelRun:
 		p.servers.stop(e.Attempt.ID)
 	case admission.Reply:
-		if ch := p.outcomes[e.Waiter]; ch != nil {
-			delete(p.outcomes, e.Waiter)
-			ch <- e.Outcome
-		}
+		p.replyOutcome(e.Waiter, e.Outcome)
 	case admission.AskGrant:
 		p.call(e.To, callFor, func(ctx context.Context) { p.hold(ctx, e) })
 	case admission.ReleaseGrant:
@@ -79,7 +73,7 @@
 
 // call runs a function that waits for another instance. Its context ends after the
 // time, or once the instance is known to be dead. The caller holds mu.
-func (p *Path) call(to fleet.ID, most time.Duration, f func(context.Context)) {
+func (p *Path) call(to fleet.ID, most time.Duration, f func(context.Context)) uint64 {
 	ctx, cancel := context.WithTimeout(p.ctx, most)
 	p.seq++
 	id := p.seq
@@ -91,6 +85,7 @@
 		delete(p.calls, id)
 		p.mu.Unlock()
 	})
+	return id
 }
 
 // input runs one input of the decisions and carries out what follows.
@@ -111,9 +106,8 @@
 }
 
 func (p *Path) ask(ctx context.Context, e keyowner.Effect) {
-	r := request.Unsure(request.Unreachable)
-	params := runParams{Copy: p.newCopy(), Request: e.Request, Join: true}
-	if err := p.peers.Call(ctx, e.To, peerRun, params, &r); err != nil || r.Validate() != nil {
+	r, err := p.remoteRun(ctx, e.To, e.Request, true)
+	if err != nil {
 		r = request.Unsure(request.Unreachable)
 	}
 	p.input(func(now int64) { p.owner.Told(now, e.Key, e.Claimant, r) })
@@ -132,28 +126,107 @@
 func (p *Path) admit(e keyowner.Effect) {
 	a := e.Attempt
 	if e.To == p.self.ID {
-		w, ch := p.newOutcome()
-		p.admitter.Admit(a.Sent, w, a)
-		p.work.Go(func() {
-			select {
-			case o := <-ch:
-				p.input(func(now int64) { p.owner.Outcome(now, a.ID, o) })
-			case <-p.ctx.Done():
-			}
-		})
+		p.takeAttempt(a.Sent, a)
 		return
 	}
 	left := time.Duration(a.Deadline-p.clock.now()) + p.opts.Timing.Margin
-	p.call(e.To, left, func(ctx context.Context) {
-		var o admission.Outcome
-		err := p.peers.Call(ctx, e.To, peerAdmit, a, &o)
-		if err != nil || o.Result.Validate() != nil {
-			o = admission.Outcome{Result: request.Unsure(request.Unreachable)}
+	p.waits[a.ID.Seq] = p.call(e.To, left, func(ctx context.Context) {
+		if p.peers.Call(ctx, e.To, peerAdmit, a, nil) == nil {
+			<-ctx.Done()
 		}
-		p.input(func(now int64) { p.owner.Outcome(now, a.ID, o) })
+		p.input(func(now int64) {
+			p.outcome(now, a.ID, admission.Outcome{Result: request.Unsure(request.Unreachable)})
+		})
+	})
+}
+
+// outcome hands the first outcome of an attempt that was passed on to the owner's
+// decisions. The caller holds mu.
+func (p *Path) outcome(now int64, id admission.AttemptID, o admission.Outcome) {
+	wait, waiting := p.waits[id.Seq]
+	if !waiting || id.Owner != p.self {
+		return
+	}
+	delete(p.waits, id.Seq)
+	p.calls[wait].end()
+	p.owner.Outcome(now, id, o)
+}
+
+// takeAttempt hands an attempt to the admission decisions. The caller holds mu.
+func (p *Path) takeAttempt(now int64, a admission.Attempt) {
+	p.seq++
+	p.attempts[p.seq] = a.ID
+	p.admitter.Admit(now, p.seq, a)
+}
+
+// replyOutcome sends an outcome to the owner that waits for it. The caller holds mu.
+func (p *Path) replyOutcome(w uint64, o admission.Outcome) {
+	id := p.attempts[w]
+	delete(p.attempts, w)
+	if id.Owner == p.self {
+		p.owner.Outcome(p.clock.now(), id, o)
+		return
+	}
+	p.reply(id.Owner.ID, peerOutcome, outcomeParams{ID: id, Outcome: o})
+}
+
+// reply sends what another instance waits for. The caller holds mu.
+func (p *Path) reply(to fleet.ID, method string, params any) {
+	p.busy++
+	p.call(to, callFor, func(ctx context.Context) {
+		_ = p.peers.Call(ctx, to, method, params, nil)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.busy--
 	})
 }
 
+// answer gives a result to its waiter, here or at another instance. The caller
+// holds mu.
+func (p *Path) answer(w uint64, r request.Result) {
+	if ch := p.results[w]; ch != nil {
+		delete(p.results, w)
+		ch <- r
+		return
+	}
+	c, found := p.copies[w]
+	if !found {
+		return
+	}
+	p.forgetCopy(w)
+	p.reply(c.From.ID, peerResult, resultParams{Copy: c, Result: r})
+}
+
+func (p *Path) forgetCopy(w uint64) {
+	delete(p.waiters, p.copies[w])
+	delete(p.copies, w)
+}
+
+// remoteRun passes a copy of a request to another instance and waits for its
+// result. It returns the error of the context, or of the call.
+func (p *Path) remoteRun(ctx context.Context, to fleet.ID, r *request.Request, join bool) (request.Result, error) {
+	p.mu.Lock()
+	seq, ch := p.newResult()
+	p.mu.Unlock()
+	c := copyID{From: p.self, Seq: seq}
+	err := p.peers.Call(ctx, to, peerRun, runParams{Copy: c, Request: r, Join: join}, nil)
+	if err == nil {
+		select {
+		case res := <-ch:
+			return res, nil
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
+	}
+	p.mu.Lock()
+	delete(p.results, seq)
+	p.mu.Unlock()
+	if ctx.Err() != nil {
+		p.drop(ctx, to, c)
+	}
+	return request.Result{}, err
+}
+
 func (p *Path) cancelAttempt(e keyowner.Effect) {
 	if e.To == p.self.ID {
 		p.admitter.Cancel(p.clock.now(), e.Attempt.ID)
@@ -170,13 +243,7 @@
 	p.input(func(now int64) { p.admitter.Done(now, a.ID, r) })
 }
 
-func (p *Path) newOutcome() (uint64, chan admission.Outcome) {
-	p.seq++
-	ch := make(chan admission.Outcome, 1)
-	p.outcomes[p.seq] = ch
-	return p.seq, ch
-}
-
+// newResult makes a waiter of this instance. The caller holds mu.
 func (p *Path) newResult() (uint64, chan request.Result) {
 	p.seq++
 	ch := make(chan request.Result, 1)
@@ -184,13 +251,6 @@
 	return p.seq, ch
 }
 
-func (p *Path) newCopy() copyID {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.seq++
-	return copyID{From: p.self, Seq: p.seq}
-}
-
 // verdictOf answers a claim as a member of the key's group.
 func (p *Path) verdictOf(c claimParams) claimResult {
 	p.mu.Lock()
--- a/internal/requestpath/faults_test.go
+++ b/internal/requestpath/faults_test.go
@@ -304,3 +304,42 @@
 		is.Equal(s.counts().Started, 0)
 	})
 }
+
+// TestBoundOverloadEndToEnd sends ten times what the backend servers can run
+// through all instances: slots stay full, none is exceeded, refusals are true.
+func TestBoundOverloadEndToEnd(t *testing.T) {
+	within(t, 3, 3, func(t *testing.T, is *is.I, s *site) {
+		const (
+			perSecond = 10 * 3 * slots * 50 // 20 ms a request
+			lasts     = 2 * time.Second
+		)
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		kinds := make(map[request.Status]int)
+		before := s.counts()
+		began := time.Now()
+		for i := 0; time.Since(began) < lasts; i++ {
+			wg.Go(func() {
+				r := request.Request{
+					Key:     request.Key{ID: fmt.Sprint("k", i), Created: time.Now().UnixMilli(), Home: "a"},
+					Service: "orders", Method: "m", TimeoutMs: 500, Repeatable: i%2 == 0,
+				}
+				res := s.paths[i%3].Do(t.Context(), &r)
+				mu.Lock()
+				defer mu.Unlock()
+				kinds[res.Status]++
+			})
+			time.Sleep(time.Second / perSecond)
+		}
+		done := s.counts().Finished - before.Finished
+		wg.Wait()
+		capacity := 3 * slots * 50 * int(lasts/time.Second)
+		after := s.counts()
+		t.Logf("%d of %d possible, %v", done, capacity, kinds)
+		is.True(done*10 >= capacity*9)
+		is.Equal(after.Exceeded, 0)
+		is.Equal(after.Twice, 0)
+		is.Equal(kinds[request.Answered], after.Started-before.Started)
+		is.Equal(kinds[request.Unknown], 0)
+	})
+}
--- a/internal/requestpath/messages.go
+++ b/internal/requestpath/messages.go
@@ -17,7 +17,8 @@
 	methodHome   = "request.home"
 )
 
-// Methods between instances.
+// Methods between instances. All are answered at once: results and outcomes come back
+// by calls of their own, so that long requests do not hold up the link.
 const (
 	peerRun     = "request.run"
 	peerDrop    = "request.drop"
@@ -26,6 +27,8 @@
 	peerStop    = "request.stop"
 	peerHold    = "request.hold"
 	peerRelease = "request.release"
+	peerResult  = "request.result"
+	peerOutcome = "request.outcome"
 )
 
 // The method by which a backend server is told to cancel, and the codes by which it
@@ -61,6 +64,16 @@
 	Join bool `json:"join,omitempty"`
 }
 
+type resultParams struct {
+	Copy   copyID         `json:"copy"`
+	Result request.Result `json:"result"`
+}
+
+type outcomeParams struct {
+	ID      admission.AttemptID `json:"id"`
+	Outcome admission.Outcome   `json:"outcome"`
+}
+
 type dropParams struct {
 	Copy   copyID `json:"copy"`
 	Cancel bool   `json:"cancel"`
--- a/internal/requestpath/path.go
+++ b/internal/requestpath/path.go
@@ -42,7 +42,6 @@
 	servers  *pools
 	// stepped belongs to the goroutine of tick.
 	stepped bool
-	drops   *drops
 	// reports is the evidence on its way to Options.Evidence.
 	reports chan flow.Evidence
 
@@ -58,11 +57,18 @@
 	cold     map[config.Number]joined
 	seq      uint64
 	results  map[uint64]chan request.Result
-	outcomes map[uint64]chan admission.Outcome
+	// copies is the copies that other instances passed on, by waiter, and waiters the
+	// other way round; attempts is those of whom this instance owes the outcome, by
+	// waiter; waits is the calls of those that were passed on, by number.
+	copies   map[uint64]copyID
+	waiters  map[copyID]uint64
+	attempts map[uint64]admission.AttemptID
+	waits    map[uint64]uint64
 	calls    map[uint64]call
 	stopping bool
 	closed   bool
-	callers  int
+	// busy counts requests of callers and replies to instances that are not finished.
+	busy int
 }
 
 // call is a message to another instance whose answer is awaited.
@@ -71,6 +77,13 @@
 	cancel context.CancelFunc
 }
 
+// end cancels the call, if there is one.
+func (c call) end() {
+	if c.cancel != nil {
+		c.cancel()
+	}
+}
+
 // New returns a request path. It registers its methods with reg; call Start once
 // the configuration and the view are set.
 func New(o Options, peers peer.Caller, reg peer.Registry, log *slog.Logger, scope tally.Scope) *Path {
@@ -88,12 +101,14 @@
 		notices:  make(map[config.Number]flow.Announcement),
 		cold:     make(map[config.Number]joined),
 		results:  make(map[uint64]chan request.Result),
-		outcomes: make(map[uint64]chan admission.Outcome),
+		copies:   make(map[uint64]copyID),
+		waiters:  make(map[copyID]uint64),
+		attempts: make(map[uint64]admission.AttemptID),
+		waits:    make(map[uint64]uint64),
 		calls:    make(map[uint64]call),
 	}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.servers = newPools(p.ctx, o.Dial, p.clock, p.log, p.m)
-	p.drops = newDrops()
 	p.reports = make(chan flow.Evidence, maxReports)
 	p.claims = atmostonce.NewClaims(now, o.Timing.Settle, atmostonce.MaxClaims)
 	p.admitter = admission.New(now, p.self, o.Timing, p.members)
@@ -181,7 +196,7 @@
 func (p *Path) idle() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.callers == 0 && p.owner.Pending() == 0 && p.admitter.Running() == 0
+	return p.busy == 0 && len(p.attempts) == 0 && p.owner.Pending() == 0 && p.admitter.Running() == 0
 }
 
 // Close ends everything at once.
--- a/internal/requestpath/peers.go
+++ b/internal/requestpath/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"sync"
 
 	"balsamfork/internal/admission"
 	"balsamfork/internal/fleet"
@@ -11,28 +10,6 @@
 	"balsamfork/internal/request"
 )
 
-// drops finds the waiter of a copy that another instance passed on.
-type drops struct {
-	mu      sync.Mutex
-	waiters map[copyID]uint64
-}
-
-func newDrops() *drops { return &drops{waiters: make(map[copyID]uint64)} }
-
-func (d *drops) add(c copyID, w uint64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.waiters[c] = w
-}
-
-func (d *drops) take(c copyID) (uint64, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	w, found := d.waiters[c]
-	delete(d.waiters, c)
-	return w, found
-}
-
 func (p *Path) register(reg peer.Registry) {
 	reg.Handle(peerRun, p.handleRun)
 	reg.Handle(peerDrop, p.handleDrop)
@@ -41,9 +18,11 @@
 	reg.Handle(peerStop, p.handleStop)
 	reg.Handle(peerHold, p.handleHold)
 	reg.Handle(peerRelease, p.handleRelease)
+	reg.Handle(peerResult, p.handleResult)
+	reg.Handle(peerOutcome, p.handleOutcome)
 }
 
-func (p *Path) handleRun(ctx context.Context, _ fleet.ID, raw json.RawMessage) (any, error) {
+func (p *Path) handleRun(_ context.Context, _ fleet.ID, raw json.RawMessage) (any, error) {
 	params, err := decodeParams[runParams](raw)
 	if err != nil {
 		return nil, err
@@ -54,28 +33,54 @@
 	if err := params.Request.Validate(); err != nil {
 		return nil, err
 	}
-	w, ch := p.own(params.Request, params.Join)
-	p.drops.add(params.Copy, w)
-	defer p.drops.take(params.Copy)
-	select {
-	case r := <-ch:
-		return r, nil
-	case <-ctx.Done():
-		p.abandon(w, false)
-		return nil, ctx.Err()
-	case <-p.ctx.Done():
-		return nil, p.ctx.Err()
+	p.input(func(now int64) {
+		if _, twice := p.waiters[params.Copy]; twice {
+			return
+		}
+		p.seq++
+		p.copies[p.seq], p.waiters[params.Copy] = params.Copy, p.seq
+		if params.Join {
+			p.owner.Join(p.seq, params.Request)
+			return
+		}
+		p.owner.Run(now, p.seq, params.Request)
+	})
+	return nil, nil
+}
+
+func (p *Path) handleResult(_ context.Context, _ fleet.ID, raw json.RawMessage) (any, error) {
+	params, err := decodeParams[resultParams](raw)
+	if err != nil {
+		return nil, err
 	}
+	if err := params.Result.Validate(); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if ch := p.results[params.Copy.Seq]; ch != nil && params.Copy.From == p.self {
+		delete(p.results, params.Copy.Seq)
+		ch <- params.Result
+	}
+	return nil, nil
+}
+
+func (p *Path) handleOutcome(_ context.Context, _ fleet.ID, raw json.RawMessage) (any, error) {
+	params, err := decodeParams[outcomeParams](raw)
+	if err != nil {
+		return nil, err
+	}
+	if err := params.Outcome.Result.Validate(); err != nil {
+		return nil, err
+	}
+	p.input(func(now int64) { p.outcome(now, params.ID, params.Outcome) })
+	return nil, nil
 }
 
 // own hands a copy of a request to this instance as the owner of its key.
-func (p *Path) own(r *request.Request, join bool) (w uint64, ch chan request.Result) {
+func (p *Path) own(r *request.Request) (w uint64, ch chan request.Result) {
 	p.input(func(now int64) {
 		w, ch = p.newResult()
-		if join {
-			p.owner.Join(w, r)
-			return
-		}
 		p.owner.Run(now, w, r)
 	})
 	return w, ch
@@ -99,7 +104,13 @@
 	if err != nil {
 		return nil, err
 	}
-	if w, found := p.drops.take(params.Copy); found {
+	p.mu.Lock()
+	w, found := p.waiters[params.Copy]
+	if found {
+		p.forgetCopy(w)
+	}
+	p.mu.Unlock()
+	if found {
 		p.abandon(w, params.Cancel)
 	}
 	return nil, nil
@@ -113,25 +124,13 @@
 	return p.verdictOf(params), nil
 }
 
-func (p *Path) handleAdmit(ctx context.Context, _ fleet.ID, raw json.RawMessage) (any, error) {
+func (p *Path) handleAdmit(_ context.Context, _ fleet.ID, raw json.RawMessage) (any, error) {
 	a, err := decodeAttempt(raw)
 	if err != nil {
 		return nil, err
 	}
-	var ch chan admission.Outcome
-	p.input(func(now int64) {
-		var w uint64
-		w, ch = p.newOutcome()
-		p.admitter.Admit(now, w, a)
-	})
-	select {
-	case o := <-ch:
-		return o, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-p.ctx.Done():
-		return nil, p.ctx.Err()
-	}
+	p.input(func(now int64) { p.takeAttempt(now, a) })
+	return nil, nil
 }
 
 func (p *Path) handleStop(_ context.Context, _ fleet.ID, raw json.RawMessage) (any, error) {
--- a/internal/requestpath/tables.go
+++ b/internal/requestpath/tables.go
@@ -55,9 +55,21 @@
 			c.cancel()
 		}
 	}
+	p.abandonOf(v)
 	p.rebuild()
 }
 
+// abandonOf forgets the copies that came through instances that have died.
+func (p *Path) abandonOf(v *fleet.View) {
+	for w, c := range p.copies {
+		if in, found := v.Get(c.From.ID); found && in.Reachable() {
+			continue
+		}
+		p.forgetCopy(w)
+		p.owner.Abandon(p.clock.now(), w)
+	}
+}
+
 // SetAnnouncements takes in all announced conditions of backend servers.
 func (p *Path) SetAnnouncements(all []flow.Announcement) {
 	p.mu.Lock()
