--- a/internal/keyowner/compare_test.go
+++ b/internal/keyowner/compare_test.go
@@ -184,8 +184,8 @@
 	}{{0.7, false}, {0.7, true}, {2, false}, {10, false}} {
 		for _, d := range []string{"owner", "shares", "two choices"} {
 			l, n := compare(d, c.times, c.split)
-			row := fmt.Sprintf("| %.1fx%s | %s | %d | %.3f | %.2f | %.1f%% | %v |", c.times, map[bool]string{true: ", partition"}[c.split], d,
-				l.exceeded, l.goodput, l.attempts, 100*float64(l.sum[request.Refused])/float64(n), l.p99.Round(time.Millisecond))
+			row := fmt.Sprintf("| %.1fx%s | %s | %d | %.3f | %.2f | %.1f%% | %.1f%% | %v |", c.times, map[bool]string{true: ", partition"}[c.split], d,
+				l.exceeded, l.goodput, l.attempts, 100*float64(l.sum[request.Refused])/float64(n), 100*float64(l.sum[request.Unknown]+l.sum["none"])/float64(n), l.p99.Round(time.Millisecond))
 			t.Log(row)
 			if d == "owner" {
 				is.Equal(l.exceeded, 0)
