--- a/internal/atmostonce/claims.go
+++ b/internal/atmostonce/claims.go
@@ -86,7 +86,11 @@
 }
 
 // SetLeaving makes the member grant no key that is created from now on.
-func (c *Claims) SetLeaving(now int64) { c.before = now }
+func (c *Claims) SetLeaving(now int64) {
+	if c.before == 0 {
+		c.before = now
+	}
+}
 
 // SetAlone says whether an instance of the data centre that counts has not been in
 // contact with this one since its start: what its earlier run granted may then
--- a/internal/requestpath/options.go
+++ b/internal/requestpath/options.go
@@ -33,8 +33,8 @@
 	// DialInstance connects to an instance's control address; if nil, over TCP. Only
 	// its error is of interest: a refused connection proves that the process ended.
 	DialInstance func(ctx context.Context, address string) (net.Conn, error)
-	// Evidence, if set, is called with what answers show of backend servers. It
-	// must not block, nor call the Path.
+	// Evidence, if set, is called with what answers show of backend servers, by one
+	// goroutine. What it is too slow for is dropped and counted.
 	Evidence func(flow.Evidence)
 }
 
--- a/internal/requestpath/tables.go
+++ b/internal/requestpath/tables.go
@@ -49,15 +49,32 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.view = v
-	p.members.Update(p.clock.now(), v)
+	now := p.clock.now()
+	p.members.Update(now, v)
+	if self, found := v.Get(p.self.ID); found && self.State == fleet.Leaving {
+		// The others stop counting this instance from now on.
+		p.claims.SetLeaving(now)
+	}
 	for _, c := range p.calls {
 		if in, found := v.Get(c.to); found && !in.Reachable() {
 			c.cancel()
 		}
 	}
+	p.abandonOf(v)
 	p.rebuild()
 }
 
+// abandonOf forgets the copies that came through instances that have died.
+func (p *Path) abandonOf(v *fleet.View) {
+	for w, c := range p.copies {
+		if in, found := v.Get(c.From.ID); found && in.Reachable() {
+			continue
+		}
+		p.forgetCopy(w)
+		p.owner.Abandon(p.clock.now(), w)
+	}
+}
+
 // SetAnnouncements takes in all announced conditions of backend servers.
 func (p *Path) SetAnnouncements(all []flow.Announcement) {
 	p.mu.Lock()
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -25,6 +25,9 @@
 	saved float64
 }
 
+// Full returns a budget with the most that can be saved up.
+func Full() Budget { return Budget{saved: MaxSaved} }
+
 // First counts a first attempt.
 func (b *Budget) First() {
 	b.saved = min(b.saved+Share, MaxSaved)
