--- a/internal/keyowner/compare_test.go
+++ b/internal/keyowner/compare_test.go
@@ -9,7 +9,7 @@
 
 	"balsamfork/internal/admission"
 	"balsamfork/internal/fleet"
-	"balsamfork/internal/quorum"
+	"balsamfork/internal/pair"
 	"balsamfork/internal/request"
 )
 
@@ -43,7 +43,7 @@
 		for s := range b.row.Slots {
 			best := seen[0]
 			for _, id := range seen {
-				if quorum.Rank(id, uint64(i*64+s)) > quorum.Rank(best, uint64(i*64+s)) {
+				if pair.Rank(id, uint64(i*64+s)) > pair.Rank(best, uint64(i*64+s)) {
 					best = id
 				}
 			}
@@ -59,10 +59,10 @@
 func (p *plain) send(b int, r *plainRequest, end func(admission.Run)) {
 	p.seq++
 	r.tries++
-	id := admission.AttemptID{Owner: quorum.Holder{ID: p.n.id, Incarnation: p.n.inc}, Seq: p.seq}
+	id := admission.AttemptID{Owner: pair.Holder{ID: p.n.id, Incarnation: p.n.inc}, Seq: p.seq}
 	p.m.after(p.m.delay(), func() {
 		left := time.Duration(r.o.deadline - p.m.now)
-		p.m.servers[b].start(p.m, id, r.o.id, false, max(left, 0), func(run admission.Run) {
+		p.m.servers[b].start(p.m, id, r.o.id, max(left, 0), func(run admission.Run) {
 			p.m.after(p.m.delay(), func() { end(run) })
 		})
 	})
@@ -184,8 +184,8 @@
 	}{{0.7, false}, {0.7, true}, {2, false}, {10, false}} {
 		for _, d := range []string{"owner", "shares", "two choices"} {
 			l, n := compare(d, c.times, c.split)
-			row := fmt.Sprintf("| %.1fx%s | %s | %d | %.3f | %.2f | %.1f%% | %v |", c.times, map[bool]string{true: ", partition"}[c.split], d,
-				l.exceeded, l.goodput, l.attempts, 100*float64(l.sum[request.Refused])/float64(n), l.p99.Round(time.Millisecond))
+			row := fmt.Sprintf("| %.1fx%s | %s | %d | %.3f | %.2f | %.1f%% | %.1f%% | %v |", c.times, map[bool]string{true: ", partition"}[c.split], d,
+				l.exceeded, l.goodput, l.attempts, 100*float64(l.sum[request.Refused])/float64(n), 100*float64(l.sum[request.Unknown]+l.sum["none"])/float64(n), l.p99.Round(time.Millisecond))
 			t.Log(row)
 			if d == "owner" {
 				is.Equal(l.exceeded, 0)
--- a/internal/requestpath/messages.go
+++ b/internal/requestpath/messages.go
@@ -6,7 +6,7 @@
 	"balsamfork/internal/admission"
 	"balsamfork/internal/atmostonce"
 	"balsamfork/internal/config"
-	"balsamfork/internal/quorum"
+	"balsamfork/internal/pair"
 	"balsamfork/internal/request"
 )
 
@@ -17,7 +17,8 @@
 	methodHome   = "request.home"
 )
 
-// Methods between instances.
+// Methods between instances. All are answered at once: results and outcomes come back
+// by calls of their own, so that long requests do not hold up the link.
 const (
 	peerRun     = "request.run"
 	peerDrop    = "request.drop"
@@ -26,6 +27,8 @@
 	peerStop    = "request.stop"
 	peerHold    = "request.hold"
 	peerRelease = "request.release"
+	peerResult  = "request.result"
+	peerOutcome = "request.outcome"
 )
 
 // The method by which a backend server is told to cancel, and the codes by which it
@@ -50,8 +53,8 @@
 }
 
 type copyID struct {
-	From quorum.Holder `json:"from"`
-	Seq  uint64        `json:"seq"`
+	From pair.Holder `json:"from"`
+	Seq  uint64      `json:"seq"`
 }
 
 type runParams struct {
@@ -61,6 +64,16 @@
 	Join bool `json:"join,omitempty"`
 }
 
+type resultParams struct {
+	Copy   copyID         `json:"copy"`
+	Result request.Result `json:"result"`
+}
+
+type outcomeParams struct {
+	ID      admission.AttemptID `json:"id"`
+	Outcome admission.Outcome   `json:"outcome"`
+}
+
 type dropParams struct {
 	Copy   copyID `json:"copy"`
 	Cancel bool   `json:"cancel"`
@@ -79,13 +92,13 @@
 }
 
 type holdParams struct {
-	Holder  quorum.Holder   `json:"holder"`
+	Holder  pair.Holder     `json:"holder"`
 	Servers []config.Number `json:"servers"`
 	SentAt  int64           `json:"sentAt"`
 }
 
 type holdResult struct {
-	Servers []config.Number `json:"servers"`
+	Granted []admission.Grant `json:"granted"`
 }
 
 // CancelServerParams are the params of ServerCancel: the ID of the JSON-RPC request.
--- a/internal/requestpath/path.go
+++ b/internal/requestpath/path.go
@@ -17,8 +17,8 @@
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/flow"
 	"balsamfork/internal/keyowner"
+	"balsamfork/internal/pair"
 	"balsamfork/internal/peer"
-	"balsamfork/internal/quorum"
 	"balsamfork/internal/request"
 )
 
@@ -28,7 +28,7 @@
 // Path is the request path of one instance.
 type Path struct {
 	opts  Options
-	self  quorum.Holder
+	self  pair.Holder
 	peers peer.Caller
 	log   *slog.Logger
 	m     metrics
@@ -42,11 +42,12 @@
 	servers  *pools
 	// stepped belongs to the goroutine of tick.
 	stepped bool
-	drops   *drops
+	// reports is the evidence on its way to Options.Evidence.
+	reports chan flow.Evidence
 
 	// mu guards all that follows.
 	mu       sync.Mutex
-	members  *quorum.Electorate
+	members  *pair.Table
 	claims   *atmostonce.Claims
 	owner    *keyowner.System
 	admitter *admission.System
@@ -56,11 +57,18 @@
 	cold     map[config.Number]joined
 	seq      uint64
 	results  map[uint64]chan request.Result
-	outcomes map[uint64]chan admission.Outcome
+	// copies is the copies that other instances passed on, by waiter, and waiters the
+	// other way round; attempts is those of whom this instance owes the outcome, by
+	// waiter; waits is the calls of those that were passed on, by number.
+	copies   map[uint64]copyID
+	waiters  map[copyID]uint64
+	attempts map[uint64]admission.AttemptID
+	waits    map[uint64]uint64
 	calls    map[uint64]call
 	stopping bool
 	closed   bool
-	callers  int
+	// busy counts requests of callers and replies to instances that are not finished.
+	busy int
 }
 
 // call is a message to another instance whose answer is awaited.
@@ -69,6 +77,13 @@
 	cancel context.CancelFunc
 }
 
+// end cancels the call, if there is one.
+func (c call) end() {
+	if c.cancel != nil {
+		c.cancel()
+	}
+}
+
 // New returns a request path. It registers its methods with reg; call Start once
 // the configuration and the view are set.
 func New(o Options, peers peer.Caller, reg peer.Registry, log *slog.Logger, scope tally.Scope) *Path {
@@ -78,28 +93,32 @@
 	p := &Path{
 		clock:    c,
 		opts:     o,
-		self:     quorum.Holder{ID: o.Self, Incarnation: o.Incarnation},
+		self:     pair.Holder{ID: o.Self, Incarnation: o.Incarnation},
 		peers:    peers,
 		log:      log.With("part", "requests"),
 		m:        newMetrics(scope),
-		members:  quorum.New(o.Membership),
+		members:  pair.New(o.Membership),
 		notices:  make(map[config.Number]flow.Announcement),
 		cold:     make(map[config.Number]joined),
 		results:  make(map[uint64]chan request.Result),
-		outcomes: make(map[uint64]chan admission.Outcome),
+		copies:   make(map[uint64]copyID),
+		waiters:  make(map[copyID]uint64),
+		attempts: make(map[uint64]admission.AttemptID),
+		waits:    make(map[uint64]uint64),
 		calls:    make(map[uint64]call),
 	}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.servers = newPools(p.ctx, o.Dial, p.clock, p.log, p.m)
-	p.drops = newDrops()
+	p.reports = make(chan flow.Evidence, maxReports)
 	p.claims = atmostonce.NewClaims(now, o.Timing.Settle, atmostonce.MaxClaims)
+	p.claims.SetAlone(now, true)
 	p.admitter = admission.New(now, p.self, o.Timing, p.members)
 	p.owner = keyowner.New(keyowner.Options{
 		Self:    p.self,
 		Members: p.members,
 		Claims:  p.claims,
 		Table:   atmostonce.NewTable(atmostonce.MaxEntries, atmostonce.MaxAnswerBytes),
-		Rand:    rand.New(rand.NewPCG(o.Incarnation, quorum.Name(string(o.Self)))),
+		Rand:    rand.New(rand.NewPCG(o.Incarnation, pair.Name(string(o.Self)))),
 		MaxRun:  o.Timing.MaxRun,
 	})
 	p.register(reg)
@@ -121,6 +140,8 @@
 	p.listener = l
 	p.work.Go(p.accept)
 	p.work.Go(p.tick)
+	p.work.Go(p.watchSilent)
+	p.work.Go(p.report)
 	p.log.Info("Requests are taken", "address", l.Addr().String())
 }
 
@@ -146,10 +167,11 @@
 	p.admitter.SetLeaving(now)
 	p.flush()
 	p.mu.Unlock()
+	began := time.Now()
 	stopping := time.AfterFunc(stopAfter, p.refuseNew)
 	defer stopping.Stop()
 	for {
-		if p.idle() {
+		if p.idle() && time.Since(began) >= noteFor {
 			p.refuseNew()
 			return nil
 		}
@@ -164,6 +186,8 @@
 // Times of a graceful shutdown.
 const (
 	stopAfter = 2 * time.Second
+	// noteFor is how long keys that were made before are still noted here.
+	noteFor   = time.Second
 	drainPoll = 20 * time.Millisecond
 )
 
@@ -177,7 +201,7 @@
 func (p *Path) idle() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.callers == 0 && p.owner.Pending() == 0 && p.admitter.Running() == 0
+	return p.busy == 0 && len(p.attempts) == 0 && p.owner.Pending() == 0 && p.admitter.Running() == 0
 }
 
 // Close ends everything at once.
@@ -213,6 +237,23 @@
 	}
 }
 
+// maxReports bounds the evidence that waits for its receiver.
+const maxReports = 1024
+
+// report hands evidence on without holding anything.
+func (p *Path) report() {
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case e := <-p.reports:
+			if p.opts.Evidence != nil {
+				p.opts.Evidence(e)
+			}
+		}
+	}
+}
+
 // watchClock reports, once, that the wall clock was set: deadlines of this instance
 // are then off for the others until it is started again.
 func (p *Path) watchClock() {
