Ask an owner that is not ready at growing intervals

Cause: a second asked such an owner again at each tick, ten times a second, for as long as an instance did not agree. Change: the time between two requests grows as for the others.

--- a/internal/placement/agreement.go
+++ b/internal/placement/agreement.go
@@ -105,6 +105,14 @@
 	delete(a.told, from)
 }
 
+// hold notes that a peer is to be told when this instance is done.
+func (a *agreement) hold(peer fleet.ID, watched []Watched) {
+	if a.holders[peer] == nil {
+		a.holders[peer] = &retry{}
+	}
+	a.mergeWatched(watched)
+}
+
 // mergeWatched keeps the latest time that any holder gives for each service, and
 // zero for one that some holder does not give.
 func (a *agreement) mergeWatched(all []Watched) {
--- a/internal/placement/exchange.go
+++ b/internal/placement/exchange.go
@@ -222,12 +222,12 @@
 	}
 	e.merge(found)
 	delete(a.pending, from)
-	delete(a.later, from)
 	if r.Holds {
-		a.holders[from] = &retry{}
-		a.mergeWatched(r.Watched)
+		a.hold(from, r.Watched)
 	}
-	if r.Later {
+	if !r.Later {
+		delete(a.later, from)
+	} else if a.later[from] == nil {
 		a.later[from] = &retry{compare: e.state.Load().ring.secondTo(from)}
 	}
 	e.conclude()
