Ask about recovering servers ever less often

Cause: a keeper asked every instance each 5 s about a recovering server: 20 kB a second at 410 instances, as settling did. Change: the same back-off, up to a minute; the page reckons both by it. Figures: 1.9 kB a second over an hour for each service or server asked about. Conclusion: one round is still 100 kB at 410, and the page says so.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -77,9 +77,9 @@
 	Settle float64
 }
 
-// settleSeconds is the time between two rounds of questions about an unsettled
-// service.
-const settleSeconds = 5
+// settleSeconds is the mean time between two questions about a service over an
+// hour in which it is unsettled: the waits grow from 2 s to a minute.
+const settleSeconds = 54
 
 // Row is one line of the reckoning, in bytes a second.
 type Row struct {
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -71,6 +71,9 @@
 	base    int64
 	started time.Time
 	busy    sync.WaitGroup
+
+	// looks belongs to the loop that releases.
+	looks map[config.Number]*look
 }
 
 type counters struct {
--- a/internal/prober/release.go
+++ b/internal/prober/release.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
+	"balsamfork/internal/config"
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/handover"
 	"balsamfork/internal/health"
@@ -11,9 +14,10 @@
 )
 
 const (
-	// releasePeriod is the time between two looks at recovering servers, and the
-	// least time recovering.
+	// releasePeriod is the least time recovering, and the time between the first
+	// two looks at a server; releaseMax bounds the later ones.
 	releasePeriod = 5 * time.Second
+	releaseMax    = time.Minute
 	// askTimeout bounds one question to a peer.
 	askTimeout = time.Second
 )
@@ -43,11 +47,41 @@
 	view := p.view
 	list := p.table.Recovering(p.now(), releasePeriod)
 	p.mu.Unlock()
+	looks := make(map[config.Number]*look, len(list))
 	for _, s := range list {
-		if p.cleared(ctx, view, s) {
+		l := p.looks[s.Number]
+		if l == nil {
+			l = newLook()
+		}
+		looks[s.Number] = l
+		if l.due(time.Now()) && p.cleared(ctx, view, s) {
 			p.Release(s.Number)
 		}
 	}
+	p.looks = looks
+}
+
+// look is when to ask about a recovering server again: ever less often, since the
+// question goes to every instance.
+type look struct {
+	at   time.Time
+	wait *backoff.ExponentialBackOff
+}
+
+func newLook() *look {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = releasePeriod
+	wait.MaxInterval = releaseMax
+	return &look{wait: wait}
+}
+
+// due reports whether to ask now, and moves to the next time.
+func (l *look) due(now time.Time) bool {
+	if now.Before(l.at) {
+		return false
+	}
+	l.at = now.Add(l.wait.NextBackOff())
+	return true
 }
 
 // cleared asks one instance after the other and stops at the first that objects.
