Take a recovering server for cold when traffic shows it

Cause: a sign of a cold start was heeded for healthy servers only. Change: the keeper heeds it while the server recovers as well. Seen: the test of return turns a server cold twice.

--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -146,9 +146,14 @@
 	_, ok = r.Until(time.Second, 9, flow.Healthy)
 	is.True(ok)
 
-	r.Nodes[0].Table.SawCold(r.Now(), 9)
-	_, ok = r.Until(time.Second, 9, flow.Cold)
-	is.True(ok)
+	// It may turn cold without warning, when healthy and while it recovers.
+	for range 2 {
+		r.Nodes[0].Table.SawCold(r.Now(), 9)
+		_, ok = r.Until(time.Second, 9, flow.Cold)
+		is.True(ok)
+		_, ok = r.Until(20*time.Second, 9, flow.Recovering)
+		is.True(ok)
+	}
 }
 
 func TestKeeperCrashesBeforeItsVerdict(t *testing.T) {
--- a/internal/health/keeper.go
+++ b/internal/health/keeper.go
@@ -15,16 +15,25 @@
 	case flow.Cold:
 		t.keepCold(now, r)
 	case flow.Recovering:
-		if !t.failed(now, r) && r.released {
+		if !t.failed(now, r) && !t.cooled(now, r) && r.released {
 			t.announce(now, r, flow.Healthy)
 		}
 	default:
-		if !t.failed(now, r) && r.says(SaysCold, now-int64(t.params.Fresh)) {
-			t.announce(now, r, flow.Cold)
+		if !t.failed(now, r) {
+			t.cooled(now, r)
 		}
 	}
 }
 
+// cooled announces a server cold if traffic has shown it, and reports whether it did.
+func (t *Table) cooled(now int64, r *row) bool {
+	if !r.says(SaysCold, now-int64(t.params.Fresh)) {
+		return false
+	}
+	t.announce(now, r, flow.Cold)
+	return true
+}
+
 // failed announces a server down if all there is to know agrees, and reports
 // whether it did.
 func (t *Table) failed(now int64, r *row) bool {
