Make the stand-in store smaller

Change: one function answers a call, for sockets and in process. Peek and Poke are gone: FuzzRead of confstore goes through the client, TestTrail of audit over a map that loses the same answers. Every fault and count is kept.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -11,9 +11,7 @@
 	"github.com/matryer/is"
 
 	"balsamfork/internal/config"
-	standin "balsamfork/internal/standin/store"
 	"balsamfork/internal/store"
-	"balsamfork/internal/storeclient"
 )
 
 func chain(n int) []Entry {
@@ -58,12 +56,12 @@
 // TestTrail appends more entries than the trail holds, repeating some and losing answers.
 func TestTrail(t *testing.T) {
 	is := is.New(t)
-	server := standin.New()
-	trail := NewTrail(direct{server, storeclient.New(storeclient.Options{URL: "http://store", Transport: server, Fleet: 1})}, "audit")
+	server := &direct{values: map[string]store.Value{}}
+	trail := NewTrail(server, "audit")
 	entries := chain(MaxEntries + 100)
 	for i, e := range entries {
 		if i%500 == 0 {
-			server.LoseAnswers(1)
+			server.lost = 1
 		}
 		is.NoErr(trail.Append(t.Context(), e))
 		if i%700 == 0 {
@@ -75,7 +73,7 @@
 	is.NoErr(err)
 	is.NoErr(Verify(kept, last))
 	is.True(len(kept) <= MaxEntries && len(kept) > MaxEntries-entriesPerPage)
-	is.True(server.Keys() <= pages)
+	is.True(len(server.values) <= pages)
 	some, err := trail.Read(t.Context(), last.Sequence, 70)
 	is.NoErr(err)
 	is.Equal(some, entries[len(entries)-70:])
@@ -83,19 +81,29 @@
 	is.True(Tampered.Has(trail.Append(t.Context(), other)))
 }
 
-// direct writes without the limits of the service, which this test is not about.
+// direct is a store without limits, which this test is not about. It loses the
+// answers of the next writes.
 type direct struct {
-	server *standin.Server
 	store.Store
+	values map[string]store.Value
+	lost   int
 }
 
-func (d direct) Get(_ context.Context, key string) (store.Value, error) {
-	if value, found := d.server.Peek(key); found {
+func (d *direct) Get(_ context.Context, key string) (store.Value, error) {
+	if value, found := d.values[key]; found {
 		return value, nil
 	}
 	return store.Value{}, store.NotFound.New("%s", key)
 }
 
-func (d direct) CompareAndSwap(_ context.Context, key string, old store.Revision, data []byte) (store.Revision, error) {
-	return d.server.Poke(key, old, data)
+func (d *direct) CompareAndSwap(_ context.Context, key string, old store.Revision, data []byte) (store.Revision, error) {
+	if d.values[key].Revision != old {
+		return 0, store.Conflict.New("%s", key)
+	}
+	d.values[key] = store.Value{Revision: old + 1, Data: data}
+	if d.lost > 0 {
+		d.lost--
+		return 0, store.Unknown.New("%s", key)
+	}
+	return old + 1, nil
 }
--- a/internal/confstore/fuzz_test.go
+++ b/internal/confstore/fuzz_test.go
@@ -13,7 +13,8 @@
 // page of the trail are. Reading and writing may fail, and must not panic.
 func FuzzRead(f *testing.F) {
 	server := standin.New()
-	r := New(storeclient.New(storeclient.Options{URL: "http://store", Transport: server, Fleet: 1}))
+	client := storeclient.New(storeclient.Options{URL: "http://store", Transport: server, Fleet: 1})
+	r := New(client)
 	doc := document(2, 2)
 	if _, err := r.Apply(f.Context(), doc, change("first", 0)); err != nil {
 		f.Fatal(err)
@@ -21,20 +22,24 @@
 	keys := []string{headKey, valueKey(1), allocationKey, auditPrefix + "/0"}
 	original := map[string][]byte{}
 	for i, key := range keys {
-		value, _ := server.Peek(key)
+		value, err := client.Get(f.Context(), key)
+		if err != nil {
+			f.Fatal(err)
+		}
 		original[key] = value.Data
 		f.Add(i, value.Data)
 	}
 	f.Add(0, []byte(`{"header":{"version":1},"services":[{"name":"x","value":1}]}`))
 	f.Fuzz(func(t *testing.T, which int, data []byte) {
 		server := standin.New()
-		r := New(storeclient.New(storeclient.Options{URL: "http://store", Transport: server, Fleet: 1}))
+		client := storeclient.New(storeclient.Options{URL: "http://store", Transport: server, Fleet: 1})
+		r := New(client)
 		for i, key := range keys {
 			stored := original[key]
 			if i == which {
 				stored = data
 			}
-			if _, err := server.Poke(key, 0, stored); err != nil {
+			if _, err := client.CompareAndSwap(t.Context(), key, 0, stored); err != nil {
 				t.Fatal(err)
 			}
 		}
--- a/internal/standin/store/faults.go
+++ b/internal/standin/store/faults.go
@@ -1,7 +1,7 @@
 package store
 
 import (
-	"net/http"
+	"context"
 	"time"
 )
 
@@ -21,66 +21,58 @@
 
 func (f *faults) lose() bool {
 	f.writes++
-	if f.everyLost > 0 && f.writes%f.everyLost == 0 {
-		return true
-	}
-	if f.lost == 0 {
-		return false
-	}
-	f.lost--
-	return true
+	f.lost = max(f.lost-1, -1)
+	return f.lost >= 0 || f.everyLost > 0 && f.writes%f.everyLost == 0
 }
 
 // SetDown takes the store down, which breaks all waiting watches, or up again.
 func (s *Server) SetDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults.down = down
-	s.wake()
+	s.set(func(f *faults) {
+		f.down = down
+		s.wake()
+	})
 }
 
 // SetDelay makes every call take that much longer.
 func (s *Server) SetDelay(delay time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults.delay = delay
+	s.set(func(f *faults) { f.delay = delay })
 }
 
 // LoseAnswers breaks the connection after each of the next n writes that took
 // effect, instead of answering.
 func (s *Server) LoseAnswers(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults.lost = n
+	s.set(func(f *faults) { f.lost = n })
 }
 
 // LoseEvery does the same with every nth write, and with none if n is zero.
 func (s *Server) LoseEvery(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults.everyLost = n
+	s.set(func(f *faults) { f.everyLost = n })
 }
 
 // AnswerOld answers the next n reads of keys that were overwritten by the value
 // before.
 func (s *Server) AnswerOld(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults.old = n
+	s.set(func(f *faults) { f.old = n })
 }
 
 // LapseLeases ends all leases at once.
 func (s *Server) LapseLeases() {
+	s.set(func(*faults) {
+		for key, lease := range s.leases {
+			lease.Expires = time.Time{}
+			s.leases[key] = lease
+		}
+	})
+}
+
+func (s *Server) set(change func(*faults)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for key, lease := range s.leases {
-		lease.Expires = time.Time{}
-		s.leases[key] = lease
-	}
+	change(&s.faults)
 }
 
 // pause waits for the delay and reports false if the store is down.
-func (s *Server) pause(r *http.Request) bool {
+func (s *Server) pause(ctx context.Context) bool {
 	s.mu.Lock()
 	delay := s.faults.delay
 	s.mu.Unlock()
@@ -89,7 +81,7 @@
 		defer timer.Stop()
 		select {
 		case <-timer.C:
-		case <-r.Context().Done():
+		case <-ctx.Done():
 		}
 	}
 	s.mu.Lock()
