--- a/internal/keyowner/attempt.go
+++ b/internal/keyowner/attempt.go
@@ -145,10 +145,11 @@
 	case j.stage == done:
 	case now >= j.deadline:
 		s.expire(now, j)
-	case j.stage == claiming && now-j.began >= int64(ClaimFor):
-		s.withhold(now, j)
+	case j.stage == claiming && now-j.began >= min(int64(ClaimFor), (j.deadline-j.began)/2):
+		s.withhold(now, j, request.Undecided)
 	case j.stage == claiming && now-j.sent >= int64(ClaimEvery):
 		s.sendClaims(now, j)
+		s.decide(now, j)
 	case j.stage == choosing && now >= j.wake:
 		s.dispatch(now, j)
 	}
@@ -166,6 +167,8 @@
 		s.cancelAttempt(j)
 		j.to.mine--
 		s.finish(now, j, request.Unsure(request.TooLate))
+	case claiming:
+		s.withhold(now, j, request.TooLate)
 	default:
 		s.finish(now, j, request.Unsure(request.TooLate))
 	}
--- a/internal/keyowner/claim.go
+++ b/internal/keyowner/claim.go
@@ -29,6 +29,10 @@
 		if k.verdict != 0 {
 			continue
 		}
+		if s.Members.Lost(k.member) {
+			k.verdict = atmostonce.CannotTell
+			continue
+		}
 		s.counts.Claims++
 		if k.member == s.Self.ID {
 			k.verdict, k.by = s.Claims.Claim(now, hash, j.entry.Created, j.claimant)
@@ -80,21 +84,21 @@
 		s.finish(now, j, request.Unsure(request.Undecided))
 	case open > 0:
 	default:
-		s.withhold(now, j)
+		s.withhold(now, j, request.Undecided)
 	}
 }
 
 // withhold gives up a job whose claim is not granted by both. If one of them has
 // recorded it, no other claim of the key will ever be granted by both, and the
 // refusal is true.
-func (s *System) withhold(now int64, j *job) {
+func (s *System) withhold(now int64, j *job, why request.Reason) {
 	for _, k := range j.marks {
 		if k.verdict == atmostonce.Granted {
-			s.finish(now, j, request.Refuse(request.Undecided))
+			s.finish(now, j, request.Refuse(why))
 			return
 		}
 	}
-	s.finish(now, j, request.Unsure(request.Undecided))
+	s.finish(now, j, request.Unsure(why))
 }
 
 // Told takes in the answer to an Ask: the result at the instance that has claimed
--- a/internal/keyowner/types.go
+++ b/internal/keyowner/types.go
@@ -23,9 +23,10 @@
 	MaxCopies = 32
 	// MaxAttempts bounds the attempts at one request.
 	MaxAttempts = 3
-	// ClaimEvery is how often an unanswered claim is sent again, ClaimFor how long.
-	ClaimEvery = 150 * time.Millisecond
-	ClaimFor   = time.Second
+	// ClaimEvery is how often an unanswered claim is sent again, ClaimFor how
+	// long, though no longer than half of the time of the request.
+	ClaimEvery = 100 * time.Millisecond
+	ClaimFor   = 500 * time.Millisecond
 	// Grace is how long a request goes on after its last caller has vanished, for a
 	// copy that may come through another instance.
 	Grace = 250 * time.Millisecond
--- a/internal/pair/pair.go
+++ b/internal/pair/pair.go
@@ -132,6 +132,12 @@
 	return silent
 }
 
+// Lost reports whether an instance is not in reach.
+func (t *Table) Lost(id fleet.ID) bool {
+	at, found := slices.BinarySearchFunc(t.members, id, func(m member, id fleet.ID) int { return cmp.Compare(m.ID, id) })
+	return !found || t.members[at].State == fleet.Dead
+}
+
 // DataCentre returns the data centre of an instance, or nothing if it is not known.
 func (t *Table) DataCentre(id fleet.ID) string {
 	at, found := slices.BinarySearchFunc(t.members, id, func(m member, id fleet.ID) int { return cmp.Compare(m.ID, id) })
--- a/internal/pair/pair_test.go
+++ b/internal/pair/pair_test.go
@@ -138,5 +138,8 @@
 	id, ok := e.First(1, "none", "r", 0) // a data centre without instances
 	is.True(ok && seen[id])
 	is.Equal(e.DataCentre("3"), "a")
+	is.True(!e.Lost("2") && e.Lost("x"))
+	e.Gone(80, "2", 0)
+	is.True(e.Lost("2"))
 	is.Equal(e.DataCentre("x"), "")
 }
