Write the version in force back into a store that lost it

Cause: after the store lost data no change took effect until the store's versions had passed the fleet's, with another hash key and numbers that name other backend servers. And a watcher never saw the head of an emptied store, as its revisions count from the start: TestLostStore stayed at version 30 for two minutes after 31 had been written.

It is refused while the instance knows of a newer version or the store's is not older, and takes -force if the store's version may be of another history. Versions of another history are written with all services. A watch whose poll ends without news reads whether the key has gone back.

Figures: TestLostStore: 30 versions lost; 31, written back, and 32, the next change, in force at all 6 instances. The tests of config, confstore, confsync, confsettle, storeclient, audit, cli, localfleet and demo pass.

Conclusion: one command gives an operator changes back, without breaking a flow.

--- a/internal/app/report.go
+++ b/internal/app/report.go
@@ -24,6 +24,7 @@
 // report answers operators who ask for the status.
 func report(l *link.Link, g *gossip.Gossip, s *confsync.Syncer, e *placement.Engine, f *forward.Forwarder, sv *serving) {
 	status.Register(l, &reporter{gossip: g, sync: s, engine: e, forwarder: f, serving: sv})
+	status.RegisterConfiguration(l, s.State)
 }
 
 // View implements status.Source.
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -154,7 +154,7 @@
 	u := newTool(t)
 	code, out, _ := u.run("", "help")
 	is.Equal(code, 0)
-	for _, name := range []string{"validate", "plan", "apply", "status", "drain", "undrain", "takeout", "return", "audit", "version", "keys"} {
+	for _, name := range []string{"validate", "plan", "apply", "status", "drain", "undrain", "takeout", "return", "audit", "restore", "version", "keys"} {
 		is.True(strings.Contains(out, name)) // the help lists every command
 	}
 	code, _, _ = u.run("", "apply", "-operator", "anna")
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -20,7 +20,8 @@
 		return subcommands.ExitUsageError
 	case config.Conflict.Has(err):
 		return ExitConflict
-	case refused.Has(err), config.NeedsForce.Has(err), config.DeclaredSo.Has(err):
+	case refused.Has(err), config.NeedsForce.Has(err), config.DeclaredSo.Has(err),
+		config.NothingLost.Has(err):
 		return ExitRefused
 	case store.Unknown.Has(err):
 		return ExitUnknown
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -34,26 +34,34 @@
 }
 
 func askStatus(ctx context.Context, control controlFlags) (outcome, error) {
-	address, err := control.address()
+	var r report
+	err := control.call(ctx, func(ctx context.Context, client *link.Client) error {
+		return client.Call(ctx, status.Method, nil, &r.Report)
+	})
 	if err != nil {
 		return nil, err
 	}
-	k, err := control.load()
+	return r, nil
+}
+
+// call connects to the instance for as long as ask takes.
+func (c *controlFlags) call(ctx context.Context, ask func(context.Context, *link.Client) error) error {
+	address, err := c.address()
 	if err != nil {
-		return nil, err
+		return err
+	}
+	k, err := c.load()
+	if err != nil {
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	client, err := link.Dial(ctx, address, k)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer client.Close()
-	var r report
-	if err := client.Call(ctx, status.Method, nil, &r.Report); err != nil {
-		return nil, err
-	}
-	return r, nil
+	return ask(ctx, client)
 }
 
 type report struct {
--- a/internal/config/proposal.go
+++ b/internal/config/proposal.go
@@ -2,7 +2,7 @@
 
 // Proposal derives the version that follows old, which is nil before the first,
 // and returns old itself if nothing changes. It changes neither. Errors are
-// strictjson.Problems, Conflict, NeedsForce, Newer, DeclaredSo or Invalid.
+// strictjson.Problems, Conflict, NeedsForce, Newer, DeclaredSo, NothingLost or Invalid.
 type Proposal func(old *State, change Change) (*State, *Diff, error)
 
 // Declare proposes a declaration. Marks stay, but for those on what it no longer has.
--- a/internal/confstore/write.go
+++ b/internal/confstore/write.go
@@ -98,9 +98,10 @@
 }
 
 // divide returns the references of the services that stay where they are, and
-// the records to write: those that changed, or all once they lie in too many values.
+// the records to write: those that changed, or all once they lie in too many
+// values or next is of another history.
 func divide(base Snapshot, next *config.State) ([]ServiceRef, []config.ServiceRecord) {
-	if len(base.Head.Values) >= maxValues {
+	if len(base.Head.Values) >= maxValues || !next.Follows(base.State.Held()) {
 		return nil, next.Services
 	}
 	old := map[string]ServiceRef{}
--- a/internal/confsync/confsync_test.go
+++ b/internal/confsync/confsync_test.go
@@ -154,6 +154,46 @@
 	})
 }
 
+// TestLostStore empties the store and writes the version in force back from one
+// instance, after which a change goes through as ever.
+func TestLostStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b, empty := newBed(t, 2, 3), newBed(t, 1, 1)
+		defer b.stopAll()
+		for step := 1; step <= 30; step++ {
+			_, err := b.apply(b.operator(), step)
+			is.NoErr(err)
+		}
+		b.startAll()
+		time.Sleep(5 * time.Second)
+		b.mu.Lock()
+		old := b.store
+		b.store = empty.store
+		b.mu.Unlock()
+		old.SetDown(true)
+		time.Sleep(time.Minute)
+		inForce := b.nodes["dc1-02"].sync.State()
+		change := config.Change{ID: "restore", Who: "operator", When: time.Now()}
+		restored, err := b.operator().Propose(b.ctx, config.Restore(inForce), change)
+		is.NoErr(err)
+		is.Equal(restored.Version, config.Version(31))
+		time.Sleep(2 * time.Minute)
+		low, count := b.lowest()
+		is.Equal(low, config.Version(31))
+		is.Equal(count, 6)
+		_, err = b.apply(b.operator(), 40)
+		is.NoErr(err)
+		time.Sleep(2 * time.Minute)
+		low, count = b.lowest()
+		is.Equal(low, config.Version(32))
+		is.Equal(count, 6)
+		entries, err := b.operator().Audit(b.ctx, 0)
+		is.NoErr(err)
+		is.Equal(len(entries), 2)
+	})
+}
+
 // TestHealing cuts a data centre off from the others and from the store while a
 // change is accepted. It goes on under its version and has the change with the
 // first heartbeats after healing, with the store still out of its reach.
--- a/internal/localfleet/localfleet_test.go
+++ b/internal/localfleet/localfleet_test.go
@@ -97,6 +97,33 @@
 	b.is.True(!first.Ready())
 }
 
+// TestRestore writes what an instance serves by into a store that lost everything.
+func TestRestore(t *testing.T) {
+	b := newBed(t)
+	d := b.start("a-1")
+	defer d.Kill()
+	files, err := b.fleet.Files(keys.Identity{Role: keys.Operator, Name: "anna"})
+	b.is.NoErr(err)
+	restore := func(url string) (int, string) {
+		return b.tool("restore", "-store", url, "-operator", "anna", "-instance", d.Addresses().Control.String(),
+			"-authorities", files.Authorities[0], "-certificate", files.Certificate, "-key", files.Key)
+	}
+	code, out := restore(b.url)
+	b.is.Equal(code, int(cli.ExitRefused))
+	b.is.True(strings.Contains(out, "the store holds version 1, in force is version 1"))
+	empty := httptest.NewServer(store.New())
+	defer empty.Close()
+	code, out = restore(empty.URL)
+	b.is.Equal(code, 0)
+	b.is.True(strings.Contains(out, "Accepted as version 2."))
+	code, out = b.tool("audit", "-store", empty.URL)
+	b.is.Equal(code, 0)
+	b.is.True(strings.Contains(out, "write back version 1 as a-1 serves by it"))
+	code, out = restore(empty.URL)
+	b.is.Equal(code, int(cli.ExitRefused))
+	b.is.True(strings.Contains(out, "the store holds version 2, in force is version 1"))
+}
+
 func TestKilledInstanceFreesItsAddresses(t *testing.T) {
 	b := newBed(t)
 	d := b.start("a-1")
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -16,6 +16,10 @@
 // parameters; its result is a Report.
 const Method = "operator.status"
 
+// ConfigurationMethod is the method by which operators read the configuration in
+// force. It has no parameters; its result is a config.State, or null.
+const ConfigurationMethod = "operator.configuration"
+
 // Report is what one instance knows.
 type Report struct {
 	Instance fleet.ID       `json:"instance"`
@@ -81,6 +85,14 @@
 	})
 }
 
+// RegisterConfiguration answers operators with the stored form in force, which is
+// nil before the first.
+func RegisterConfiguration(r OperatorRegistry, inForce func() *config.State) {
+	r.HandleOperator(ConfigurationMethod, func(context.Context, fleet.ID, json.RawMessage) (any, error) {
+		return inForce(), nil
+	})
+}
+
 // OperatorRegistry takes the handlers of methods that operators may call.
 type OperatorRegistry interface {
 	HandleOperator(method string, h peer.Handler)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -48,7 +48,8 @@
 	// CompareAndSwap writes data if the key is still at revision old, and returns
 	// the new revision, or Conflict. After Unknown the write may have happened.
 	CompareAndSwap(ctx context.Context, key string, old Revision, data []byte) (Revision, error)
-	// Watch waits for a value newer than after and returns it.
+	// Watch waits for a value newer than after and returns it. Now and then it looks
+	// whether the value is older, in a store that lost data, and returns that.
 	Watch(ctx context.Context, key string, after Revision) (Value, error)
 	// Lease takes or renews a lease for holder, or returns Conflict while another
 	// holds it.
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -176,7 +176,20 @@
 		if err != nil || value.Revision > after {
 			return value, err
 		}
+		if value, gone := c.wentBack(ctx, key, after); gone {
+			return value, nil
+		}
+	}
+}
+
+// wentBack returns the value of a key that is at a revision before the one that
+// was seen: the store lost data, and a watch would not tell before it is past it.
+func (c *Client) wentBack(ctx context.Context, key string, seen store.Revision) (store.Value, bool) {
+	if seen == 0 {
+		return store.Value{}, false
 	}
+	value, err := c.Get(ctx, key)
+	return value, err == nil && value.Revision < seen
 }
 
 // Lease implements store.Store.
