Write the names of protocols and states, and the form of a socket, once

Cause: Protocol and ServerState each had the same three switches; package declare repeated strictjson's message about an address to the letter. And a newcomer could not tell declare.Out and Draining from the marks of the tool.

Change: one table of names for each type, with shared functions; strictjson.NotSocket; the comments say which to use when.

Conclusion: the same behaviour, written once.

--- a/declare/declare.go
+++ b/declare/declare.go
@@ -1,7 +1,6 @@
 package declare
 
 import (
-	"fmt"
 	"io"
 	"math"
 	"net/netip"
@@ -43,6 +42,8 @@
 }
 
 // Out takes a data centre out of service: no packet goes to its backend servers.
+// It stays out for as long as it is declared so; for a while, use balsamfork
+// takeout, which leaves the declaration as it is.
 func Out() DataCentreOption {
 	return func(d *DataCentre) { d.spec.Out = true }
 }
@@ -138,7 +139,9 @@
 	return func(s *Server) { s.spec.Weight = uint32(min(max(weight, 0), math.MaxUint32)) }
 }
 
-// Draining lets a backend server keep its flows and take nothing new.
+// Draining lets a backend server keep its flows and take nothing new, for as long
+// as it is declared so; for a while, use balsamfork drain, which leaves the
+// declaration as it is.
 func Draining() ServerOption {
 	return func(s *Server) { s.spec.State = config.Draining }
 }
@@ -206,8 +209,7 @@
 func (p *parseErrors) socket(field, text string) netip.AddrPort {
 	address, err := netip.ParseAddrPort(text)
 	if err != nil {
-		message := fmt.Sprintf("must be an IP address and port such as 203.0.113.7:443, is %q", text)
-		*p = append(*p, Problem{Path: field, Message: message})
+		*p = append(*p, Problem{Path: field, Message: strictjson.NotSocket(text)})
 	}
 	return address
 }
--- a/internal/config/text.go
+++ b/internal/config/text.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -31,68 +32,57 @@
 	return nil
 }
 
+var protocolNames = map[Protocol]string{TCP: "tcp", UDP: "udp"}
+
 // String returns "tcp" or "udp".
-func (p Protocol) String() string {
-	switch p {
-	case TCP:
-		return "tcp"
-	case UDP:
-		return "udp"
-	}
-	return fmt.Sprintf("protocol %d", uint8(p))
-}
+func (p Protocol) String() string { return nameOf(protocolNames, p, "protocol") }
 
 // MarshalText returns "tcp" or "udp", or Invalid.
-func (p Protocol) MarshalText() ([]byte, error) {
-	if p != TCP && p != UDP {
-		return nil, Invalid.New("%v has no name", p)
-	}
-	return []byte(p.String()), nil
-}
+func (p Protocol) MarshalText() ([]byte, error) { return marshalName(protocolNames, p) }
 
 // UnmarshalText reads "tcp" or "udp".
 func (p *Protocol) UnmarshalText(text []byte) error {
-	switch string(text) {
-	case "tcp":
-		*p = TCP
-	case "udp":
-		*p = UDP
-	default:
-		return fmt.Errorf("must be tcp or udp, is %q", text)
-	}
-	return nil
+	return unmarshalName(protocolNames, p, text, TCP, UDP)
 }
 
+var stateNames = map[ServerState]string{Active: "active", Draining: "draining", Gone: "gone"}
+
 // String returns "active", "draining" or "gone".
-func (s ServerState) String() string {
-	switch s {
-	case Active:
-		return "active"
-	case Draining:
-		return "draining"
-	case Gone:
-		return "gone"
+func (s ServerState) String() string { return nameOf(stateNames, s, "state") }
+
+// MarshalText returns the name of the state, or Invalid.
+func (s ServerState) MarshalText() ([]byte, error) { return marshalName(stateNames, s) }
+
+// UnmarshalText reads "active" or "draining"; Gone is never declared.
+func (s *ServerState) UnmarshalText(text []byte) error {
+	return unmarshalName(stateNames, s, text, Active, Draining)
+}
+
+// nameOf returns the name of a value, or its kind and number if it has none.
+func nameOf[T ~uint8](names map[T]string, v T, kind string) string {
+	if name, known := names[v]; known {
+		return name
 	}
-	return fmt.Sprintf("state %d", uint8(s))
+	return fmt.Sprintf("%s %d", kind, uint8(v))
 }
 
-// MarshalText returns the name of the state, or Invalid.
-func (s ServerState) MarshalText() ([]byte, error) {
-	if s < Active || s > Gone {
-		return nil, Invalid.New("%v has no name", s)
+func marshalName[T comparable](names map[T]string, v T) ([]byte, error) {
+	name, known := names[v]
+	if !known {
+		return nil, Invalid.New("%v has no name", v)
 	}
-	return []byte(s.String()), nil
+	return []byte(name), nil
 }
 
-// UnmarshalText reads "active" or "draining"; Gone is never declared.
-func (s *ServerState) UnmarshalText(text []byte) error {
-	switch string(text) {
-	case "active":
-		*s = Active
-	case "draining":
-		*s = Draining
-	default:
-		return fmt.Errorf("must be active or draining, is %q", text)
+// unmarshalName sets v to the one of the allowed values that text names.
+func unmarshalName[T comparable](names map[T]string, v *T, text []byte, allowed ...T) error {
+	var known []string
+	for _, one := range allowed {
+		if names[one] == string(text) {
+			*v = one
+			return nil
+		}
+		known = append(known, names[one])
 	}
-	return nil
+	return fmt.Errorf("must be %s, is %q", strings.Join(known, " or "), text)
 }
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -73,7 +73,7 @@
 		return
 	}
 	if v.Type() == addrPortType {
-		d.problems.Add(path, "must be an IP address and port such as 203.0.113.7:443, is %q", s)
+		d.problems.Add(path, "%s", NotSocket(s))
 		return
 	}
 	d.problems.Add(path, "%v", err)
--- a/internal/strictjson/problem.go
+++ b/internal/strictjson/problem.go
@@ -70,6 +70,11 @@
 	return false
 }
 
+// NotSocket returns the message for a text that is no IP address with a port.
+func NotSocket(text string) string {
+	return fmt.Sprintf("must be an IP address and port such as 203.0.113.7:443, is %q", text)
+}
+
 // Field returns the path of a field of the object at path.
 func Field(path, name string) string {
 	if path == "" {
