--- a/client/client.go
+++ b/client/client.go
@@ -20,6 +20,7 @@
 	"github.com/zeebo/errs"
 
 	"balsamfork/internal/request"
+	"balsamfork/internal/retry"
 )
 
 // The classes of errors of Do. Refused: the request has not run and will not; a
@@ -58,9 +59,11 @@
 	// Dial connects to an instance. It must not be changed after the first Do.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
-	mu    sync.Mutex
-	next  int
-	conns map[string]*session
+	mu      sync.Mutex
+	budget  retry.Budget
+	retries int64
+	next    int
+	conns   map[string]*session
 }
 
 // session is a connection to one instance with what it told of itself.
@@ -73,7 +76,7 @@
 
 // New returns a client of the instances at the addresses, each host:port.
 func New(addresses ...string) *Client {
-	return &Client{addresses: slices.Clone(addresses), Dial: dialTCP, conns: make(map[string]*session)}
+	return &Client{addresses: slices.Clone(addresses), Dial: dialTCP, budget: retry.Full(), conns: make(map[string]*session)}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -93,7 +96,9 @@
 }
 
 // Do sends a request and decodes its answer into value, which may be nil. The
-// error is of one of the classes above.
+// error is of one of the classes above. A request that was refused because of the
+// loss or the change of an instance is made anew under another key, while the
+// context lasts and such retries stay below a tenth of all requests.
 func (c *Client) Do(ctx context.Context, r Request, value any) error {
 	params, err := json.Marshal(r.Params)
 	if err != nil {
@@ -102,12 +107,55 @@
 	ctx, cancel := withDefault(ctx)
 	defer cancel()
 	m := request.Request{Service: r.Service, Method: r.Method, Params: params, Repeatable: r.Repeatable}
-	m.Key.ID = rand.Text()
-	res, err := c.resend(ctx, &m)
-	if err != nil {
-		return err
+	c.first()
+	for delays := newDelays(); ; {
+		m.Key = request.Key{ID: rand.Text()}
+		res, err := c.resend(ctx, &m)
+		if err != nil {
+			return err
+		}
+		if !anew(res) || !c.retry() || !pause(ctx, delays.NextBackOff()) {
+			return result(res, value)
+		}
+	}
+}
+
+// anew reports whether a request under another key may fare better.
+func anew(r request.Result) bool {
+	if r.Status != request.Refused {
+		return false
+	}
+	return r.Reason == request.Undecided || r.Reason == request.NoServer || r.Reason == request.Stopping
+}
+
+func (c *Client) first() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.budget.First()
+}
+
+// retry takes one retry from the budget, if there is one.
+func (c *Client) retry() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.budget.Take() {
+		return false
 	}
-	return result(res, value)
+	c.retries++
+	return true
+}
+
+// Retries returns how many requests were made anew after they were refused.
+func (c *Client) Retries() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retries
+}
+
+func newDelays() *backoff.ExponentialBackOff {
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval, delays.MaxInterval = firstDelay, lastDelay
+	return delays
 }
 
 func withDefault(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -137,8 +185,7 @@
 // resend sends a request through one instance after the other until the result is
 // final.
 func (c *Client) resend(ctx context.Context, m *request.Request) (request.Result, error) {
-	delays := backoff.NewExponentialBackOff()
-	delays.InitialInterval, delays.MaxInterval = firstDelay, lastDelay
+	delays := newDelays()
 	sent := false
 	for {
 		res, out, err := c.once(ctx, m)
@@ -216,7 +263,8 @@
 		return res, true, err
 	}
 	if err := res.Validate(); err != nil {
-		return res, true, err
+		c.forget(address, s)
+		return request.Result{}, true, err
 	}
 	if again(res) {
 		c.forget(address, nil)
--- a/internal/placement/exchange.go
+++ b/internal/placement/exchange.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/binary"
-	"slices"
-	"sync/atomic"
 	"time"
 
 	"balsamfork/internal/config"
@@ -12,36 +10,41 @@
 	"balsamfork/internal/table"
 )
 
-const (
-	// retryFirst and retryMax bound the time between two requests to a peer.
-	retryFirst = 200 * time.Millisecond
-	retryMax   = 4 * time.Second
-	// sumBytes is the length of one entry of Request.Sums.
-	sumBytes = 4
-)
+// sumBytes is the length of one entry of Request.Sums.
+const sumBytes = 4
 
 // Request asks a peer for the records of buckets, and whether it sees the same
 // usable instances.
 type Request struct {
 	// Digest identifies the usable instances that the sender sees.
 	Digest uint64 `json:"digest,string"`
-	// Buckets are those that the sender must hold and does not yet, as package
+	// Buckets are those that the sender must hold and knows nothing of, as package
 	// records encodes them.
 	Buckets []byte `json:"buckets,omitempty"`
-	// Sums are, for each of the buckets in order, the sum of the sender's own
-	// records in 4 bytes; buckets with an equal sum are left out of the reply.
-	// Without Sums, all are sent.
-	Sums []byte `json:"sums,omitempty"`
-	// Done says that the sender now has the records of all buckets that it asked for.
-	Done bool `json:"done,omitempty"`
+	// Claims are buckets that the sender must hold, whose records it should know
+	// and whose authority it has not. Sums are the sums of its records in each of
+	// them, in order and of 4 bytes; those with an equal sum are left out of the
+	// reply.
+	Claims []byte `json:"claims,omitempty"`
+	Sums   []byte `json:"sums,omitempty"`
+	// Done says that the sender has the records of all buckets that it owns. The
+	// receiver's authority over them ends with it. Final says the same of all
+	// buckets that it asked for, so that the receiver may forget them.
+	Done  bool `json:"done,omitempty"`
+	Final bool `json:"final,omitempty"`
 }
 
 // Reply answers a Request. Without the same digest it carries nothing else.
 type Reply struct {
 	Digest uint64 `json:"digest,string"`
 	// Holds says that the receiver of the request knows the records of some of
-	// the buckets, and waits for Done before it forgets them.
+	// the buckets, and waits for Done before it lets go of them.
 	Holds bool `json:"holds,omitempty"`
+	// Later says that the receiver of the request owns some of the buckets and has
+	// no authority over them yet: the sender has to compare with it once more.
+	Later bool `json:"later,omitempty"`
+	// Again answers a Done for a request that the receiver does not remember.
+	Again bool `json:"again,omitempty"`
 	// Records are the flow records, as package records encodes them.
 	Records []byte `json:"records,omitempty"`
 	// Version is what the sender serves by, Watched since when it has seen every
@@ -57,89 +60,16 @@
 	Since   int64  `json:"since"`
 }
 
-// agreement is the work of reaching agreement with all peers on one digest. All
-// but reached is guarded by the engine's lock.
-type agreement struct {
-	// reached is set once every reachable peer saw the same usable instances.
-	reached atomic.Bool
-	wanted  *table.Bitmap
-	pending map[fleet.ID]*retry
-	// holders are the peers to tell when done.
-	holders map[fleet.ID]*retry
-	// asked and told are the buckets that peers asked this instance for, and the
-	// peers that are done.
-	asked   map[fleet.ID]*table.Bitmap
-	told    map[fleet.ID]bool
-	watched map[string]int64
-	replies int
-	// fresh is set if this instance held no complete bucket at the beginning.
-	fresh bool
-	// released is set once every bucket that need not be held is forgotten.
-	released bool
-	// full is when the agreement began, if it fetches all buckets held anew.
-	full int64
-}
-
-// retry is when to ask a peer next, and the time to wait after that.
-type retry struct {
-	at   int64
-	wait time.Duration
-	// compare holds the buckets to compare with the peer, or is nil to fetch all
-	// that are wanted.
-	compare *table.Bitmap
-}
-
-// due reports whether to ask now, and moves to the next time.
-func (r *retry) due(now int64) bool {
-	if now < r.at {
-		return false
-	}
-	if r.wait == 0 {
-		r.wait = retryFirst
-	}
-	r.at = now + int64(r.wait)
-	r.wait = min(2*r.wait, retryMax)
-	return true
-}
-
-func newAgreement(peers []fleet.ID, wanted *table.Bitmap) *agreement {
-	if wanted == nil {
-		wanted = &table.Bitmap{}
-	}
-	a := &agreement{
-		wanted:  wanted,
-		pending: map[fleet.ID]*retry{},
-		holders: map[fleet.ID]*retry{},
-		asked:   map[fleet.ID]*table.Bitmap{},
-		told:    map[fleet.ID]bool{},
-	}
-	for _, p := range peers {
-		a.pending[p] = &retry{}
-	}
-	return a
-}
-
-// limit forgets peers that are no longer reachable, under the same digest.
-func (a *agreement) limit(peers []fleet.ID) *agreement {
-	for p := range a.pending {
-		if !slices.Contains(peers, p) {
-			delete(a.pending, p)
-		}
-	}
-	for p := range a.holders {
-		if !slices.Contains(peers, p) {
-			delete(a.holders, p)
-		}
-	}
-	return a
-}
-
 // Export answers a peer's request.
 func (e *Engine) Export(from fleet.ID, r Request) (Reply, error) {
 	wanted, err := records.DecodeBuckets(r.Buckets)
 	if err != nil {
 		return Reply{}, err
 	}
+	claims, err := records.DecodeBuckets(r.Claims)
+	if err != nil {
+		return Reply{}, err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	st := e.state.Load()
@@ -152,39 +82,94 @@
 		p.at, p.wait = 0, 0
 	}
 	if r.Done {
-		a.told[from], a.released = true, false
+		out.Again = !e.letGo(st.ring, from, r.Final)
 		return out, nil
 	}
-	a.asked[from], a.released = wanted, false
-	delete(a.told, from)
-	if err := e.exportBuckets(wanted, r.Sums, &out); err != nil {
+	a.ask(from, wanted, claims)
+	e.exportBuckets(wanted, &out)
+	if err := e.exportClaims(claims, r.Sums, &out); err != nil {
 		return Reply{}, err
 	}
 	if out.Holds {
 		out.Watched = st.plan.watched()
 	}
+	if !out.Holds {
+		a.told[from] = true
+	}
+	out.Later = e.rulesLater(st.ring, wanted, claims)
 	return out, nil
 }
 
-func (e *Engine) exportBuckets(wanted *table.Bitmap, sums []byte, out *Reply) error {
-	if len(sums) > 0 && len(sums) != sumBytes*wanted.Count() {
-		return records.Invalid.New("%d bytes of sums for %d buckets", len(sums), wanted.Count())
+// rulesLater reports whether this instance owns a bucket that a peer asks for, and
+// has no authority over it yet.
+func (e *Engine) rulesLater(r *ring, asked, claimed *table.Bitmap) bool {
+	for bucket := range table.Buckets {
+		if r.rankOf(bucket) != 0 || !asked.Has(bucket) && !claimed.Has(bucket) {
+			continue
+		}
+		b := e.records.Lock(bucket)
+		authority := e.buckets[bucket].authority
+		b.Unlock()
+		if !authority {
+			return true
+		}
+	}
+	return false
+}
+
+// letGo ends this instance's authority over the buckets that a peer owns and has
+// asked for or claimed. It returns false if the peer has done neither.
+func (e *Engine) letGo(r *ring, to fleet.ID, final bool) bool {
+	a := r.agreement
+	asked, claimed := a.asked[to], a.claimed[to]
+	if asked == nil {
+		return false
+	}
+	if final {
+		a.told[to], a.released = true, false
 	}
+	for bucket := range table.Buckets {
+		owner := r.at(bucket, 0)
+		if !asked.Has(bucket) && !claimed.Has(bucket) || owner == nil || owner.ID != to {
+			continue
+		}
+		b := e.records.Lock(bucket)
+		e.buckets[bucket].authority = false
+		b.Unlock()
+	}
+	return true
+}
+
+func (e *Engine) exportBuckets(wanted *table.Bitmap, out *Reply) {
 	for bucket := range table.Buckets {
 		if !wanted.Has(bucket) {
 			continue
 		}
 		b := e.records.Lock(bucket)
-		if e.complete[bucket] || b.Len() > 0 {
+		if e.buckets[bucket].complete || b.Len() > 0 {
 			out.Holds = true
 		}
-		if len(sums) == 0 || binary.LittleEndian.Uint32(sums) != b.Sum() {
+		out.Records = b.Append(out.Records)
+		b.Unlock()
+	}
+}
+
+func (e *Engine) exportClaims(claims *table.Bitmap, sums []byte, out *Reply) error {
+	if len(sums) != sumBytes*claims.Count() {
+		return records.Invalid.New("%d bytes of sums for %d buckets", len(sums), claims.Count())
+	}
+	for bucket := range table.Buckets {
+		if !claims.Has(bucket) {
+			continue
+		}
+		b := e.records.Lock(bucket)
+		own := e.buckets[bucket]
+		out.Holds = out.Holds || own.authority
+		if own.complete && binary.LittleEndian.Uint32(sums) != b.Sum() {
 			out.Records = b.Append(out.Records)
 		}
 		b.Unlock()
-		if len(sums) > 0 {
-			sums = sums[sumBytes:]
-		}
+		sums = sums[sumBytes:]
 	}
 	return nil
 }
@@ -229,22 +214,44 @@
 		return nil
 	}
 	if sent.Done {
-		delete(a.holders, from)
+		e.answered(from, sent, r)
 		return nil
 	}
-	if a.pending[from] == nil {
+	if a.pending[from] == nil && a.later[from] == nil {
 		return nil
 	}
 	e.merge(found)
 	delete(a.pending, from)
+	delete(a.later, from)
 	if r.Holds {
 		a.holders[from] = &retry{}
 		a.mergeWatched(r.Watched)
 	}
-	e.conclude(now)
+	if r.Later {
+		a.later[from] = &retry{compare: e.state.Load().ring.secondTo(from)}
+	}
+	e.conclude()
 	return nil
 }
 
+// answered takes a peer's answer to Done.
+func (e *Engine) answered(from fleet.ID, sent Request, r Reply) {
+	ring := e.state.Load().ring
+	a := ring.agreement
+	h := a.holders[from]
+	switch {
+	case h == nil:
+	case r.Again:
+		delete(a.holders, from)
+		a.pending[from] = &retry{}
+	case sent.Final:
+		delete(a.holders, from)
+	default:
+		*h = retry{yielded: true}
+	}
+	e.take(ring)
+}
+
 // merge keeps records that a peer holds. One that this instance holds itself is
 // newer, since it came with a packet.
 func (e *Engine) merge(found []records.Record) {
@@ -256,55 +263,3 @@
 		b.Unlock()
 	}
 }
-
-// mergeWatched keeps the latest time that any holder gives for each service, and
-// zero for one that some holder does not give.
-func (a *agreement) mergeWatched(all []Watched) {
-	next := make(map[string]int64, len(all))
-	for _, w := range all {
-		old, known := a.watched[w.Service]
-		if w.Since == 0 || a.replies > 0 && !known {
-			continue
-		}
-		next[w.Service] = max(old, w.Since)
-	}
-	a.watched = next
-	a.replies++
-}
-
-// conclude ends the agreement when no peer is left to ask: the buckets asked for
-// are complete from then on.
-func (e *Engine) conclude(now int64) {
-	st := e.state.Load()
-	a := st.ring.agreement
-	if len(a.pending) > 0 || st.ring.self == noRow {
-		return
-	}
-	for bucket := range table.Buckets {
-		if a.wanted.Has(bucket) {
-			b := e.records.Lock(bucket)
-			e.complete[bucket] = true
-			b.Unlock()
-		}
-	}
-	if !a.reached.Swap(true) {
-		st.plan.adopt(a.watched, a.fresh)
-	}
-}
-
-// adopt takes over since when the owners before have seen every packet. An
-// instance that held buckets itself goes by the later of both times.
-func (p *plan) adopt(watched map[string]int64, fresh bool) {
-	if p == nil {
-		return
-	}
-	for name, since := range watched {
-		s := p.byName[name]
-		if s == nil {
-			continue
-		}
-		if fresh || since > s.confirmed.Load() {
-			s.confirmed.Store(since)
-		}
-	}
-}
