Let an instance that starts take part in keys only once it can; prove it with a join under load

Cause: an instance that joins cannot tell about keys of its first seconds, and every key whose pair it was of was refused. Change: an instance counts for keys from a time after its start that all know, since its incarnation is its start.

--- a/internal/atmostonce/claims.go
+++ b/internal/atmostonce/claims.go
@@ -92,6 +92,9 @@
 	}
 }
 
+// NotBefore makes the member grant no key that was created earlier.
+func (c *Claims) NotBefore(created int64) { c.from = max(c.from, created) }
+
 // SetAlone says whether an instance of the data centre that counts has not been in
 // contact with this one since its start: what its earlier run granted may then
 // still be acted on, and others may not know that this one is back.
--- a/internal/keyowner/claim.go
+++ b/internal/keyowner/claim.go
@@ -12,7 +12,7 @@
 	j.stage = claiming
 	j.claimant = atmostonce.Claimant{Holder: s.Self, Seq: j.entry.Seq}
 	home := j.req.Key.Home
-	p := s.Members.Pair(pair.Name(j.entry.ID), home, "", j.entry.Created)
+	p := s.Members.ForKey(pair.Name(j.entry.ID), home, j.entry.Created)
 	for _, id := range p.IDs() {
 		j.marks = append(j.marks, mark{member: id})
 	}
--- a/internal/keyowner/model_test.go
+++ b/internal/keyowner/model_test.go
@@ -28,7 +28,7 @@
 	MaxRun: time.Second, Margin: 100 * time.Millisecond,
 }
 
-var membership = pair.Timing{Settle: timing.Settle, SilentMemory: 10 * time.Minute}
+var membership = pair.Timing{Settle: timing.Settle, NotesAfter: timing.Settle + request.MaxAhead + 500*time.Millisecond, SilentMemory: 10 * time.Minute}
 
 const epoch = int64(1_700_000_000) * int64(time.Second)
 
@@ -143,13 +143,14 @@
 
 // boot starts a new run of an instance, which has forgotten everything.
 func (n *node) boot() {
-	n.inc++
 	n.up, n.leaving = true, false
 	n.offset = n.m.rng.Int64N(20*ms) - 10*ms
 	now := n.now()
+	n.inc = uint64(now / ms)
 	self := pair.Holder{ID: n.id, Incarnation: n.inc}
 	n.members = pair.New(membership)
 	n.claims = atmostonce.NewClaims(now, timing.Settle, 4096)
+	n.claims.NotBefore(now/ms*ms + int64(membership.NotesAfter))
 	n.adm = admission.New(now, self, timing, n.members)
 	n.owner = keyowner.New(keyowner.Options{
 		Self: self, Members: n.members, Claims: n.claims, Table: atmostonce.NewTable(4096, 1<<20),
--- a/internal/pair/pair.go
+++ b/internal/pair/pair.go
@@ -31,6 +31,9 @@
 	// Settle is the longest time until every reachable instance has heard of a
 	// change of the table, clock differences included.
 	Settle time.Duration
+	// NotesAfter is how long after its start an instance begins to note keys; its
+	// Incarnation is when it started, in milliseconds of Unix time.
+	NotesAfter time.Duration
 	// SilentMemory is how long an instance counts that is found dead without a
 	// proof of its end.
 	SilentMemory time.Duration
@@ -40,6 +43,10 @@
 	fleet.Instance
 	// until is when the member stops counting, in nanoseconds; zero means never.
 	until int64
+	// left and from bound the time in which it did not count for keys, if this
+	// instance knows that: from the end of its former run until its present one
+	// notes keys.
+	left, from int64
 	// gone is the newest run whose end is certain, plus one.
 	gone uint64
 }
@@ -49,6 +56,8 @@
 type Table struct {
 	timing  Timing
 	members []member
+	// began is set once the first view was taken in.
+	began bool
 }
 
 // New returns an empty table.
@@ -63,12 +72,13 @@
 		}
 	}
 	for _, in := range v.Instances {
-		t.update(now, in)
+		t.update(now, in, in.ID == v.Self)
 	}
+	t.began = true
 	t.forget(now)
 }
 
-func (t *Table) update(now int64, in fleet.Instance) {
+func (t *Table) update(now int64, in fleet.Instance, own bool) {
 	at, found := slices.BinarySearchFunc(t.members, in.ID, func(m member, id fleet.ID) int { return cmp.Compare(m.ID, id) })
 	if !found {
 		// One that is dead when first heard of may be on the other side of a
@@ -76,6 +86,9 @@
 		t.members = slices.Insert(t.members, at, member{Instance: in})
 	}
 	m := &t.members[at]
+	if fresh := !found || in.Incarnation > m.Incarnation; fresh && in.Incarnation >= m.gone && (t.began || own) {
+		t.restart(now, m, in.Incarnation, found)
+	}
 	left := m.State == fleet.Leaving
 	m.Instance = in
 	switch {
@@ -93,6 +106,27 @@
 	}
 }
 
+// restart takes in a new run of a member, or a new member. Those that are there when
+// this instance starts may have noted any key, this instance itself apart.
+func (t *Table) restart(now int64, m *member, incarnation uint64, known bool) {
+	m.left = 0
+	if known {
+		m.left = now
+	}
+	if known && m.until != 0 {
+		m.left = min(m.left, m.until)
+	}
+	m.from = max(m.from, int64(incarnation)*int64(time.Millisecond)+int64(t.timing.NotesAfter))
+}
+
+// counted reports whether the member counts for a key made at a time.
+func (m *member) counted(at int64) bool {
+	if m.until != 0 && at >= m.until {
+		return false
+	}
+	return at < m.left || at >= m.from
+}
+
 // Gone takes in the proof that a run of an instance, and all before it, have ended.
 func (t *Table) Gone(now int64, id fleet.ID, incarnation uint64) {
 	at, found := slices.BinarySearchFunc(t.members, id, func(m member, id fleet.ID) int { return cmp.Compare(m.ID, id) })
@@ -171,23 +205,29 @@
 // Has reports whether the instance is a member.
 func (p *Pair) Has(id fleet.ID) bool { return slices.Contains(p.ids[:p.n], id) }
 
+// ForKey returns the pair of a name among the instances of the data centre that
+// counted for keys at a time in nanoseconds.
+func (t *Table) ForKey(name uint64, dataCentre string, at int64) Pair {
+	return t.pair(name, func(m *member) bool { return m.DataCentre == dataCentre && m.counted(at) })
+}
+
 // Pair returns the pair of a name among the instances of the data centre that
-// counted at a time in nanoseconds. If there were none, it is chosen in the
-// region.
-func (t *Table) Pair(name uint64, dataCentre, region string, at int64) Pair {
-	p := t.pair(name, at, func(m *member) bool { return m.DataCentre == dataCentre })
+// count now, in nanoseconds. If there are none, it is chosen in the region.
+func (t *Table) Pair(name uint64, dataCentre, region string, now int64) Pair {
+	counts := func(m *member) bool { return m.until == 0 || now < m.until }
+	p := t.pair(name, func(m *member) bool { return m.DataCentre == dataCentre && counts(m) })
 	if p.n == 0 {
-		p = t.pair(name, at, func(m *member) bool { return m.Region == region })
+		p = t.pair(name, func(m *member) bool { return m.Region == region && counts(m) })
 	}
 	return p
 }
 
-func (t *Table) pair(name uint64, at int64, counts func(*member) bool) Pair {
+func (t *Table) pair(name uint64, counts func(*member) bool) Pair {
 	var p Pair
 	var ranks [Size]uint64
 	for i := range t.members {
 		m := &t.members[i]
-		if m.until != 0 && at >= m.until || !counts(m) {
+		if !counts(m) {
 			continue
 		}
 		r := Rank(m.ID, name)
--- a/internal/pair/pair_test.go
+++ b/internal/pair/pair_test.go
@@ -67,6 +67,9 @@
 				}
 			}
 			p := e.Pair(name, "a", "r", int64(timing.SilentMemory))
+			if k := e.ForKey(name, "a", int64(timing.SilentMemory)); k != p {
+				t.Fatal("keys have another pair")
+			}
 			there := 0
 			for _, id := range p.IDs() {
 				if states[id[0]-'0'] == fleet.Alive {
--- a/internal/requestpath/faults_test.go
+++ b/internal/requestpath/faults_test.go
@@ -222,6 +222,42 @@
 	})
 }
 
+// TestBoundJoin lets an instance join under load, with a data centre that has been up
+// for a while: it serves requests within 3 s, and none is refused or lost.
+func TestBoundJoin(t *testing.T) {
+	within(t, 3, 4, func(t *testing.T, is *is.I, s *site) {
+		var wg sync.WaitGroup
+		errs := make(chan error, 2000)
+		for i := range 6 {
+			wg.Go(func() {
+				c := s.client(i)
+				defer c.Close()
+				for range 250 {
+					errs <- c.Do(t.Context(), line, nil)
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+		s.join(uint64(time.Now().UnixMilli()))
+		time.Sleep(3 * time.Second)
+		is.True(s.ready())
+		c := client.New(address(3))
+		c.Dial = s.dial
+		for range 20 {
+			is.NoErr(c.Do(t.Context(), line, nil))
+		}
+		is.Equal(c.Retries(), int64(0))
+		is.NoErr(c.Close())
+		wg.Wait()
+		close(errs)
+		for err := range errs {
+			is.NoErr(err)
+		}
+		is.Equal(s.counts().Exceeded, 0)
+		is.Equal(s.counts().Twice, 0)
+	})
+}
+
 // TestCrashedInstance kills instances while requests run: callers learn the truth,
 // slots are kept, and the others go on.
 func TestCrashedInstance(t *testing.T) {
--- a/internal/requestpath/options.go
+++ b/internal/requestpath/options.go
@@ -14,11 +14,13 @@
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/flow"
 	"balsamfork/internal/pair"
+	"balsamfork/internal/request"
 )
 
 // Options are the settings of the request path.
 type Options struct {
-	Self        fleet.ID
+	Self fleet.ID
+	// Incarnation is when the instance started, in milliseconds of Unix time.
 	Incarnation uint64
 	DataCentre  string
 	Region      string
@@ -38,6 +40,10 @@
 	Evidence func(flow.Evidence)
 }
 
+// contactTime is how long an instance that starts takes to be in contact with the
+// others of its data centre, as a rule.
+const contactTime = time.Second
+
 // Defaults returns the usual timing.
 func Defaults() (admission.Timing, pair.Timing) {
 	t := admission.Timing{
@@ -49,6 +55,7 @@
 	}
 	return t, pair.Timing{
 		Settle:       t.Settle,
+		NotesAfter:   t.Settle + request.MaxAhead + contactTime,
 		SilentMemory: 10 * time.Minute,
 	}
 }
@@ -77,5 +84,6 @@
 	or(&o.Timing.MaxRun, t.MaxRun)
 	or(&o.Timing.Margin, t.Margin)
 	or(&o.Membership.Settle, o.Timing.Settle)
+	or(&o.Membership.NotesAfter, o.Timing.Settle+request.MaxAhead+contactTime)
 	or(&o.Membership.SilentMemory, q.SilentMemory)
 }
--- a/internal/requestpath/path_test.go
+++ b/internal/requestpath/path_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -115,23 +116,51 @@
 	}
 	s.cfg.Services = []config.Service{sv}
 	for i := range instances {
-		in := fleet.Instance{ID: fleet.ID(fmt.Sprint("i", i)), DataCentre: "a", Region: "r", State: fleet.Alive, Incarnation: 1}
-		in.Control = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 2, byte(i)}), 1)
-		s.mesh.controls[in.Control.String()] = in.ID
-		s.view.Instances = append(s.view.Instances, in)
+		s.add(i, 1)
 	}
-	for i, in := range s.view.Instances {
-		o := requestpath.Options{Self: in.ID, Incarnation: 1, DataCentre: "a", Region: "r", Dial: s.dial, DialInstance: s.mesh.connect}
-		l := link{mesh: &s.mesh, self: in.ID}
-		p := requestpath.New(o, l, l, slog.New(slog.NewTextHandler(io.Discard, nil)), tally.NoopScope)
-		p.SetConfig(s.cfg)
-		p.SetView(s.view)
-		p.StartOn(s.net.Listen(address(i)))
-		s.paths = append(s.paths, p)
+	for i := range instances {
+		s.start(i)
 	}
 	return s
 }
 
+// add puts an instance into the view.
+func (s *site) add(i int, incarnation uint64) {
+	in := fleet.Instance{ID: fleet.ID(fmt.Sprint("i", i)), DataCentre: "a", Region: "r", State: fleet.Alive, Incarnation: incarnation}
+	in.Control = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 2, byte(i)}), 1)
+	s.mesh.mu.Lock()
+	s.mesh.controls[in.Control.String()] = in.ID
+	s.mesh.mu.Unlock()
+	s.view.Instances = append(s.view.Instances, in)
+}
+
+// start runs an instance that is in the view.
+func (s *site) start(i int) {
+	in := s.view.Instances[i]
+	o := requestpath.Options{Self: in.ID, Incarnation: in.Incarnation, DataCentre: "a", Region: "r", Dial: s.dial, DialInstance: s.mesh.connect}
+	l := link{mesh: &s.mesh, self: in.ID}
+	p := requestpath.New(o, l, l, slog.New(slog.NewTextHandler(io.Discard, nil)), tally.NoopScope)
+	p.SetConfig(s.cfg)
+	p.SetView(s.view)
+	p.StartOn(s.net.Listen(address(i)))
+	s.paths = append(s.paths, p)
+}
+
+// join starts one more instance, of which the others hear half a second later.
+func (s *site) join(incarnation uint64) {
+	v := *s.view
+	v.Epoch++
+	v.Self = fleet.ID(fmt.Sprint("i", len(s.paths)))
+	v.Instances = slices.Clone(v.Instances)
+	s.view = &v
+	s.add(len(s.paths), incarnation)
+	s.start(len(s.paths))
+	time.Sleep(500 * time.Millisecond)
+	for _, p := range s.paths[:len(s.paths)-1] {
+		p.SetView(s.view)
+	}
+}
+
 func address(i int) string { return fmt.Sprintf("10.0.0.%d:8", i+1) }
 
 func (s *site) dial(ctx context.Context, a string) (net.Conn, error) { return s.net.Dial(ctx, a) }
