--- a/internal/demo/daemon.go
+++ b/internal/demo/daemon.go
@@ -110,7 +110,7 @@
 
 // Sender sends requests through instances. It is safe for concurrent use.
 type Sender interface {
-	// Send returns the outcome, and the ID in the answer if there is one.
+	// Send returns the outcome with the ID in the answer, or else with the error.
 	Send(ctx context.Context, r Request) (Outcome, string)
 	Close() error
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -77,7 +77,7 @@
 		res.ExcusedFlows += c[caller.Excused]
 	}
 	res.WrongService = r.wrongService()
-	c := r.ledger.sum()
+	c := r.ledger.sum(r.began)
 	res.NonRepeatableRunTwice = c.RunTwice
 	res.FalseRefusals = c.FalseRefusals
 	res.LostAnswers = c.Lost
@@ -85,6 +85,7 @@
 	res.Unanswered = c.Unanswered
 	res.Refused = c.Refused
 	res.UnknownAfterCrash = c.UnknownAfterCrash
+	res.Doubtful = c.Doubtful
 	res.judge()
 }
 
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -208,6 +208,9 @@
 				t.Errorf("%+v: %q is not among %q", c.fleet.fault, want, r.Violations)
 			}
 		}
+		if len(r.Doubtful) == 0 {
+			t.Errorf("%+v: no request is described", c.fleet.fault)
+		}
 		if c.fleet.fault.keepOut && r.TakeoutSeconds == 0 {
 			t.Error("packets that went on to the data centre were not seen")
 		}
--- a/internal/demo/ledger.go
+++ b/internal/demo/ledger.go
@@ -1,6 +1,8 @@
 package demo
 
 import (
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -69,7 +71,7 @@
 	return len(l.entries)
 }
 
-// tally is the sum of a ledger.
+// requestCounts is the sum of a ledger.
 type requestCounts struct {
 	Sent, Answered, Refused   int
 	RunTwice, FalseRefusals   int
@@ -77,15 +79,21 @@
 	// UnknownAfterCrash counts requests that were under way when an instance was
 	// killed and ended with Unknown: the truth about them is not known there.
 	UnknownAfterCrash int
+	// Doubtful describes the first requests that were not answered as promised.
+	Doubtful []string
 }
 
-// sum counts what has become of all requests.
-func (l *ledger) sum() requestCounts {
+// maxDoubtful bounds requestCounts.Doubtful.
+const maxDoubtful = 20
+
+// sum counts what has become of all requests, sent since began.
+func (l *ledger) sum(began time.Time) requestCounts {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var c requestCounts
 	for id, o := range l.entries {
 		c.Sent++
+		before := c.violations()
 		if !o.repeatable && o.began > 1 {
 			c.RunTwice++
 		}
@@ -107,10 +115,19 @@
 				c.Lost++
 			}
 		}
+		if c.violations() > before && len(c.Doubtful) < maxDoubtful {
+			c.Doubtful = append(c.Doubtful, fmt.Sprintf("%s, sent at %.1fs, told %q after %.1fs, begun %d times, finished %d",
+				id, o.sent.Sub(began).Seconds(), o.answer, o.ended.Sub(o.sent).Seconds(), o.began, o.finished))
+		}
 	}
+	slices.Sort(c.Doubtful)
 	return c
 }
 
+func (c requestCounts) violations() int {
+	return c.RunTwice + c.FalseRefusals + c.Crossed + c.Unanswered
+}
+
 // crashed reports whether a request was under way when an instance was killed.
 func (l *ledger) crashed(o *order) bool {
 	for _, at := range l.killed {
--- a/internal/demo/platform.go
+++ b/internal/demo/platform.go
@@ -130,9 +130,9 @@
 	case err == nil:
 		return Answered, text(v.Params)
 	case client.Refused.Has(err):
-		return Refused, ""
+		return Refused, err.Error()
 	default:
-		return Unknown, ""
+		return Unknown, err.Error()
 	}
 }
 
--- a/internal/demo/result.go
+++ b/internal/demo/result.go
@@ -75,6 +75,8 @@
 	ExcusedFlows  uint64 `json:"excused_flows"`
 
 	Phases []Phase `json:"phases"`
+	// Doubtful describes the first requests that broke a promise.
+	Doubtful []string `json:"doubtful,omitempty"`
 	// Violations names each promise that was not kept.
 	Violations []string `json:"violations"`
 }
@@ -129,6 +131,9 @@
 	for _, v := range r.Violations {
 		fmt.Fprintf(t, "NOT KEPT: %s\n", v)
 	}
+	for _, d := range r.Doubtful {
+		fmt.Fprintf(t, "  %s\n", d)
+	}
 	if len(r.Violations) == 0 {
 		fmt.Fprintln(t, "Every promise was kept.")
 	}
