Fuzz marks, declarations and restoring on any stored form

Cause: FuzzState knew nothing of marks and Restore, and its seed of a newer form had become one of this form with the format's number.

Change: every proposal on a stored form that passes Check must give one that does. The seed is of a newer form again, and says so if it ever is not; the kept forms are seeds as well.

--- a/internal/config/document_test.go
+++ b/internal/config/document_test.go
@@ -81,7 +81,18 @@
 	state := must(f, nil, deployment(3, 2), false)
 	data, _ := json.Marshal(state)
 	f.Add(data)
-	f.Add([]byte(strings.Replace(string(data), `"format":1`, `"format":2,"new":{"a":[1]}`, 1)))
+	newer := strings.Replace(string(data), `"format":2`, `"format":3,"new":{"a":[1]}`, 1)
+	if newer == string(data) {
+		f.Fatal("the format is another one")
+	}
+	f.Add([]byte(newer))
+	for _, name := range []string{"testdata/state-1.json", "testdata/state-2.json"} {
+		stored, err := os.ReadFile(name)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(stored)
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var s State
 		if json.Unmarshal(data, &s) != nil || s.Check() != nil {
@@ -95,6 +106,22 @@
 				t.Fatal(err)
 			}
 		}
+		proposals := []Proposal{Restore(&s), Declare(s.Document())}
+		for _, dc := range s.DataCentres {
+			proposals = append(proposals, SetMark(Mark{DataCentre: dc.Name}), RemoveMark(Mark{DataCentre: dc.Name}))
+		}
+		for i, propose := range proposals {
+			old := &s
+			if i == 0 {
+				old = nil // the store lost it
+			}
+			c := change("x", old.Held().Version)
+			c.Force = true
+			next, _, err := propose(old, c)
+			if err == nil && s.Version+1 > s.Version && next.Check() != nil {
+				t.Fatalf("proposal %d: %v", i, next.Check())
+			}
+		}
 		if _, err := json.Marshal(s); err != nil {
 			t.Fatal(err)
 		}
