Shorten the stand-in store once more

Change: one function counts, holds up and refuses a call; the number of keys is one of the counts. Every fault is kept.

--- a/internal/confstore/confstore_test.go
+++ b/internal/confstore/confstore_test.go
@@ -446,6 +446,6 @@
 		_, err = r.Read(b.ctx, Snapshot{})
 		is.NoErr(err)
 		is.True(b.server.Counts().Reads-before <= maxValues+5)
-		is.True(b.server.Keys() <= 64) // values are allocated again
+		is.True(b.server.Counts().Keys <= 64) // values are allocated again
 	})
 }
--- a/internal/standin/store/faults.go
+++ b/internal/standin/store/faults.go
@@ -1,9 +1,6 @@
 package store
 
-import (
-	"context"
-	"time"
-)
+import "time"
 
 // faults is what the server was told to do wrong.
 type faults struct {
@@ -70,21 +67,3 @@
 	defer s.mu.Unlock()
 	change(&s.faults)
 }
-
-// pause waits for the delay and reports false if the store is down.
-func (s *Server) pause(ctx context.Context) bool {
-	s.mu.Lock()
-	delay := s.faults.delay
-	s.mu.Unlock()
-	if delay > 0 {
-		timer := time.NewTimer(delay)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.faults.down
-}
--- a/internal/standin/store/http.go
+++ b/internal/standin/store/http.go
@@ -49,11 +49,8 @@
 
 // answer carries a call out and returns the status and the body.
 func (s *Server) answer(r *http.Request) (int, []byte) {
-	if !s.admit(r.Method != http.MethodGet) {
-		return http.StatusTooManyRequests, nil
-	}
-	if !s.pause(r.Context()) {
-		return http.StatusServiceUnavailable, nil
+	if status := s.admit(r); status != 0 {
+		return status, nil
 	}
 	kind, key, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/"), "/")
 	switch r.Method + " " + kind {
@@ -69,19 +66,33 @@
 	return http.StatusBadRequest, nil
 }
 
-func (s *Server) admit(isWrite bool) bool {
+// admit counts a call and holds it up. It returns a status other than zero for
+// one that is refused.
+func (s *Server) admit(r *http.Request) int {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	limiter, count := s.reads, &s.counts.Reads
-	if isWrite {
+	if r.Method != http.MethodGet {
 		limiter, count = s.writes, &s.counts.Writes
 	}
 	*count++
-	if limiter.Allow() {
-		return true
+	allowed, delay := limiter.Allow(), s.faults.delay
+	if !allowed {
+		s.counts.Refused++
+	}
+	s.mu.Unlock()
+	if !allowed {
+		return http.StatusTooManyRequests
+	}
+	select {
+	case <-time.After(delay):
+	case <-r.Context().Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.down {
+		return http.StatusServiceUnavailable
 	}
-	s.counts.Refused++
-	return false
+	return 0
 }
 
 func (s *Server) get(key string) (int, []byte) {
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -26,11 +26,13 @@
 	ReadRate  = 2000
 )
 
-// Counts is how many calls came in, refused ones included.
+// Counts is how many calls came in, refused ones included, and what there is.
 type Counts struct {
 	Reads   int
 	Writes  int
 	Refused int
+	// Keys is the number of keys that have a value.
+	Keys int
 }
 
 // Server is the stand-in. It is an http.Handler and an http.RoundTripper; its
@@ -67,14 +69,9 @@
 func (s *Server) Counts() Counts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.counts
-}
-
-// Keys returns the number of keys that have a value.
-func (s *Server) Keys() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.keys)
+	counts := s.counts
+	counts.Keys = len(s.keys)
+	return counts
 }
 
 // look returns what a read answers. Like wake and grant it is called with the
