Move the control link in memory to the stand-ins

Cause: the mesh of the tests stands twice in the repository. Change: memnet.Mesh; calls to an instance that has vanished from the view end as those to a dead one. Conclusion: handover's test can take it as well.

--- a/internal/requestpath/faults_test.go
+++ b/internal/requestpath/faults_test.go
@@ -245,9 +245,7 @@
 			})
 		}
 		time.Sleep(300 * time.Millisecond)
-		s.mesh.mu.Lock()
-		s.mesh.dead["i1"] = true
-		s.mesh.mu.Unlock()
+		s.mesh.Kill("i1")
 		s.paths[1].Close()
 		time.Sleep(time.Second)
 		s.setState(1, fleet.Dead)
--- a/internal/requestpath/path_test.go
+++ b/internal/requestpath/path_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/netip"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,63 +17,15 @@
 	"balsamfork/client"
 	"balsamfork/internal/config"
 	"balsamfork/internal/fleet"
-	"balsamfork/internal/peer"
 	"balsamfork/internal/requestpath"
 	"balsamfork/internal/standin/memnet"
 	"balsamfork/internal/standin/worker"
 )
 
-// mesh links instances in memory.
-type mesh struct {
-	mu       sync.Mutex
-	handlers map[fleet.ID]map[string]peer.Handler
-	dead     map[fleet.ID]bool
-}
-
-type link struct {
-	*mesh
-	self fleet.ID
-}
-
-func (l link) Handle(method string, h peer.Handler) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.handlers[l.self] == nil {
-		l.handlers[l.self] = make(map[string]peer.Handler)
-	}
-	l.handlers[l.self][method] = h
-}
-
-func (l link) Call(ctx context.Context, to fleet.ID, method string, params, result any) error {
-	raw, err := json.Marshal(params)
-	if err != nil {
-		return err
-	}
-	l.mu.Lock()
-	h, dead := l.handlers[to][method], l.dead[to] || l.dead[l.self]
-	l.mu.Unlock()
-	if dead || h == nil {
-		<-ctx.Done()
-		return peer.Unreachable.Wrap(ctx.Err())
-	}
-	answer, err := h(ctx, l.self, raw)
-	if err != nil || result == nil {
-		return err
-	}
-	if raw, err = json.Marshal(answer); err != nil {
-		return err
-	}
-	return json.Unmarshal(raw, result)
-}
-
-func (l link) Notify(ctx context.Context, to fleet.ID, method string, params any) error {
-	return l.Call(ctx, to, method, params, nil)
-}
-
 // site is a small fleet in one data centre, in memory and in fake time.
 type site struct {
 	net     memnet.Net
-	mesh    mesh
+	mesh    memnet.Mesh
 	paths   []*requestpath.Path
 	workers []*worker.Worker
 	cfg     *config.Config
@@ -85,8 +35,7 @@
 const slots = 3
 
 func newSite(instances, servers int) *site {
-	s := &site{mesh: mesh{handlers: make(map[fleet.ID]map[string]peer.Handler), dead: make(map[fleet.ID]bool)}}
-	s.view = &fleet.View{Epoch: 1}
+	s := &site{view: &fleet.View{Epoch: 1}}
 	s.cfg = &config.Config{Version: 1, DataCentres: []config.DataCentre{{Name: "a", Region: "r"}}}
 	sv := config.Service{Name: "orders", Slots: slots, Ramp: config.Ramp{Start: 0.1, Duration: 4 * time.Second}}
 	for i := range servers {
@@ -104,7 +53,7 @@
 	}
 	for i, in := range s.view.Instances {
 		o := requestpath.Options{Self: in.ID, Incarnation: 1, DataCentre: "a", Region: "r", Dial: s.dial}
-		l := link{mesh: &s.mesh, self: in.ID}
+		l := s.mesh.Link(in.ID)
 		p := requestpath.New(o, l, l, slog.New(slog.NewTextHandler(io.Discard, nil)), tally.NoopScope)
 		p.SetConfig(s.cfg)
 		p.SetView(s.view)
--- a/internal/requestpath/tables.go
+++ b/internal/requestpath/tables.go
@@ -51,7 +51,7 @@
 	p.view = v
 	p.members.Update(p.clock.now(), v)
 	for _, c := range p.calls {
-		if in, found := v.Get(c.to); found && !in.Reachable() {
+		if in, found := v.Get(c.to); !found || !in.Reachable() {
 			c.cancel()
 		}
 	}
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -1,4 +1,4 @@
-// Package memnet is a network in memory, for tests that run adapters in fake time:
+// Package memnet is a network and a control link in memory, for tests that run adapters in fake time:
 // connections are pipes, addresses are names.
 package memnet
 
