Gauge what is admitted; close idle connections of backend servers given up

Cause: operators could not see slots, queues and leases; connections stayed open after the admitting instance had changed.

--- a/internal/admission/tick.go
+++ b/internal/admission/tick.go
@@ -149,26 +149,32 @@
 	s.ended = s.ended[n:]
 }
 
-// Running returns how many requests run, for a graceful shutdown.
-func (s *System) Running() int {
-	n := 0
-	for _, sv := range s.order {
-		n += len(sv.running)
-	}
-	return n
+// Totals is what an instance admits, over all its backend servers.
+type Totals struct {
+	Running, Waiting int
+	// Slots is how many may run now. Held counts the backend servers that the
+	// instance may admit to, Wanted those that it should, Climbing those on a ramp.
+	Slots                  float64
+	Held, Wanted, Climbing int
 }
 
-// Held returns how many backend servers the instance may admit to now, and how
-// many it should.
-func (s *System) Held(now int64) (held, wanted int) {
+// Totals counts what runs and waits at a time.
+func (s *System) Totals(now int64) Totals {
+	t := Totals{Waiting: s.total}
 	for _, sv := range s.order {
+		t.Running += len(sv.running)
 		if !sv.first {
 			continue
 		}
-		wanted++
-		if sv.held(now) {
-			held++
+		t.Wanted++
+		if !sv.held(now) {
+			continue
+		}
+		t.Held++
+		t.Slots += sv.limit(now)
+		if sv.guard.Share(now) < 1 {
+			t.Climbing++
 		}
 	}
-	return held, wanted
+	return t
 }
--- a/internal/keyowner/faults_test.go
+++ b/internal/keyowner/faults_test.go
@@ -63,7 +63,7 @@
 	case "leave":
 		begin = func() { n.leave() }
 		end = func() {
-			if n.leaving && n.up && n.owner.Pending() == 0 && n.adm.Running() == 0 {
+			if n.leaving && n.up && n.owner.Pending() == 0 && n.adm.Totals(n.now()).Running == 0 {
 				n.up = false
 				n.boot()
 				n.look()
--- a/internal/requestpath/metrics.go
+++ b/internal/requestpath/metrics.go
@@ -3,7 +3,9 @@
 import (
 	"github.com/uber-go/tally/v4"
 
+	"balsamfork/internal/admission"
 	"balsamfork/internal/flow"
+	"balsamfork/internal/keyowner"
 	"balsamfork/internal/request"
 )
 
@@ -36,6 +38,26 @@
 }
 
 func (m *metrics) evidence(k flow.EvidenceKind) {
-	names := map[flow.EvidenceKind]string{flow.Answered: "answered", flow.Shed: "shed", flow.Slow: "slow", flow.Failed: "failed"}
+	names := map[flow.EvidenceKind]string{flow.Answered: "answered", flow.Shed: "shed", flow.Slow: "slow", flow.Failed: "failed", flow.TurnedCold: "turned_cold"}
 	m.scope.Tagged(map[string]string{"kind": names[k]}).Counter("evidence").Inc(1)
 }
+
+// gauges sets what is in progress, and the totals of the owner's decisions.
+func (m *metrics) gauges(t admission.Totals, pending, claims int, c keyowner.Counts) {
+	for name, v := range map[string]float64{
+		"running":        float64(t.Running),
+		"waiting":        float64(t.Waiting),
+		"slots":          t.Slots,
+		"servers_held":   float64(t.Held),
+		"servers_wanted": float64(t.Wanted),
+		"servers_cold":   float64(t.Climbing),
+		"pending":        float64(pending),
+		"claims_held":    float64(claims),
+		"first_attempts": float64(c.Attempts - c.Retries),
+		"retries":        float64(c.Retries),
+		"copies_joined":  float64(c.Joined),
+		"late_outcomes":  float64(c.Late),
+	} {
+		m.scope.Gauge(name).Update(v)
+	}
+}
--- a/internal/requestpath/path.go
+++ b/internal/requestpath/path.go
@@ -151,8 +151,8 @@
 func (p *Path) Ready() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	held, wanted := p.admitter.Held(p.clock.now())
-	return p.cfg != nil && p.view != nil && held == wanted
+	t := p.admitter.Totals(p.clock.now())
+	return p.cfg != nil && p.view != nil && t.Held == t.Wanted
 }
 
 // Drain stops taking requests within stopAfter, and returns once those in progress
@@ -196,7 +196,7 @@
 func (p *Path) idle() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.busy == 0 && len(p.attempts) == 0 && p.owner.Pending() == 0 && p.admitter.Running() == 0
+	return p.busy == 0 && len(p.attempts) == 0 && p.owner.Pending() == 0 && p.admitter.Totals(p.clock.now()).Running == 0
 }
 
 // Close ends everything at once.
@@ -216,7 +216,7 @@
 func (p *Path) tick() {
 	t := time.NewTicker(admission.TickEvery)
 	defer t.Stop()
-	for {
+	for n := 0; ; n++ {
 		select {
 		case <-p.ctx.Done():
 			return
@@ -227,11 +227,17 @@
 		p.admitter.Tick(now)
 		p.owner.Tick(now)
 		p.flush()
+		if n%ticksPerGauge == 0 {
+			p.m.gauges(p.admitter.Totals(now), p.owner.Pending(), p.claims.Len(), p.owner.Counts())
+		}
 		p.mu.Unlock()
 		p.watchClock()
 	}
 }
 
+// ticksPerGauge is how many ticks pass between two settings of the gauges.
+const ticksPerGauge = 100
+
 // maxReports bounds the evidence that waits for its receiver.
 const maxReports = 1024
 
--- a/internal/requestpath/servers.go
+++ b/internal/requestpath/servers.go
@@ -61,6 +61,14 @@
 	s.byNum[n] = &pool{address: address}
 }
 
+// rest closes the idle connections to a backend server that this instance does not
+// admit to.
+func (s *pools) rest(n config.Number) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closeIdle(s.byNum[n])
+}
+
 func (s *pools) closeIdle(p *pool) {
 	if p == nil {
 		return
--- a/internal/requestpath/tables.go
+++ b/internal/requestpath/tables.go
@@ -106,6 +106,9 @@
 				rows = append(rows, row)
 			}
 			p.servers.set(row.Number, sv.Servers[j].Requests)
+			if admitter != p.self.ID {
+				p.servers.rest(row.Number)
+			}
 			if found && row.State == config.Active && row.Condition != flow.Down {
 				services[sv.Name] = append(services[sv.Name], keyowner.Candidate{Server: row.Number, Admitter: admitter, Slots: sv.Slots})
 			}
