--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -248,7 +248,7 @@
 			for _, e := range s.Effects() {
 				if e.Kind == AskGrant {
 					asks++
-					named += len(e.Servers)
+					named += len(e.Grant.Servers)
 				}
 			}
 		}
@@ -288,16 +288,21 @@
 		s.SetServers(now, rows)
 	}
 	look(fleet.Dead)
-	asked := now
-	s.Granted(now, "b", asked, []config.Number{n})
+	asked := s.Effects()[0].Grant
+	s.Granted(now, "b", asked, asked.Servers)
 	is.True(s.servers[n].held(now))
 	look(fleet.Alive)
 	now += int64(Overlap)
 	s.Tick(now)
 	is.Equal(s.servers[n], nil) // given up
 	look(fleet.Dead)
-	s.Granted(now, "b", asked, []config.Number{n})
+	s.Granted(now, "b", asked, asked.Servers)
 	is.True(!s.servers[n].held(now))
-	s.Granted(now, "b", now, []config.Number{n})
+	asked.SentAt = now
+	s.Granted(now, "b", asked, asked.Servers)
 	is.True(s.servers[n].held(now))
+	asked.Groups = []uint64{1} // another group
+	s.Granted(now, "b", asked, asked.Servers)
+	is.True(!s.servers[n].held(now))
+	is.Equal(len(s.Ask(now, asked)), 0)
 }
--- a/internal/admission/grants.go
+++ b/internal/admission/grants.go
@@ -1,11 +1,7 @@
 package admission
 
 import (
-	"maps"
-	"slices"
-
 	"balsamfork/internal/config"
-	"balsamfork/internal/fleet"
 	"balsamfork/internal/quorum"
 )
 
@@ -61,7 +57,3 @@
 		delete(g.byServer, server)
 	}
 }
-
-func sortedIDs(m map[fleet.ID][]config.Number) []fleet.ID {
-	return slices.Sorted(maps.Keys(m))
-}
