--- a/internal/keyowner/crash_test.go
+++ b/internal/keyowner/crash_test.go
@@ -79,8 +79,7 @@
 	held := 0
 	for _, n := range m.nodes {
 		if n.up && n.cut == 0 {
-			h, _ := n.adm.Held(n.now())
-			held += h
+			held += n.adm.Totals(n.now()).Held
 		}
 	}
 	return held
--- a/internal/keyowner/types.go
+++ b/internal/keyowner/types.go
@@ -49,8 +49,7 @@
 
 // The kinds of effects.
 const (
-	// Claim asks To to record the claim of Key by Claimant; its answer goes to
-	// Claimed.
+	// Claim asks To to note Claim; its answer goes to Claimed.
 	Claim EffectKind = iota + 1
 	// Admit asks To to run Attempt; its answer goes to Outcome.
 	Admit
@@ -68,15 +67,25 @@
 	Kind     EffectKind
 	To       fleet.ID
 	Key      string
-	Hash     atmostonce.KeyHash
-	Created  int64
 	Claimant atmostonce.Claimant
+	Claim    ClaimRequest
 	Attempt  admission.Attempt
 	Request  *request.Request
 	Waiter   uint64
 	Result   request.Result
 }
 
+// ClaimRequest asks one of a key's pair to record a claim.
+type ClaimRequest struct {
+	// Name is what the pair is chosen by, Home its data centre, Pair its digest.
+	Name     uint64              `json:"name"`
+	Home     string              `json:"home"`
+	Pair     uint64              `json:"pair"`
+	Key      atmostonce.KeyHash  `json:"key"`
+	Created  int64               `json:"created"`
+	Claimant atmostonce.Claimant `json:"claimant"`
+}
+
 // Counts are totals since the start.
 type Counts struct {
 	Requests, Attempts, Retries, Joined, Claims, Late int64
@@ -106,6 +115,7 @@
 	deadline int64
 	// claim
 	claimant atmostonce.Claimant
+	pair     uint64
 	marks    []mark
 	began    int64
 	sent     int64
