--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -67,7 +67,11 @@
 	of := func(n config.Number) (in, sure bool) { return s.knowledge.of(now, n) }
 	look(fleet.Alive, 0)
 	now = granting - 1
-	is.True(s.Ask(now, b, []config.Number{1}, now)[0] == Grant{Server: 1}) // an earlier run may have promised
+	ask := func(n config.Number) []Grant {
+		p := members.Pair(ServerName(n), "d", "r", now)
+		return s.Ask(now, GrantRequest{Holder: b, DataCentre: "d", Region: "r", Servers: []config.Number{n}, Pairs: []uint64{p.Digest()}, SentAt: now})
+	}
+	is.True(ask(1)[0] == Grant{Server: 1}) // an earlier run may have promised
 	now = granting
 	_, sure := of(1)
 	is.True(sure)
@@ -96,7 +100,7 @@
 		is.Equal(in, p.Has(a.ID))
 		if !in {
 			out++
-			is.Equal(len(s.Ask(now, b, []config.Number{n}, now)), 0)
+			is.Equal(len(ask(n)), 0)
 		}
 	}
 	is.True(out > 0)
@@ -108,12 +112,14 @@
 	}
 	is.Equal(out, 0)
 
-	sv := &server{pair: members.Pair(1, "d", "r", now)}
-	sv.setPromise("a", now+1, false)
+	sv := &server{pair: members.Pair(1, "d", "r", now), digest: 7}
+	sv.setPromise(promise{id: "a", until: now + 1, pair: 7})
 	is.True(!sv.held(now))
-	sv.setPromise("b", now+1, false)
+	sv.setPromise(promise{id: "b", until: now + 1, pair: 7})
 	is.True(!sv.held(now)) // nobody knows
-	sv.setPromise("b", now+1, true)
+	sv.setPromise(promise{id: "b", until: now + 1, sure: now + 1, pair: 6})
+	is.True(!sv.held(now)) // of another pair
+	sv.setPromise(promise{id: "b", until: now + 1, sure: now + 1, pair: 7})
 	is.True(sv.held(now))
 	is.True(!sv.held(now + 1))
 }
@@ -325,7 +331,7 @@
 			for _, e := range s.Effects() {
 				if e.Kind == AskGrant {
 					asks++
-					named += len(e.Servers)
+					named += len(e.Grant.Servers)
 				}
 			}
 		}
@@ -366,16 +372,27 @@
 		s.SetServers(now, rows)
 	}
 	look(fleet.Dead)
-	asked := now
-	s.Granted(now, "b", asked, []Grant{{Server: n}})
+	asked := s.Effects()[0].Grant
+	of := func() (all []Grant) {
+		for _, n := range asked.Servers {
+			all = append(all, Grant{Server: n})
+		}
+		return all
+	}
+	s.Granted(now, "b", asked, of())
 	is.True(s.servers[n].held(now))
 	look(fleet.Alive)
 	now += int64(Overlap)
 	s.Tick(now)
 	is.Equal(s.servers[n], nil) // given up
 	look(fleet.Dead)
-	s.Granted(now, "b", asked, []Grant{{Server: n}})
+	s.Granted(now, "b", asked, of())
 	is.True(!s.servers[n].held(now))
-	s.Granted(now, "b", now, []Grant{{Server: n}})
+	asked.SentAt = now
+	s.Granted(now, "b", asked, of())
 	is.True(s.servers[n].held(now))
+	asked.Pairs = []uint64{1} // another pair
+	s.Granted(now, "b", asked, of())
+	is.True(!s.servers[n].held(now))
+	is.Equal(len(s.Ask(now, asked)), 0)
 }
--- a/internal/keyowner/claim.go
+++ b/internal/keyowner/claim.go
@@ -11,19 +11,26 @@
 func (s *System) claim(now int64, j *job) {
 	j.stage = claiming
 	j.claimant = atmostonce.Claimant{Holder: s.Self, Seq: j.entry.Seq}
-	home := j.req.Key.Home
-	p := s.Members.ForKey(pair.Name(j.entry.ID), home, j.entry.Created)
-	for _, id := range p.IDs() {
-		j.marks = append(j.marks, mark{member: id})
-	}
 	s.sendClaims(now, j)
 	s.decide(now, j)
 }
 
-// sendClaims asks every member that has not answered yet.
+// sendClaims asks every member that has not answered yet. If the pair has changed,
+// what its former members have answered is void.
 func (s *System) sendClaims(now int64, j *job) {
 	j.sent = now
-	hash := atmostonce.Hash(j.entry.ID)
+	c := ClaimRequest{
+		Name: pair.Name(j.entry.ID), Home: j.req.Key.Home, Key: atmostonce.Hash(j.entry.ID),
+		Created: j.entry.Created, Claimant: j.claimant,
+	}
+	p := s.Members.ForKey(c.Name, c.Home, c.Created)
+	c.Pair = p.Digest()
+	if j.marks == nil || j.pair != c.Pair {
+		j.pair, j.marks = c.Pair, make([]mark, 0, pair.Size)
+		for _, id := range p.IDs() {
+			j.marks = append(j.marks, mark{member: id})
+		}
+	}
 	for i := range j.marks {
 		k := &j.marks[i]
 		if k.verdict != 0 {
@@ -35,20 +42,29 @@
 		}
 		s.counts.Claims++
 		if k.member == s.Self.ID {
-			k.verdict, k.by = s.Claims.Claim(now, hash, j.entry.Created, j.claimant)
+			k.verdict, k.by = s.Note(now, c)
 			continue
 		}
-		s.out = append(s.out, Effect{
-			Kind: Claim, To: k.member, Key: j.entry.ID, Hash: hash,
-			Created: j.entry.Created, Claimant: j.claimant,
-		})
+		s.out = append(s.out, Effect{Kind: Claim, To: k.member, Key: j.entry.ID, Claim: c})
 	}
 }
 
+// Note answers a claim as one of the key's pair.
+func (s *System) Note(now int64, c ClaimRequest) (atmostonce.Verdict, atmostonce.Claimant) {
+	p := s.Members.ForKey(c.Name, c.Home, c.Created)
+	if p.Digest() != c.Pair {
+		return atmostonce.Disagree, atmostonce.Claimant{}
+	}
+	return s.Claims.Claim(now, c.Key, c.Created, c.Claimant)
+}
+
 // Claimed takes in a member's answer to a claim.
-func (s *System) Claimed(now int64, key string, by atmostonce.Claimant, from fleet.ID, v atmostonce.Verdict, holder atmostonce.Claimant) {
+func (s *System) Claimed(now int64, key string, asked ClaimRequest, from fleet.ID, v atmostonce.Verdict, holder atmostonce.Claimant) {
 	j := s.jobs[key]
-	if j == nil || j.stage != claiming || j.claimant != by {
+	if j == nil || j.stage != claiming || j.claimant != asked.Claimant || j.pair != asked.Pair {
+		return
+	}
+	if v == atmostonce.Disagree {
 		return
 	}
 	for i := range j.marks {
--- a/internal/pair/pair.go
+++ b/internal/pair/pair.go
@@ -205,6 +205,17 @@
 // Has reports whether the instance is a member.
 func (p *Pair) Has(id fleet.ID) bool { return slices.Contains(p.ids[:p.n], id) }
 
+// Digest tells pairs apart: a member agrees only to what is asked of the pair that it
+// sees itself.
+func (p *Pair) Digest() uint64 {
+	var h xxh3.Hasher
+	for _, id := range p.IDs() {
+		h.WriteString(string(id))
+		h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
+
 // ForKey returns the pair of a name among the instances of the data centre that
 // counted for keys at a time in nanoseconds.
 func (t *Table) ForKey(name uint64, dataCentre string, at int64) Pair {
