--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -41,12 +41,16 @@
 	until int64
 	// sure is until when it counts as one that knows all earlier promises.
 	sure int64
+	// pair is the digest of the pair that the member agreed to.
+	pair uint64
 }
 
 type server struct {
 	Server
 	name uint64
 	pair pair.Pair
+	// digest is the pair's.
+	digest uint64
 	// chosen is set if this instance ranks first, first if it also may admit.
 	chosen, first bool
 	// lost is when another instance came to rank first.
@@ -79,7 +83,7 @@
 	sure := false
 	for _, id := range ids {
 		p := s.promise(id)
-		if p == nil || p.until <= now {
+		if p == nil || p.until <= now || p.pair != s.digest {
 			return false
 		}
 		sure = sure || p.sure > now
@@ -96,19 +100,18 @@
 	return nil
 }
 
-func (s *server) setPromise(id fleet.ID, until int64, sure bool) {
-	p := s.promise(id)
+func (s *server) setPromise(next promise) {
+	p := s.promise(next.id)
 	if p == nil {
 		p = &s.promises[0]
 		if s.promises[1].until < p.until {
 			p = &s.promises[1]
 		}
-		*p = promise{id: id}
 	}
-	p.until = max(p.until, until)
-	if sure {
-		p.sure = max(p.sure, until)
+	if p.id == next.id && p.pair == next.pair {
+		next.until, next.sure = max(next.until, p.until), max(next.sure, p.sure)
 	}
+	*p = next
 }
 
 // takes reports whether new requests may wait for the server.
--- a/internal/admission/system.go
+++ b/internal/admission/system.go
@@ -35,7 +35,7 @@
 	// stale is set when order must be made anew.
 	stale bool
 	// asks collects the grants to ask for in one tick.
-	asks map[fleet.ID][]config.Number
+	asks map[askKey]*GrantRequest
 	// started is the latest time by which another instance may have sent something
 	// to an earlier run of this one.
 	started int64
@@ -55,7 +55,7 @@
 		servers:   make(map[config.Number]*server),
 		attempts:  make(map[AttemptID]*attempt),
 		queued:    make(map[string]int),
-		asks:      make(map[fleet.ID][]config.Number),
+		asks:      make(map[askKey]*GrantRequest),
 	}
 }
 
@@ -146,7 +146,7 @@
 	if p != sv.pair && sv.asked != 0 {
 		sv.asked, sv.changed = 1, now
 	}
-	sv.pair = p
+	sv.pair, sv.digest = p, p.Digest()
 }
 
 // SetLeaving makes the instance give up all backend servers as their requests end.
@@ -155,12 +155,16 @@
 	s.Tick(now)
 }
 
-// Ask answers another instance's, or this one's, AskGrant: the servers granted.
-func (s *System) Ask(now int64, h pair.Holder, servers []config.Number, sentAt int64) []Grant {
+// Ask answers another instance's AskGrant, or this one's: the servers granted.
+func (s *System) Ask(now int64, r GrantRequest) []Grant {
 	var granted []Grant
-	for _, n := range servers {
+	for i, n := range r.Servers {
+		p := s.members.Pair(ServerName(n), r.DataCentre, r.Region, now)
+		if i >= len(r.Pairs) || r.Pairs[i] != p.Digest() {
+			continue
+		}
 		in, sure := s.knowledge.of(now, n)
-		if in && s.grants.Ask(now, h, n, sentAt) {
+		if in && s.grants.Ask(now, r.Holder, n, r.SentAt) {
 			granted = append(granted, Grant{Server: n, Sure: sure})
 		}
 	}
@@ -172,24 +176,31 @@
 func (s *System) Alone() bool { return s.knowledge.heard == 0 }
 
 // Release takes in a ReleaseGrant.
-func (s *System) Release(h pair.Holder, servers []config.Number, sentAt int64) {
-	for _, n := range servers {
-		s.grants.Release(h, n, sentAt)
+func (s *System) Release(r GrantRequest) {
+	for _, n := range r.Servers {
+		s.grants.Release(r.Holder, n, r.SentAt)
 	}
 }
 
-// Granted takes in the answer to an AskGrant that was sent at a time.
-func (s *System) Granted(now int64, from fleet.ID, sentAt int64, granted []Grant) {
-	for _, g := range granted {
-		if sv := s.servers[g.Server]; sv != nil && sv.asked != 0 && sentAt >= sv.since {
-			sv.setPromise(from, sentAt+int64(s.timing.Hold), g.Sure)
-			if !sv.leased && sv.held(now) {
-				sv.leased = true
-				sv.settle(now)
-				sv.guard.TakeOver(now)
-			}
-			s.pump(now, sv)
+// Granted takes in the answer to an AskGrant: which of its servers were granted.
+func (s *System) Granted(now int64, from fleet.ID, r GrantRequest, granted []Grant) {
+	for i, n := range r.Servers {
+		sv := s.servers[n]
+		at := slices.IndexFunc(granted, func(g Grant) bool { return g.Server == n })
+		if sv == nil || sv.asked == 0 || r.SentAt < sv.since || at < 0 {
+			continue
+		}
+		given := promise{id: from, until: r.SentAt + int64(s.timing.Hold), pair: r.Pairs[i]}
+		if granted[at].Sure {
+			given.sure = given.until
+		}
+		sv.setPromise(given)
+		if !sv.leased && sv.held(now) {
+			sv.leased = true
+			sv.settle(now)
+			sv.guard.TakeOver(now)
 		}
+		s.pump(now, sv)
 	}
 }
 
