Choose instances by rendezvous hashing in one place

Cause: six parts had a form of rendezvous hashing of their own. Change: package rendezvous serves handover, confsettle, confsync and health; forward shares the mixing function of package table. The packet path's ranking in placement and the pairs keep their allocation-free loops. Conclusion: one definition to read.

--- a/internal/confsettle/choose.go
+++ b/internal/confsettle/choose.go
@@ -1,26 +1,21 @@
 package confsettle
 
 import (
-	"github.com/zeebo/xxh3"
-
 	"balsamfork/internal/confsync"
 	"balsamfork/internal/fleet"
+	"balsamfork/internal/rendezvous"
 )
 
-// choose returns the instance that writes: the first of the usable ones by
-// rendezvous hashing (Thaler and Ravishankar, 1998), or the own one if there is
-// none.
+// role is what an instance is chosen for.
+const role = "config writer"
+
+// choose returns the instance that writes: the first of the usable ones, or the
+// own one if there is none.
 func choose(view *fleet.View) fleet.ID {
-	best, top := view.Self, uint64(0)
-	for _, i := range view.Instances {
-		if !i.Usable() {
-			continue
-		}
-		if rank := xxh3.HashString("config writer " + string(i.ID)); rank >= top {
-			best, top = i.ID, rank
-		}
+	if first, found := rendezvous.First(view, rendezvous.Name(role)); found {
+		return first
 	}
-	return best
+	return view.Self
 }
 
 // writers returns the number of instances that share the rate of writes with
--- a/internal/confsync/fleet_test.go
+++ b/internal/confsync/fleet_test.go
@@ -16,6 +16,7 @@
 	"balsamfork/internal/confstore"
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/peer"
+	"balsamfork/internal/rendezvous"
 	standin "balsamfork/internal/standin/store"
 	"balsamfork/internal/storeclient"
 )
@@ -79,10 +80,10 @@
 func (b *bed) start(id fleet.ID) *node {
 	ctx, stop := context.WithCancel(b.ctx)
 	n := &node{id: id, bed: b, stop: stop, handlers: map[string]peer.Handler{}, at: map[config.Version]time.Time{}}
-	random := rand.New(rand.NewPCG(1, rank(id)))
+	random := rand.New(rand.NewPCG(1, rendezvous.Name(string(id))))
 	client := storeclient.New(storeclient.Options{URL: "http://store", Transport: reach{b, id}, Fleet: len(b.rows), Random: random})
 	n.sync = New(Options{
-		Self: id, Store: confstore.New(client), Limits: client, Peers: n, Random: rand.New(rand.NewPCG(2, rank(id))),
+		Self: id, Store: confstore.New(client), Limits: client, Peers: n, Random: rand.New(rand.NewPCG(2, rendezvous.Name(string(id)))),
 	}, n)
 	n.sync.OnChange(func(c *config.Config) {
 		n.mu.Lock()
@@ -101,7 +102,7 @@
 
 // beat stands for membership: the view and the versions in its heartbeats.
 func (n *node) beat(ctx context.Context) {
-	random := rand.New(rand.NewPCG(3, rank(n.id)))
+	random := rand.New(rand.NewPCG(3, rendezvous.Name(string(n.id))))
 	view, seen := &fleet.View{}, 0
 	for ctx.Err() == nil {
 		if now := n.bed.changesSoFar(); now != seen {
--- a/internal/confsync/role.go
+++ b/internal/confsync/role.go
@@ -1,12 +1,10 @@
 package confsync
 
 import (
-	"cmp"
 	"slices"
 
-	"github.com/zeebo/xxh3"
-
 	"balsamfork/internal/fleet"
+	"balsamfork/internal/rendezvous"
 )
 
 // watchersPerDataCentre is how many instances of a data centre watch the store.
@@ -45,40 +43,21 @@
 	return r
 }
 
-// watchersByDataCentre returns the first usable instances of each data centre by
-// rendezvous hashing (Thaler and Ravishankar, 1998).
+// watcher is what an instance is chosen for.
+const watcher = "config watcher"
+
+// watchersByDataCentre returns the first usable instances of each data centre.
 func watchersByDataCentre(view *fleet.View) map[string][]fleet.ID {
-	first := map[string][]ranked{}
+	usable := map[string][]fleet.ID{}
 	for _, i := range view.Instances {
 		if i.Usable() {
-			first[i.DataCentre] = insert(first[i.DataCentre], ranked{i.ID, rank(i.ID)})
+			usable[i.DataCentre] = append(usable[i.DataCentre], i.ID)
 		}
 	}
-	ids := make(map[string][]fleet.ID, len(first))
-	for name, list := range first {
-		for _, r := range list {
-			ids[name] = append(ids[name], r.id)
-		}
+	for name, ids := range usable {
+		usable[name] = rendezvous.Top(ids, rendezvous.Name(watcher), watchersPerDataCentre)
 	}
-	return ids
-}
-
-type ranked struct {
-	id   fleet.ID
-	rank uint64
-}
-
-// insert keeps the list in order of rank, and no longer than there are watchers.
-func insert(list []ranked, r ranked) []ranked {
-	at, _ := slices.BinarySearchFunc(list, r, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.id, b.id))
-	})
-	list = slices.Insert(list, at, r)
-	return list[:min(len(list), watchersPerDataCentre)]
-}
-
-func rank(id fleet.ID) uint64 {
-	return xxh3.HashString("config watcher " + string(id))
+	return usable
 }
 
 // DataCentres returns the number of data centres that a view has instances of.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -89,6 +89,17 @@
 	return Instance{}, false
 }
 
+// Usable returns the IDs of the usable instances, in order.
+func (v *View) Usable() []ID {
+	var ids []ID
+	for _, i := range v.Instances {
+		if i.Usable() {
+			ids = append(ids, i.ID)
+		}
+	}
+	return ids
+}
+
 // Confirmed returns the newest version that every reachable instance has
 // applied, and false if the table has no reachable instance.
 func (v *View) Confirmed() (config.Version, bool) {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -23,6 +23,7 @@
 	"balsamfork/internal/standin/caller"
 	"balsamfork/internal/standin/fabric"
 	"balsamfork/internal/standin/wire"
+	"balsamfork/internal/table"
 )
 
 var (
@@ -37,14 +38,14 @@
 // TestMain demands that no goroutine of a Forwarder outlives its Close.
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// table steers each packet to the owner of its flow, which forwards it.
-type table struct {
+// decider steers each packet to the owner of its flow, which forwards it.
+type decider struct {
 	self    *int
 	peers   *[]netip.AddrPort
 	servers map[netip.AddrPort][]netip.AddrPort
 }
 
-func (t table) Decide(_ int64, p *flow.Packet) flow.Verdict {
+func (t decider) Decide(_ int64, p *flow.Packet) flow.Verdict {
 	servers := t.servers[p.Key.Destination]
 	if len(servers) == 0 {
 		return flow.Verdict{Action: flow.Drop, Reason: flow.NoService}
@@ -57,7 +58,7 @@
 	return flow.Verdict{Action: flow.Forward, Address: servers[hash/7%uint64(len(servers))]}
 }
 
-// start runs n forwarders with a table each; all trust each other.
+// start runs n forwarders with a decider each; all trust each other.
 func start(t *testing.T, n int, servers map[netip.AddrPort][]netip.AddrPort) ([]*Forwarder, *fabric.Fabric) {
 	f := fabric.New(1)
 	var all []*Forwarder
@@ -76,7 +77,7 @@
 			return (*peers)[keeper], keeper != i
 		}
 		c := Config{Listen: local, Workers: 2, Gather: gather}
-		fw, err := New(c, table{self: &i, peers: peers, servers: servers}, known, quiet, tally.NoopScope)
+		fw, err := New(c, decider{self: &i, peers: peers, servers: servers}, known, quiet, tally.NoopScope)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -274,7 +275,7 @@
 	conn, address := sink(t)
 	scope := tally.NewTestScope("", nil)
 	servers := map[netip.AddrPort][]netip.AddrPort{desk: {address}}
-	fw, err := New(Config{Listen: local}, table{new(int), &[]netip.AddrPort{address}, servers}, nil, quiet, scope)
+	fw, err := New(Config{Listen: local}, decider{new(int), &[]netip.AddrPort{address}, servers}, nil, quiet, scope)
 	is.NoErr(err)
 	sender, _ := sink(t)
 	const packets = 100
@@ -379,7 +380,7 @@
 	before := make(map[uint64]netip.AddrPort)
 	counts := make(map[netip.AddrPort]int)
 	for hash := range uint64(4000) {
-		before[hash] = choose(mix(hash))
+		before[hash] = choose(table.Mix(hash))
 		counts[before[hash]]++
 	}
 	for _, n := range counts {
@@ -389,7 +390,7 @@
 	gone := view.Instances[3].Packets
 	set()
 	for hash, chosen := range before {
-		now := choose(mix(hash))
+		now := choose(table.Mix(hash))
 		is.True(now == chosen || chosen == gone && now != gone)
 	}
 }
--- a/internal/forward/keepers.go
+++ b/internal/forward/keepers.go
@@ -7,6 +7,7 @@
 	"github.com/zeebo/xxh3"
 
 	"balsamfork/internal/fleet"
+	"balsamfork/internal/table"
 )
 
 // Keepers chooses the instance that remembers the fragments of a packet: the
@@ -46,16 +47,9 @@
 	best := keeper{self: true}
 	var most uint64
 	for _, row := range *k.rows.Load() {
-		if score := mix(hash ^ row.seed); score >= most {
+		if score := table.Mix(hash ^ row.seed); score >= most {
 			best, most = row, score
 		}
 	}
 	return best.address, !best.self
 }
-
-// mix is the finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/handover/settle.go
+++ b/internal/handover/settle.go
@@ -8,14 +8,13 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
-	"github.com/zeebo/xxh3"
 	"golang.org/x/sync/errgroup"
 
 	"balsamfork/internal/config"
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/peer"
 	"balsamfork/internal/placement"
-	"balsamfork/internal/table"
+	"balsamfork/internal/rendezvous"
 )
 
 // Settler changes the configuration by compare-and-swap on the version seen. It
@@ -138,15 +137,7 @@
 
 // First returns the usable instance that settles a service, or "".
 func First(v *fleet.View, service string) fleet.ID {
-	var first fleet.ID
-	var top uint64
-	name := xxh3.HashString(service)
-	for _, i := range v.Instances {
-		score := table.Mix(xxh3.HashString(string(i.ID)) ^ name)
-		if i.Usable() && (first == "" || score > top) {
-			first, top = i.ID, score
-		}
-	}
+	first, _ := rendezvous.First(v, rendezvous.Name(service))
 	return first
 }
 
--- a/internal/health/server.go
+++ b/internal/health/server.go
@@ -2,14 +2,13 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"slices"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"balsamfork/internal/config"
 	"balsamfork/internal/fleet"
+	"balsamfork/internal/rendezvous"
+	"balsamfork/internal/table"
 )
 
 // Server is what health needs to know of a backend server.
@@ -52,24 +51,9 @@
 const probers = 2
 
 // Probers returns which of the usable instances of its data centre probe a
-// backend server, the keeper first: the first by rendezvous.
+// backend server, the keeper first.
 func Probers(instances []fleet.ID, n config.Number) []fleet.ID {
-	var best [probers]candidate
-	for _, id := range instances {
-		c := candidate{id: id, score: score(id, n)}
-		for at := range best {
-			if c.beats(best[at]) {
-				c, best[at] = best[at], c
-			}
-		}
-	}
-	var out []fleet.ID
-	for _, c := range best {
-		if c.id != "" {
-			out = append(out, c.id)
-		}
-	}
-	return out
+	return rendezvous.Top(instances, table.Mix(uint64(n)), probers)
 }
 
 // usable returns the usable instances of each data centre, in order of ID.
@@ -82,22 +66,3 @@
 	}
 	return out
 }
-
-type candidate struct {
-	id    fleet.ID
-	score uint64
-}
-
-func (c candidate) beats(o candidate) bool {
-	if c.id == "" || o.id == "" {
-		return o.id == "" && c.id != ""
-	}
-	return c.score > o.score || (c.score == o.score && c.id < o.id)
-}
-
-func score(id fleet.ID, n config.Number) uint64 {
-	b := make([]byte, 0, 64)
-	b = binary.BigEndian.AppendUint32(b, uint32(n))
-	b = append(b, id...)
-	return xxh3.Hash(b)
-}
