Refuse new requests in the same step that finds an instance idle

Cause: an instance that was found idle could still take a request before it refused new ones, and lose it as it stopped. Change: finding it idle and refusing are one step under one lock.

--- a/internal/requestpath/path.go
+++ b/internal/requestpath/path.go
@@ -172,8 +172,7 @@
 	stopping := time.AfterFunc(stopAfter, p.refuseNew)
 	defer stopping.Stop()
 	for {
-		if p.idle() && time.Since(began) >= noteFor {
-			p.refuseNew()
+		if time.Since(began) >= noteFor && p.endIdle() {
 			return nil
 		}
 		select {
@@ -199,10 +198,18 @@
 	p.owner.SetStopping()
 }
 
-func (p *Path) idle() bool {
+// endIdle refuses new requests from now on if none is in progress, and reports
+// whether that is so.
+func (p *Path) endIdle() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.busy == 0 && len(p.attempts) == 0 && p.owner.Pending() == 0 && p.admitter.Totals(p.clock.now()).Running == 0
+	running := p.admitter.Totals(p.clock.now()).Running
+	if p.busy > 0 || len(p.attempts) > 0 || p.owner.Pending() > 0 || running > 0 {
+		return false
+	}
+	p.stopping = true
+	p.owner.SetStopping()
+	return true
 }
 
 // Close ends everything at once.
