Join the fleet only once earlier messages are over

The admitting instance had just started; what is sent within Margin (250 ms) of its start it takes for a message to an earlier run, but peers knew of it before that. Change (package app, small): gossip starts Margin after the request path was made.

--- a/internal/app/connect.go
+++ b/internal/app/connect.go
@@ -115,7 +115,7 @@
 }
 
 func (s started) background() {
-	s.Serving.run(s.Gossip.Run)
+	s.Serving.run(s.gossipOnceKnown)
 	s.Serving.run(s.syncConfiguration)
 	s.Serving.run(s.Exchanger.Run)
 	s.Serving.run(s.Settling.Run)
@@ -126,6 +126,19 @@
 	s.Serving.run(func(ctx context.Context) { s.Serving.begin(ctx, s.Ready.done) })
 }
 
+// gossipOnceKnown takes part once no message to an earlier run of this instance
+// can still be on its way: what arrives before, the request path can't tell apart.
+func (s started) gossipOnceKnown(ctx context.Context) {
+	timing, _ := requestpath.Defaults()
+	timer := time.NewTimer(timing.Margin)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		s.Gossip.Run(ctx)
+	case <-ctx.Done():
+	}
+}
+
 func (s started) syncConfiguration(ctx context.Context) {
 	if err := s.Sync.Run(ctx); err != nil && ctx.Err() == nil {
 		s.Log.Error("Configuration is no longer followed", "error", err)
