--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -58,13 +58,9 @@
 func (e *Electorate) Update(now int64, v *fleet.View) {
 	for i := range e.members {
 		m := &e.members[i]
-		if _, found := v.Get(m.ID); found {
-			continue
-		}
-		if m.State != fleet.Leaving {
-			m.State = fleet.Dead
+		if _, found := v.Get(m.ID); !found {
+			e.end(m, now, e.timing.DeadMemory)
 		}
-		e.end(m, now, e.timing.DeadMemory)
 	}
 	for _, in := range v.Instances {
 		e.update(now, in)
