--- a/internal/admission/grants.go
+++ b/internal/admission/grants.go
@@ -1,7 +1,11 @@
 package admission
 
 import (
+	"maps"
+	"slices"
+
 	"balsamfork/internal/config"
+	"balsamfork/internal/fleet"
 	"balsamfork/internal/quorum"
 )
 
@@ -57,3 +61,7 @@
 		delete(g.byServer, server)
 	}
 }
+
+func sortedIDs(m map[fleet.ID][]config.Number) []fleet.ID {
+	return slices.Sorted(maps.Keys(m))
+}
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -38,17 +38,12 @@
 type vote struct {
 	id    fleet.ID
 	until int64
-	// group is the digest of the group that the member agreed to.
-	group uint64
 }
 
 type server struct {
 	Server
 	name  uint64
 	group quorum.Group
-	// digest is the group's, which has been the same since regrouped.
-	digest    uint64
-	regrouped int64
 	// chosen is set if this instance ranks first, first if it also may admit.
 	chosen, first bool
 	// lost is when another instance came to rank first.
@@ -76,7 +71,7 @@
 func (s *server) held(now int64) bool {
 	n := 0
 	for _, id := range s.group.IDs() {
-		if v := s.vote(id); v != nil && v.until > now && v.group == s.digest {
+		if v := s.vote(id); v != nil && v.until > now {
 			n++
 		}
 	}
@@ -92,9 +87,9 @@
 	return nil
 }
 
-func (s *server) setVote(new vote) {
-	if v := s.vote(new.id); v != nil {
-		*v = new
+func (s *server) setVote(id fleet.ID, until int64) {
+	if v := s.vote(id); v != nil {
+		v.until = until
 		return
 	}
 	oldest := 0
@@ -103,15 +98,7 @@
 			oldest = i
 		}
 	}
-	s.votes[oldest] = new
-}
-
-// regroup takes in the group as it is now.
-func (s *server) regroup(now int64, g quorum.Group) {
-	s.group = g
-	if d := g.Digest(); d != s.digest {
-		s.digest, s.regrouped = d, now
-	}
+	s.votes[oldest] = vote{id: id, until: until}
 }
 
 // takes reports whether new requests may wait for the server.
@@ -125,14 +112,9 @@
 	return s.held(now) || s.pending(now)
 }
 
-// pending reports whether the lease may still be handed over by a predecessor, or
-// granted by a group that has just changed.
+// pending reports whether the lease may still be handed over by a predecessor.
 func (s *server) pending(now int64) bool {
-	asked := s.since
-	if s.leased {
-		asked = s.regrouped
-	}
-	return s.first && now-asked < int64(HandOver)
+	return s.first && !s.leased && now-s.since < int64(HandOver)
 }
 
 // runs reports whether requests may be sent to the server. Those that wait for one
--- a/internal/admission/system.go
+++ b/internal/admission/system.go
@@ -34,7 +34,7 @@
 	// stale is set when order must be made anew.
 	stale bool
 	// asks collects the grants to ask for in one tick.
-	asks map[askKey]*GrantRequest
+	asks map[fleet.ID][]config.Number
 	// started is the latest time by which another instance may have sent something
 	// to an earlier run of this one.
 	started int64
@@ -53,7 +53,7 @@
 		servers:  make(map[config.Number]*server),
 		attempts: make(map[AttemptID]*attempt),
 		queued:   make(map[string]int),
-		asks:     make(map[askKey]*GrantRequest),
+		asks:     make(map[fleet.ID][]config.Number),
 	}
 }
 
@@ -123,7 +123,7 @@
 		sv.drained = now
 	}
 	sv.Server = row
-	sv.regroup(now, s.members.Group(sv.name, sv.DataCentre, sv.Region, now))
+	sv.group = s.members.Group(sv.name, sv.DataCentre, sv.Region, now)
 	sv.guard.Configure(row.Ramp.Start, row.Ramp.Duration)
 	if row.ColdSince > sv.cold {
 		sv.cold = row.ColdSince
@@ -138,15 +138,11 @@
 	s.Tick(now)
 }
 
-// Ask answers another instance's AskGrant, or this one's: the servers granted.
-func (s *System) Ask(now int64, r GrantRequest) []config.Number {
+// Ask answers another instance's, or this one's, AskGrant: the servers granted.
+func (s *System) Ask(now int64, h quorum.Holder, servers []config.Number, sentAt int64) []config.Number {
 	var granted []config.Number
-	for i, n := range r.Servers {
-		g := s.members.Group(ServerName(n), r.DataCentre, r.Region, now)
-		if i >= len(r.Groups) || r.Groups[i] != g.Digest() {
-			continue
-		}
-		if s.grants.Ask(now, r.Holder, n, r.SentAt) {
+	for _, n := range servers {
+		if s.grants.Ask(now, h, n, sentAt) {
 			granted = append(granted, n)
 		}
 	}
@@ -154,26 +150,24 @@
 }
 
 // Release takes in a ReleaseGrant.
-func (s *System) Release(r GrantRequest) {
-	for _, n := range r.Servers {
-		s.grants.Release(r.Holder, n, r.SentAt)
+func (s *System) Release(h quorum.Holder, servers []config.Number, sentAt int64) {
+	for _, n := range servers {
+		s.grants.Release(h, n, sentAt)
 	}
 }
 
-// Granted takes in the answer to an AskGrant: which of its servers were granted.
-func (s *System) Granted(now int64, from fleet.ID, r GrantRequest, servers []config.Number) {
-	for i, n := range r.Servers {
-		sv := s.servers[n]
-		if sv == nil || sv.asked == 0 || r.SentAt < sv.since || !slices.Contains(servers, n) {
-			continue
-		}
-		sv.setVote(vote{id: from, until: r.SentAt + int64(s.timing.Hold), group: r.Groups[i]})
-		if !sv.leased && sv.held(now) {
-			sv.leased = true
-			sv.settle(now)
-			sv.guard.TakeOver(now)
+// Granted takes in the answer to an AskGrant that was sent at a time.
+func (s *System) Granted(now int64, from fleet.ID, sentAt int64, servers []config.Number) {
+	for _, n := range servers {
+		if sv := s.servers[n]; sv != nil && sv.asked != 0 && sentAt >= sv.since {
+			sv.setVote(from, sentAt+int64(s.timing.Hold))
+			if !sv.leased && sv.held(now) {
+				sv.leased = true
+				sv.settle(now)
+				sv.guard.TakeOver(now)
+			}
+			s.pump(now, sv)
 		}
-		s.pump(now, sv)
 	}
 }
 
--- a/internal/admission/tick.go
+++ b/internal/admission/tick.go
@@ -1,9 +1,6 @@
 package admission
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"time"
 
 	"balsamfork/internal/config"
@@ -18,15 +15,16 @@
 // Tick does what is due: it asks for grants, gives them up, ends what has run out
 // of time, and starts what may start.
 func (s *System) Tick(now int64) {
+	asks := s.asks
 	for _, sv := range s.order {
 		s.overdue(now, sv)
-		s.keep(now, sv)
+		s.keep(now, sv, asks)
 		if !sv.runs(now) && !(sv.takes(now) && sv.pending(now)) {
 			s.refuseQueue(now, sv)
 		}
 		s.pump(now, sv)
 	}
-	s.ask(now)
+	s.ask(now, asks)
 	s.forget(now)
 	if s.stale {
 		s.stale = false
@@ -65,7 +63,7 @@
 }
 
 // keep renews or gives up the right to admit to one backend server.
-func (s *System) keep(now int64, sv *server) {
+func (s *System) keep(now int64, sv *server, asks map[fleet.ID][]config.Number) {
 	first := sv.chosen && !s.leaving && sv.State != config.Gone
 	if sv.first && !first {
 		sv.lost = now
@@ -86,9 +84,9 @@
 		sv.since = now
 	}
 	sv.asked = now
-	sv.regroup(now, s.members.Group(sv.name, sv.DataCentre, sv.Region, now))
+	sv.group = s.members.Group(sv.name, sv.DataCentre, sv.Region, now)
 	for _, to := range sv.group.IDs() {
-		s.collect(now, to, sv)
+		asks[to] = append(asks[to], sv.Number)
 	}
 }
 
@@ -112,7 +110,7 @@
 		s.grants.Release(s.self, n, now)
 		return
 	}
-	s.emit(Effect{Kind: ReleaseGrant, To: to, Grant: GrantRequest{Holder: s.self, Servers: []config.Number{n}, SentAt: now}})
+	s.emit(Effect{Kind: ReleaseGrant, To: to, Servers: []config.Number{n}, SentAt: now})
 }
 
 func (s *System) refuseQueue(now int64, sv *server) {
@@ -124,41 +122,19 @@
 	}
 }
 
-// askKey is what the grants that one message asks for have in common.
-type askKey struct {
-	to         fleet.ID
-	dataCentre string
-}
-
-// collect adds a backend server to the grants to ask of a member.
-func (s *System) collect(now int64, to fleet.ID, sv *server) {
-	k := askKey{to: to, dataCentre: sv.DataCentre}
-	r := s.asks[k]
-	if r == nil {
-		r = &GrantRequest{Holder: s.self, DataCentre: sv.DataCentre, Region: sv.Region, SentAt: now}
-		s.asks[k] = r
-	}
-	r.Servers = append(r.Servers, sv.Number)
-	r.Groups = append(r.Groups, sv.digest)
-}
-
-// ask sends what was collected.
-func (s *System) ask(now int64) {
-	if len(s.asks) == 0 {
+// ask sends what keep has collected.
+func (s *System) ask(now int64, asks map[fleet.ID][]config.Number) {
+	if own := asks[s.self.ID]; own != nil {
+		s.Granted(now, s.self.ID, now, s.Ask(now, s.self, own, now))
+		delete(asks, s.self.ID)
+	}
+	if len(asks) == 0 {
 		return
 	}
-	keys := slices.SortedFunc(maps.Keys(s.asks), func(a, b askKey) int {
-		return cmp.Or(cmp.Compare(a.to, b.to), cmp.Compare(a.dataCentre, b.dataCentre))
-	})
-	for _, k := range keys {
-		r := *s.asks[k]
-		if k.to == s.self.ID {
-			s.Granted(now, s.self.ID, r, s.Ask(now, r))
-			continue
-		}
-		s.emit(Effect{Kind: AskGrant, To: k.to, Grant: r})
+	for _, id := range sortedIDs(asks) {
+		s.emit(Effect{Kind: AskGrant, To: id, Servers: asks[id], SentAt: now})
 	}
-	clear(s.asks)
+	clear(asks)
 }
 
 func (s *System) forget(now int64) {
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -93,19 +93,6 @@
 	Load   Load           `json:"load"`
 }
 
-// GrantRequest asks a member of the groups of backend servers to grant them, or
-// tells it that they were given up.
-type GrantRequest struct {
-	Holder quorum.Holder `json:"holder"`
-	// DataCentre and Region are those of the backend servers.
-	DataCentre string          `json:"dataCentre"`
-	Region     string          `json:"region"`
-	Servers    []config.Number `json:"servers"`
-	// Groups is the digests of the groups that the holder sees, one for each server.
-	Groups []uint64 `json:"groups,omitempty"`
-	SentAt int64    `json:"sentAt"`
-}
-
 // EffectKind says what is to be done.
 type EffectKind uint8
 
@@ -117,9 +104,9 @@
 	CancelRun
 	// Reply answers Waiter with Outcome.
 	Reply
-	// AskGrant asks To for Grant; its answer goes to Granted.
+	// AskGrant asks To for grants of Servers; its answer goes to Granted.
 	AskGrant
-	// ReleaseGrant tells To that Grant.Servers are not held any more.
+	// ReleaseGrant tells To that Servers are not held any more.
 	ReleaseGrant
 	// Report passes Evidence on.
 	Report
@@ -132,7 +119,8 @@
 	Waiter   uint64
 	Outcome  Outcome
 	To       fleet.ID
-	Grant    GrantRequest
+	Servers  []config.Number
+	SentAt   int64
 	Evidence flow.Evidence
 }
 
--- a/internal/atmostonce/claims.go
+++ b/internal/atmostonce/claims.go
@@ -44,9 +44,6 @@
 	Granted Verdict = iota + 1
 	Denied
 	CannotTell
-	// Disagree means that the member sees another group for the key; it may see the
-	// same one a little later.
-	Disagree
 )
 
 type claim struct {
--- a/internal/keyowner/attempt.go
+++ b/internal/keyowner/attempt.go
@@ -149,7 +149,6 @@
 		s.finish(now, j, request.Unsure(request.Undecided))
 	case j.stage == claiming && now-j.sent >= int64(ClaimEvery):
 		s.sendClaims(now, j)
-		s.tally(now, j)
 	case j.stage == choosing && now >= j.wake:
 		s.dispatch(now, j)
 	}
--- a/internal/keyowner/claim.go
+++ b/internal/keyowner/claim.go
@@ -11,26 +11,20 @@
 func (s *System) claim(now int64, j *job) {
 	j.stage = claiming
 	j.claimant = atmostonce.Claimant{Holder: s.Self, Seq: j.entry.Seq}
+	home := j.req.Key.Home
+	g := s.Members.Group(quorum.Name(j.entry.ID), home, "", j.entry.Created)
+	j.need = g.Majority()
+	for _, id := range g.IDs() {
+		j.votes = append(j.votes, ballot{member: id})
+	}
 	s.sendClaims(now, j)
 	s.tally(now, j)
 }
 
-// sendClaims asks every member that has not answered yet. If the group has changed,
-// what its former members have answered is void.
+// sendClaims asks every member that has not answered yet.
 func (s *System) sendClaims(now int64, j *job) {
 	j.sent = now
-	v := VoteRequest{
-		Name: quorum.Name(j.entry.ID), Home: j.req.Key.Home, Key: atmostonce.Hash(j.entry.ID),
-		Created: j.entry.Created, Claimant: j.claimant,
-	}
-	g := s.Members.Group(v.Name, v.Home, "", v.Created)
-	v.Group = g.Digest()
-	if j.votes == nil || j.group != v.Group {
-		j.group, j.need, j.votes = v.Group, g.Majority(), make([]ballot, 0, quorum.GroupSize)
-		for _, id := range g.IDs() {
-			j.votes = append(j.votes, ballot{member: id})
-		}
-	}
+	hash := atmostonce.Hash(j.entry.ID)
 	for i := range j.votes {
 		b := &j.votes[i]
 		if b.verdict != 0 {
@@ -38,29 +32,20 @@
 		}
 		s.counts.Claims++
 		if b.member == s.Self.ID {
-			b.verdict, b.by = s.Vote(now, v)
+			b.verdict, b.by = s.Claims.Claim(now, hash, j.entry.Created, j.claimant)
 			continue
 		}
-		s.out = append(s.out, Effect{Kind: Claim, To: b.member, Key: j.entry.ID, Vote: v})
+		s.out = append(s.out, Effect{
+			Kind: Claim, To: b.member, Key: j.entry.ID, Hash: hash,
+			Created: j.entry.Created, Claimant: j.claimant,
+		})
 	}
 }
 
-// Vote answers a claim as a member of the key's group.
-func (s *System) Vote(now int64, v VoteRequest) (atmostonce.Verdict, atmostonce.Claimant) {
-	g := s.Members.Group(v.Name, v.Home, "", v.Created)
-	if g.Digest() != v.Group {
-		return atmostonce.Disagree, atmostonce.Claimant{}
-	}
-	return s.Claims.Claim(now, v.Key, v.Created, v.Claimant)
-}
-
 // Claimed takes in a member's answer to a claim.
-func (s *System) Claimed(now int64, key string, asked VoteRequest, from fleet.ID, v atmostonce.Verdict, holder atmostonce.Claimant) {
+func (s *System) Claimed(now int64, key string, by atmostonce.Claimant, from fleet.ID, v atmostonce.Verdict, holder atmostonce.Claimant) {
 	j := s.jobs[key]
-	if j == nil || j.stage != claiming || j.claimant != asked.Claimant || j.group != asked.Group {
-		return
-	}
-	if v == atmostonce.Disagree {
+	if j == nil || j.stage != claiming || j.claimant != by {
 		return
 	}
 	for i := range j.votes {
--- a/internal/keyowner/types.go
+++ b/internal/keyowner/types.go
@@ -48,7 +48,8 @@
 
 // The kinds of effects.
 const (
-	// Claim asks To to answer Vote; its answer goes to Claimed.
+	// Claim asks To to record the claim of Key by Claimant; its answer goes to
+	// Claimed.
 	Claim EffectKind = iota + 1
 	// Admit asks To to run Attempt; its answer goes to Outcome.
 	Admit
@@ -66,25 +67,15 @@
 	Kind     EffectKind
 	To       fleet.ID
 	Key      string
+	Hash     atmostonce.KeyHash
+	Created  int64
 	Claimant atmostonce.Claimant
-	Vote     VoteRequest
 	Attempt  admission.Attempt
 	Request  *request.Request
 	Waiter   uint64
 	Result   request.Result
 }
 
-// VoteRequest asks a member of a key's group to record a claim.
-type VoteRequest struct {
-	// Name is what the group is chosen by, Home its data centre, Group its digest.
-	Name     uint64              `json:"name"`
-	Home     string              `json:"home"`
-	Group    uint64              `json:"group"`
-	Key      atmostonce.KeyHash  `json:"key"`
-	Created  int64               `json:"created"`
-	Claimant atmostonce.Claimant `json:"claimant"`
-}
-
 // Counts are totals since the start.
 type Counts struct {
 	Requests, Attempts, Retries, Joined, Claims, Late int64
@@ -114,7 +105,6 @@
 	deadline int64
 	// claim
 	claimant atmostonce.Claimant
-	group    uint64
 	votes    []ballot
 	need     int
 	began    int64
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -139,17 +139,6 @@
 // Has reports whether the instance is a member.
 func (g *Group) Has(id fleet.ID) bool { return slices.Contains(g.ids[:g.n], id) }
 
-// Digest tells groups apart: a member agrees only to what is asked of the group
-// that it sees itself.
-func (g *Group) Digest() uint64 {
-	var h xxh3.Hasher
-	for _, id := range g.IDs() {
-		h.WriteString(string(id))
-		h.Write([]byte{0})
-	}
-	return h.Sum64()
-}
-
 // Group returns the group of a name among the instances of the data centre that
 // counted at a time in nanoseconds. If there were none, it is chosen in the
 // region.
--- a/internal/requestpath/effects.go
+++ b/internal/requestpath/effects.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"balsamfork/internal/admission"
+	"balsamfork/internal/atmostonce"
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/keyowner"
 	"balsamfork/internal/request"
@@ -58,7 +59,7 @@
 		p.call(e.To, callFor, func(ctx context.Context) { p.hold(ctx, e) })
 	case admission.ReleaseGrant:
 		p.call(e.To, callFor, func(ctx context.Context) {
-			_ = p.peers.Notify(ctx, e.To, peerRelease, e.Grant)
+			_ = p.peers.Notify(ctx, e.To, peerRelease, holdParams{Holder: p.self, Servers: e.Servers, SentAt: e.SentAt})
 		})
 	case admission.Report:
 		p.m.evidence(e.Evidence.Kind)
@@ -97,10 +98,11 @@
 
 func (p *Path) claim(ctx context.Context, e keyowner.Effect) {
 	var r claimResult
-	if err := p.peers.Call(ctx, e.To, peerClaim, e.Vote, &r); err != nil {
+	params := claimParams{High: e.Hash.Hi, Low: e.Hash.Lo, Created: e.Created, Claimant: e.Claimant}
+	if err := p.peers.Call(ctx, e.To, peerClaim, params, &r); err != nil {
 		return
 	}
-	p.input(func(now int64) { p.owner.Claimed(now, e.Key, e.Vote, e.To, r.Verdict, r.By) })
+	p.input(func(now int64) { p.owner.Claimed(now, e.Key, e.Claimant, e.To, r.Verdict, r.By) })
 }
 
 func (p *Path) ask(ctx context.Context, e keyowner.Effect) {
@@ -113,10 +115,11 @@
 
 func (p *Path) hold(ctx context.Context, e admission.Effect) {
 	var r holdResult
-	if err := p.peers.Call(ctx, e.To, peerHold, e.Grant, &r); err != nil {
+	params := holdParams{Holder: p.self, Servers: e.Servers, SentAt: e.SentAt}
+	if err := p.peers.Call(ctx, e.To, peerHold, params, &r); err != nil {
 		return
 	}
-	p.input(func(now int64) { p.admitter.Granted(now, e.To, e.Grant, r.Servers) })
+	p.input(func(now int64) { p.admitter.Granted(now, e.To, e.SentAt, r.Servers) })
 }
 
 // admit passes an attempt to the admitting instance. The caller holds mu.
@@ -247,3 +250,11 @@
 	p.results[p.seq] = ch
 	return p.seq, ch
 }
+
+// verdictOf answers a claim as a member of the key's group.
+func (p *Path) verdictOf(c claimParams) claimResult {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v, by := p.claims.Claim(p.clock.now(), atmostonce.KeyHash{Hi: c.High, Lo: c.Low}, c.Created, c.Claimant)
+	return claimResult{Verdict: v, By: by}
+}
--- a/internal/requestpath/messages.go
+++ b/internal/requestpath/messages.go
@@ -79,11 +79,24 @@
 	Cancel bool   `json:"cancel"`
 }
 
+type claimParams struct {
+	High     uint64              `json:"high"`
+	Low      uint64              `json:"low"`
+	Created  int64               `json:"created"`
+	Claimant atmostonce.Claimant `json:"claimant"`
+}
+
 type claimResult struct {
 	Verdict atmostonce.Verdict  `json:"verdict"`
 	By      atmostonce.Claimant `json:"by"`
 }
 
+type holdParams struct {
+	Holder  quorum.Holder   `json:"holder"`
+	Servers []config.Number `json:"servers"`
+	SentAt  int64           `json:"sentAt"`
+}
+
 type holdResult struct {
 	Servers []config.Number `json:"servers"`
 }
--- a/internal/requestpath/peers.go
+++ b/internal/requestpath/peers.go
@@ -6,7 +6,6 @@
 
 	"balsamfork/internal/admission"
 	"balsamfork/internal/fleet"
-	"balsamfork/internal/keyowner"
 	"balsamfork/internal/peer"
 	"balsamfork/internal/request"
 )
@@ -118,14 +117,11 @@
 }
 
 func (p *Path) handleClaim(_ context.Context, _ fleet.ID, raw json.RawMessage) (any, error) {
-	params, err := decodeParams[keyowner.VoteRequest](raw)
+	params, err := decodeParams[claimParams](raw)
 	if err != nil {
 		return nil, err
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	v, by := p.owner.Vote(p.clock.now(), params)
-	return claimResult{Verdict: v, By: by}, nil
+	return p.verdictOf(params), nil
 }
 
 func (p *Path) handleAdmit(_ context.Context, _ fleet.ID, raw json.RawMessage) (any, error) {
@@ -147,20 +143,20 @@
 }
 
 func (p *Path) handleHold(_ context.Context, _ fleet.ID, raw json.RawMessage) (any, error) {
-	params, err := decodeParams[admission.GrantRequest](raw)
+	params, err := decodeParams[holdParams](raw)
 	if err != nil {
 		return nil, err
 	}
 	var r holdResult
-	p.input(func(now int64) { r.Servers = p.admitter.Ask(now, params) })
+	p.input(func(now int64) { r.Servers = p.admitter.Ask(now, params.Holder, params.Servers, params.SentAt) })
 	return r, nil
 }
 
 func (p *Path) handleRelease(_ context.Context, _ fleet.ID, raw json.RawMessage) (any, error) {
-	params, err := decodeParams[admission.GrantRequest](raw)
+	params, err := decodeParams[holdParams](raw)
 	if err != nil {
 		return nil, err
 	}
-	p.input(func(int64) { p.admitter.Release(params) })
+	p.input(func(int64) { p.admitter.Release(params.Holder, params.Servers, params.SentAt) })
 	return nil, nil
 }
