--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -32,9 +32,7 @@
 	Settle time.Duration
 	// DeadMemory is how long an instance counts after it was found dead.
 	DeadMemory time.Duration
-	// LeaveMemory is how long an instance counts after it announced to leave. While
-	// another one of its data centre is dead it is DeadMemory: who is cut off must
-	// not forget the one that left, which may come back where it is not seen.
+	// LeaveMemory is how long an instance counts after it announced to leave.
 	LeaveMemory time.Duration
 }
 
@@ -79,39 +77,17 @@
 	left := m.State == fleet.Leaving
 	m.Instance = in
 	switch {
-	case in.State == fleet.Leaving && e.anyDead(now, in.DataCentre):
-		e.end(m, now, e.timing.DeadMemory)
 	case in.State == fleet.Leaving:
 		e.end(m, now, e.timing.LeaveMemory)
 	case in.State == fleet.Dead && left:
 		m.State = fleet.Leaving
 	case in.State == fleet.Dead:
 		e.end(m, now, e.timing.DeadMemory)
-		if m.until > now {
-			e.keepLeaving(now, in.DataCentre)
-		}
 	default:
 		m.until = 0
 	}
 }
 
-// anyDead reports whether an instance of the data centre counts and is dead.
-func (e *Electorate) anyDead(now int64, dataCentre string) bool {
-	return slices.ContainsFunc(e.members, func(m member) bool {
-		return m.DataCentre == dataCentre && m.State == fleet.Dead && m.until > now
-	})
-}
-
-// keepLeaving lets those that leave count for longer.
-func (e *Electorate) keepLeaving(now int64, dataCentre string) {
-	for i := range e.members {
-		m := &e.members[i]
-		if m.DataCentre == dataCentre && m.State == fleet.Leaving && m.until > now {
-			m.until = max(m.until, now+int64(e.timing.DeadMemory))
-		}
-	}
-}
-
 func (e *Electorate) end(m *member, now int64, after time.Duration) {
 	if m.until == 0 {
 		m.until = now + int64(after)
