--- a/internal/keyowner/types.go
+++ b/internal/keyowner/types.go
@@ -23,9 +23,10 @@
 	MaxCopies = 32
 	// MaxAttempts bounds the attempts at one request.
 	MaxAttempts = 3
-	// ClaimEvery is how often an unanswered claim is sent again, ClaimFor how long.
-	ClaimEvery = 150 * time.Millisecond
-	ClaimFor   = time.Second
+	// ClaimEvery is how often an unanswered claim is sent again, ClaimFor how
+	// long, though no longer than half of the time of the request.
+	ClaimEvery = 100 * time.Millisecond
+	ClaimFor   = 500 * time.Millisecond
 	// Grace is how long a request goes on after its last caller has vanished, for a
 	// copy that may come through another instance.
 	Grace = 250 * time.Millisecond
@@ -105,8 +106,7 @@
 	deadline int64
 	// claim
 	claimant atmostonce.Claimant
-	votes    []ballot
-	need     int
+	marks    []mark
 	began    int64
 	sent     int64
 	// attempts
@@ -120,7 +120,8 @@
 	cancelled bool
 }
 
-type ballot struct {
+// mark is what one of the pair has said to the claim.
+type mark struct {
 	member  fleet.ID
 	verdict atmostonce.Verdict
 	by      atmostonce.Claimant
--- a/internal/requestpath/faults_test.go
+++ b/internal/requestpath/faults_test.go
@@ -245,7 +245,9 @@
 			})
 		}
 		time.Sleep(300 * time.Millisecond)
-		s.mesh.Kill("i1")
+		s.mesh.mu.Lock()
+		s.mesh.dead["i1"] = true
+		s.mesh.mu.Unlock()
 		s.paths[1].Close()
 		time.Sleep(time.Second)
 		s.setState(1, fleet.Dead)
--- a/internal/requestpath/messages.go
+++ b/internal/requestpath/messages.go
@@ -6,7 +6,7 @@
 	"balsamfork/internal/admission"
 	"balsamfork/internal/atmostonce"
 	"balsamfork/internal/config"
-	"balsamfork/internal/quorum"
+	"balsamfork/internal/pair"
 	"balsamfork/internal/request"
 )
 
@@ -53,8 +53,8 @@
 }
 
 type copyID struct {
-	From quorum.Holder `json:"from"`
-	Seq  uint64        `json:"seq"`
+	From pair.Holder `json:"from"`
+	Seq  uint64      `json:"seq"`
 }
 
 type runParams struct {
@@ -92,13 +92,13 @@
 }
 
 type holdParams struct {
-	Holder  quorum.Holder   `json:"holder"`
+	Holder  pair.Holder     `json:"holder"`
 	Servers []config.Number `json:"servers"`
 	SentAt  int64           `json:"sentAt"`
 }
 
 type holdResult struct {
-	Servers []config.Number `json:"servers"`
+	Granted []admission.Grant `json:"granted"`
 }
 
 // CancelServerParams are the params of ServerCancel: the ID of the JSON-RPC request.
--- a/internal/requestpath/path_test.go
+++ b/internal/requestpath/path_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/netip"
+	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,15 +20,77 @@
 	"balsamfork/client"
 	"balsamfork/internal/config"
 	"balsamfork/internal/fleet"
+	"balsamfork/internal/peer"
 	"balsamfork/internal/requestpath"
 	"balsamfork/internal/standin/memnet"
 	"balsamfork/internal/standin/worker"
 )
 
+// mesh links instances in memory.
+type mesh struct {
+	mu       sync.Mutex
+	handlers map[fleet.ID]map[string]peer.Handler
+	controls map[string]fleet.ID
+	dead     map[fleet.ID]bool
+}
+
+// connect refuses a connection to an instance that is dead, as its host does, and
+// never finishes one to another.
+func (m *mesh) connect(ctx context.Context, address string) (net.Conn, error) {
+	m.mu.Lock()
+	dead := m.dead[m.controls[address]]
+	m.mu.Unlock()
+	if dead {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+type link struct {
+	*mesh
+	self fleet.ID
+}
+
+func (l link) Handle(method string, h peer.Handler) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.handlers[l.self] == nil {
+		l.handlers[l.self] = make(map[string]peer.Handler)
+	}
+	l.handlers[l.self][method] = h
+}
+
+func (l link) Call(ctx context.Context, to fleet.ID, method string, params, result any) error {
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	h, dead := l.handlers[to][method], l.dead[to] || l.dead[l.self]
+	l.mu.Unlock()
+	if dead || h == nil {
+		<-ctx.Done()
+		return peer.Unreachable.Wrap(ctx.Err())
+	}
+	answer, err := h(ctx, l.self, raw)
+	if err != nil || result == nil {
+		return err
+	}
+	if raw, err = json.Marshal(answer); err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, result)
+}
+
+func (l link) Notify(ctx context.Context, to fleet.ID, method string, params any) error {
+	return l.Call(ctx, to, method, params, nil)
+}
+
 // site is a small fleet in one data centre, in memory and in fake time.
 type site struct {
 	net     memnet.Net
-	mesh    memnet.Mesh
+	mesh    mesh
 	paths   []*requestpath.Path
 	workers []*worker.Worker
 	cfg     *config.Config
@@ -35,7 +100,8 @@
 const slots = 3
 
 func newSite(instances, servers int) *site {
-	s := &site{view: &fleet.View{Epoch: 1}}
+	s := &site{mesh: mesh{handlers: make(map[fleet.ID]map[string]peer.Handler), controls: make(map[string]fleet.ID), dead: make(map[fleet.ID]bool)}}
+	s.view = &fleet.View{Epoch: 1}
 	s.cfg = &config.Config{Version: 1, DataCentres: []config.DataCentre{{Name: "a", Region: "r"}}}
 	sv := config.Service{Name: "orders", Slots: slots, Ramp: config.Ramp{Start: 0.1, Duration: 4 * time.Second}}
 	for i := range servers {
@@ -49,11 +115,14 @@
 	}
 	s.cfg.Services = []config.Service{sv}
 	for i := range instances {
-		s.view.Instances = append(s.view.Instances, fleet.Instance{ID: fleet.ID(fmt.Sprint("i", i)), DataCentre: "a", Region: "r", State: fleet.Alive, Incarnation: 1})
+		in := fleet.Instance{ID: fleet.ID(fmt.Sprint("i", i)), DataCentre: "a", Region: "r", State: fleet.Alive, Incarnation: 1}
+		in.Control = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 2, byte(i)}), 1)
+		s.mesh.controls[in.Control.String()] = in.ID
+		s.view.Instances = append(s.view.Instances, in)
 	}
 	for i, in := range s.view.Instances {
-		o := requestpath.Options{Self: in.ID, Incarnation: 1, DataCentre: "a", Region: "r", Dial: s.dial}
-		l := s.mesh.Link(in.ID)
+		o := requestpath.Options{Self: in.ID, Incarnation: 1, DataCentre: "a", Region: "r", Dial: s.dial, DialInstance: s.mesh.connect}
+		l := link{mesh: &s.mesh, self: in.ID}
 		p := requestpath.New(o, l, l, slog.New(slog.NewTextHandler(io.Discard, nil)), tally.NoopScope)
 		p.SetConfig(s.cfg)
 		p.SetView(s.view)
--- a/internal/requestpath/tables.go
+++ b/internal/requestpath/tables.go
@@ -49,7 +49,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.view = v
-	p.members.Update(p.clock.now(), v)
+	now := p.clock.now()
+	p.members.Update(now, v)
+	if self, found := v.Get(p.self.ID); found && self.State == fleet.Leaving {
+		// The others stop counting this instance from now on.
+		p.claims.SetLeaving(now)
+	}
 	for _, c := range p.calls {
 		if in, found := v.Get(c.to); !found || !in.Reachable() {
 			c.cancel()
@@ -115,6 +120,7 @@
 		}
 	}
 	p.admitter.SetServers(now, rows)
+	p.claims.SetAlone(now, p.admitter.Alone())
 	p.owner.SetServices(services)
 	p.flush()
 }
