--- a/internal/requestpath/path_test.go
+++ b/internal/requestpath/path_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/netip"
-	"sync"
-	"syscall"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,77 +18,15 @@
 	"balsamfork/client"
 	"balsamfork/internal/config"
 	"balsamfork/internal/fleet"
-	"balsamfork/internal/peer"
 	"balsamfork/internal/requestpath"
 	"balsamfork/internal/standin/memnet"
 	"balsamfork/internal/standin/worker"
 )
 
-// mesh links instances in memory.
-type mesh struct {
-	mu       sync.Mutex
-	handlers map[fleet.ID]map[string]peer.Handler
-	controls map[string]fleet.ID
-	dead     map[fleet.ID]bool
-}
-
-// connect refuses a connection to an instance that is dead, as its host does, and
-// never finishes one to another.
-func (m *mesh) connect(ctx context.Context, address string) (net.Conn, error) {
-	m.mu.Lock()
-	dead := m.dead[m.controls[address]]
-	m.mu.Unlock()
-	if dead {
-		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
-	}
-	<-ctx.Done()
-	return nil, ctx.Err()
-}
-
-type link struct {
-	*mesh
-	self fleet.ID
-}
-
-func (l link) Handle(method string, h peer.Handler) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.handlers[l.self] == nil {
-		l.handlers[l.self] = make(map[string]peer.Handler)
-	}
-	l.handlers[l.self][method] = h
-}
-
-func (l link) Call(ctx context.Context, to fleet.ID, method string, params, result any) error {
-	raw, err := json.Marshal(params)
-	if err != nil {
-		return err
-	}
-	l.mu.Lock()
-	h, dead := l.handlers[to][method], l.dead[to] || l.dead[l.self]
-	l.mu.Unlock()
-	if dead || h == nil {
-		<-ctx.Done()
-		return peer.Unreachable.Wrap(ctx.Err())
-	}
-	answer, err := h(ctx, l.self, raw)
-	if err != nil || result == nil {
-		return err
-	}
-	if raw, err = json.Marshal(answer); err != nil {
-		return err
-	}
-	return json.Unmarshal(raw, result)
-}
-
-func (l link) Notify(ctx context.Context, to fleet.ID, method string, params any) error {
-	return l.Call(ctx, to, method, params, nil)
-}
-
 // site is a small fleet in one data centre, in memory and in fake time.
 type site struct {
 	net     memnet.Net
-	mesh    mesh
+	mesh    memnet.Mesh
 	paths   []*requestpath.Path
 	workers []*worker.Worker
 	cfg     *config.Config
@@ -100,8 +36,7 @@
 const slots = 3
 
 func newSite(instances, servers int) *site {
-	s := &site{mesh: mesh{handlers: make(map[fleet.ID]map[string]peer.Handler), controls: make(map[string]fleet.ID), dead: make(map[fleet.ID]bool)}}
-	s.view = &fleet.View{Epoch: 1}
+	s := &site{view: &fleet.View{Epoch: 1}}
 	s.cfg = &config.Config{Version: 1, DataCentres: []config.DataCentre{{Name: "a", Region: "r"}}}
 	sv := config.Service{Name: "orders", Slots: slots, Ramp: config.Ramp{Start: 0.1, Duration: 4 * time.Second}}
 	for i := range servers {
@@ -115,23 +50,54 @@
 	}
 	s.cfg.Services = []config.Service{sv}
 	for i := range instances {
-		in := fleet.Instance{ID: fleet.ID(fmt.Sprint("i", i)), DataCentre: "a", Region: "r", State: fleet.Alive, Incarnation: 1}
-		in.Control = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 2, byte(i)}), 1)
-		s.mesh.controls[in.Control.String()] = in.ID
-		s.view.Instances = append(s.view.Instances, in)
+		s.add(i, 1)
 	}
-	for i, in := range s.view.Instances {
-		o := requestpath.Options{Self: in.ID, Incarnation: 1, DataCentre: "a", Region: "r", Dial: s.dial, DialInstance: s.mesh.connect}
-		l := link{mesh: &s.mesh, self: in.ID}
-		p := requestpath.New(o, l, l, slog.New(slog.NewTextHandler(io.Discard, nil)), tally.NoopScope)
-		p.SetConfig(s.cfg)
-		p.SetView(s.view)
-		p.StartOn(s.net.Listen(address(i)))
-		s.paths = append(s.paths, p)
+	for i := range instances {
+		s.start(i)
 	}
 	return s
 }
 
+// add puts an instance into the view.
+func (s *site) add(i int, incarnation uint64) {
+	in := fleet.Instance{ID: fleet.ID(fmt.Sprint("i", i)), DataCentre: "a", Region: "r", State: fleet.Alive, Incarnation: incarnation}
+	in.Control = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 2, byte(i)}), 1)
+	s.view.Instances = append(s.view.Instances, in)
+}
+
+// start runs an instance that is in the view.
+func (s *site) start(i int) {
+	in := s.view.Instances[i]
+	o := requestpath.Options{Self: in.ID, Incarnation: in.Incarnation, DataCentre: "a", Region: "r", Dial: s.dial, DialInstance: s.connect}
+	l := s.mesh.Link(in.ID)
+	p := requestpath.New(o, l, l, slog.New(slog.NewTextHandler(io.Discard, nil)), tally.NoopScope)
+	p.SetConfig(s.cfg)
+	p.SetView(s.view)
+	p.StartOn(s.net.Listen(address(i)))
+	s.paths = append(s.paths, p)
+}
+
+// join starts one more instance, of which the others hear half a second later.
+func (s *site) join(incarnation uint64) {
+	v := *s.view
+	v.Epoch++
+	v.Self = fleet.ID(fmt.Sprint("i", len(s.paths)))
+	v.Instances = slices.Clone(v.Instances)
+	s.view = &v
+	s.add(len(s.paths), incarnation)
+	s.start(len(s.paths))
+	time.Sleep(500 * time.Millisecond)
+	for _, p := range s.paths[:len(s.paths)-1] {
+		p.SetView(s.view)
+	}
+}
+
+// connect connects to the control address of an instance.
+func (s *site) connect(ctx context.Context, address string) (net.Conn, error) {
+	ip := netip.MustParseAddrPort(address).Addr().As4()
+	return nil, s.mesh.Connect(ctx, fleet.ID(fmt.Sprint("i", ip[3])))
+}
+
 func address(i int) string { return fmt.Sprintf("10.0.0.%d:8", i+1) }
 
 func (s *site) dial(ctx context.Context, a string) (net.Conn, error) { return s.net.Dial(ctx, a) }
