Tell an attempt to a new run of an admitting instance from one to its former run

Cause: an attempt that reached an instance within 250 ms of its start was answered unknown, though it had been sent to that run. Change: the attempt names the run that its owner sees. Measured: the schedules and the tests of the request path pass.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -244,7 +244,7 @@
 	b.Admit(b.now, 104, other)
 	b.drain()
 	is.Equal(b.got[104].Result.Status, request.Unknown)
-	other.ID = AttemptID{Owner: a, Seq: 902} // its own, which no earlier run has met
+	other.ID.Seq, other.Run = 902, a.Incarnation // sent to this run, which no earlier one has met
 	other.Deadline = start + 1
 	b.Admit(b.now, 105, other)
 	b.drain()
--- a/internal/admission/system.go
+++ b/internal/admission/system.go
@@ -211,7 +211,7 @@
 		s.join(waiter, old)
 		return
 	}
-	if a.Sent <= s.started && a.ID.Owner != s.self {
+	if a.Sent <= s.started && a.Run != s.self.Incarnation {
 		// An earlier run of this instance may have met it.
 		s.emit(Effect{Kind: Reply, Waiter: waiter, Outcome: Outcome{Result: request.Unsure(request.Lost)}})
 		return
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -73,6 +73,8 @@
 type Attempt struct {
 	ID     AttemptID     `json:"id"`
 	Server config.Number `json:"server"`
+	// Run is the incarnation of the admitting instance that the owner sees.
+	Run uint64 `json:"run"`
 	// Sent and Deadline are in nanoseconds of Unix time.
 	Sent     int64            `json:"sent"`
 	Deadline int64            `json:"deadline"`
--- a/internal/keyowner/attempt.go
+++ b/internal/keyowner/attempt.go
@@ -32,6 +32,7 @@
 	j.attempt = admission.Attempt{
 		ID:       admission.AttemptID{Owner: s.Self, Seq: s.seq},
 		Server:   c.Server,
+		Run:      s.Members.Incarnation(c.Admitter),
 		Sent:     now,
 		Deadline: s.attemptDeadline(now, j),
 		Request:  j.req,
--- a/internal/pair/pair.go
+++ b/internal/pair/pair.go
@@ -172,6 +172,15 @@
 	return !found || t.members[at].State == fleet.Dead
 }
 
+// Incarnation returns the newest run known of an instance, or zero.
+func (t *Table) Incarnation(id fleet.ID) uint64 {
+	at, found := slices.BinarySearchFunc(t.members, id, func(m member, id fleet.ID) int { return cmp.Compare(m.ID, id) })
+	if !found {
+		return 0
+	}
+	return t.members[at].Incarnation
+}
+
 // DataCentre returns the data centre of an instance, or nothing if it is not known.
 func (t *Table) DataCentre(id fleet.ID) string {
 	at, found := slices.BinarySearchFunc(t.members, id, func(m member, id fleet.ID) int { return cmp.Compare(m.ID, id) })
--- a/internal/pair/pair_test.go
+++ b/internal/pair/pair_test.go
@@ -145,4 +145,6 @@
 	e.Gone(80, "2", 0)
 	is.True(e.Lost("2"))
 	is.Equal(e.DataCentre("x"), "")
+	is.Equal(e.Incarnation("3"), uint64(1))
+	is.Equal(e.Incarnation("x"), uint64(0))
 }
