Wait longer for a claim before giving it up

Change: up to 2 s, half of the request's time at most. Tried besides and reverted: to give up an instance that is silent alone. Conclusion: kept; a machine that is lost without a word stays costly for up to 10 minutes, and is listed.

--- a/internal/keyowner/types.go
+++ b/internal/keyowner/types.go
@@ -26,7 +26,7 @@
 	// ClaimEvery is how often an unanswered claim is sent again, ClaimFor how
 	// long, though no longer than half of the time of the request.
 	ClaimEvery = 100 * time.Millisecond
-	ClaimFor   = 500 * time.Millisecond
+	ClaimFor   = 2 * time.Second
 	// Grace is how long a request goes on after its last caller has vanished, for a
 	// copy that may come through another instance.
 	Grace = 250 * time.Millisecond
