Send a reply again until it has arrived

Change: results and outcomes between instances are sent again with back-off, for up to 5 s; the receiver takes the first copy. Measured: a test that refuses three replies in a row failed for both methods before and passes now.

--- a/internal/requestpath/effects.go
+++ b/internal/requestpath/effects.go
@@ -4,9 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"balsamfork/internal/admission"
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/keyowner"
+	"balsamfork/internal/peer"
 	"balsamfork/internal/request"
 )
 
@@ -170,14 +173,40 @@
 // reply sends what another instance waits for. The caller holds mu.
 func (p *Path) reply(to fleet.ID, method string, params any) {
 	p.busy++
-	p.call(to, callFor, func(ctx context.Context) {
-		_ = p.peers.Call(ctx, to, method, params, nil)
+	p.call(to, deliverFor, func(ctx context.Context) {
+		p.deliver(ctx, to, method, params)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.busy--
 	})
 }
 
+// deliverFor bounds all tries to deliver a reply; deliverFirst and deliverMost are
+// the least and the most time between two of them.
+const (
+	deliverFor   = 5 * time.Second
+	deliverFirst = 50 * time.Millisecond
+	deliverMost  = 500 * time.Millisecond
+)
+
+// deliver sends a reply until it has arrived or the context ends. The receiver takes
+// the first copy and drops the others.
+func (p *Path) deliver(ctx context.Context, to fleet.ID, method string, params any) {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = deliverFirst
+	wait.MaxInterval = deliverMost
+	send := func() (struct{}, error) {
+		try, cancel := context.WithTimeout(ctx, callFor)
+		defer cancel()
+		err := p.peers.Call(try, to, method, params, nil)
+		if err != nil && !peer.Unreachable.Has(err) {
+			err = backoff.Permanent(err)
+		}
+		return struct{}{}, err
+	}
+	_, _ = backoff.Retry(ctx, send, backoff.WithBackOff(wait))
+}
+
 // answer gives a result to its waiter, here or at another instance. The caller
 // holds mu.
 func (p *Path) answer(w uint64, r request.Result) {
--- a/internal/requestpath/faults_test.go
+++ b/internal/requestpath/faults_test.go
@@ -377,3 +377,24 @@
 		is.Equal(kinds[request.Unknown], 0)
 	})
 }
+
+// TestRepliesAreSentAgain refuses what instances send each other in reply, a few
+// times each: every request is answered all the same, and runs once.
+func TestRepliesAreSentAgain(t *testing.T) {
+	const refusals = 3
+	for _, method := range []string{"request.result", "request.outcome"} {
+		t.Run(method, func(t *testing.T) {
+			within(t, 3, 2, func(t *testing.T, is *is.I, s *site) {
+				c := s.client(0)
+				defer c.Close()
+				for range 20 {
+					s.mesh.Refuse(method, refusals)
+					ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+					is.NoErr(c.Do(ctx, line, nil))
+					cancel()
+				}
+				is.Equal(s.counts().Twice, 0)
+			})
+		})
+	}
+}
--- a/internal/standin/memnet/mesh.go
+++ b/internal/standin/memnet/mesh.go
@@ -16,6 +16,7 @@
 	mu       sync.Mutex
 	handlers map[fleet.ID]map[string]peer.Handler
 	dead     map[fleet.ID]bool
+	refused  map[string]int
 }
 
 // Link is the end of a Mesh at one instance: a peer.Caller and a peer.Registry.
@@ -55,6 +56,25 @@
 	return ctx.Err()
 }
 
+// Refuse lets the next n calls of a method fail at once.
+func (m *Mesh) Refuse(method string, n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.refused == nil {
+		m.refused = make(map[string]int)
+	}
+	m.refused[method] = n
+}
+
+// refuses reports whether a call is one of those that fail. The caller holds mu.
+func (m *Mesh) refuses(method string) bool {
+	if m.refused[method] == 0 {
+		return false
+	}
+	m.refused[method]--
+	return true
+}
+
 // Handle registers a method.
 func (l Link) Handle(method string, h peer.Handler) {
 	m := l.mesh
@@ -79,7 +99,11 @@
 	m := l.mesh
 	m.mu.Lock()
 	h, dead := m.handlers[to][method], m.dead[to] || m.dead[l.self]
+	refused := m.refuses(method)
 	m.mu.Unlock()
+	if refused {
+		return peer.Unreachable.New("instance %q refused %s", to, method)
+	}
 	if dead || h == nil {
 		<-ctx.Done()
 		return peer.Unreachable.Wrap(ctx.Err())
