--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -5,9 +5,9 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -26,9 +26,8 @@
 
 // Daemon is one instance: an fx application of its own.
 type Daemon struct {
-	fx       *fx.App
-	parts    parts
-	draining atomic.Bool
+	fx    *fx.App
+	parts parts
 }
 
 // New builds an instance from its settings, opens its sockets and starts nothing.
@@ -40,8 +39,8 @@
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(s.DrainTimeout),
 		Module,
-		fx.Populate(&d.parts.Sockets, &d.parts.Gossip, &d.parts.Sync, &d.parts.Engine, &d.parts.Forwarder,
-			&d.parts.Requests, &d.parts.Link, &d.parts.Serving, &d.parts.Admin),
+		fx.Populate(&d.parts.Sockets, &d.parts.Forwarder, &d.parts.Requests, &d.parts.Link, &d.parts.Serving,
+			&d.parts.Admin),
 	)
 	if err := d.fx.Err(); err != nil {
 		return nil, Error.Wrap(err)
@@ -57,7 +56,6 @@
 // Stop is the graceful shutdown: it announces the departure, hands over, lets
 // requests in progress end, and closes. It returns when all is done or ctx ends.
 func (d *Daemon) Stop(ctx context.Context) error {
-	d.draining.Store(true)
 	d.parts.Serving.leave()
 	return Error.Wrap(d.fx.Stop(ctx))
 }
@@ -89,7 +87,7 @@
 }
 
 // Logger returns the logger that the settings ask for.
-func Logger(s *settings.Valid, w interface{ Write([]byte) (int, error) }) *slog.Logger {
+func Logger(s *settings.Valid, w io.Writer) *slog.Logger {
 	log := telemetry.NewLogger(w, s.LogLevel, s.LogJSON)
 	return log.With(slog.String("instance", string(s.Self.ID)))
 }
--- a/internal/app/parts.go
+++ b/internal/app/parts.go
@@ -43,9 +43,6 @@
 // parts are those that a Daemon uses itself.
 type parts struct {
 	Sockets   *Sockets
-	Gossip    *gossip.Gossip
-	Sync      *confsync.Syncer
-	Engine    *placement.Engine
 	Forwarder *forward.Forwarder
 	Requests  *requestpath.Path
 	Link      *link.Link
