Let instances find one another through their seeds at once

The calls by second show that instances which have just started know only their seeds and so each reads for itself: 936 calls in the 2 s after a total loss. Silent peers were forgotten after 15 s, in which a random sample misses 9% of them, and a slow store ran into a time-out over all calls of a reading.

Tests for the parts of the daemon come with this commit.

--- /dev/null
+++ b/internal/catalogue/mirror_test.go
@@ -0,0 +1,155 @@
+package catalogue
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"balsamfork/internal/cookie"
+)
+
+func server(name string, revision uint64, change func(*Server)) Record {
+	s := &Server{Number: revision, Address: netip.MustParseAddrPort("10.0.0.1:80"), Service: "desk", DataCentre: "a", Slots: 4}
+	if change != nil {
+		change(s)
+	}
+	return Record{ID: ID{Kind: KindServer, Name: name}, Revision: revision, Created: revision, Server: s}
+}
+
+func gone(name string, revision uint64) Record {
+	return Record{ID: ID{Kind: KindServer, Name: name}, Revision: revision, Removed: true}
+}
+
+// TestMirrorsAgree drives a store through random changes. A mirror that reads
+// every change and one that follows it through late, repeated and incomplete
+// deltas hold the same in the end, and neither ever goes back.
+func TestMirrorsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		reader, follower := NewMirror(), NewMirror()
+		var sent []Delta
+		var revision uint64
+		steps := rapid.IntRange(1, 40).Draw(t, "steps")
+		for range steps {
+			name := fmt.Sprint("s", rapid.IntRange(0, 5).Draw(t, "name"))
+			revision++
+			r := server(name, revision, nil)
+			if rapid.Bool().Draw(t, "removed") {
+				r = gone(name, revision)
+			}
+			before := reader.Snapshot().Revision
+			if _, ok := reader.Apply(Delta{Since: before, Revision: revision, Records: []Record{r}}, int64(revision), 0); !ok {
+				t.Fatalf("revision %d was refused", revision)
+			}
+			sent = append(sent, reader.Since(rapid.Uint64Range(0, revision).Draw(t, "since"), int64(revision)))
+			last := follower.Snapshot().Revision
+			follower.Apply(sent[rapid.IntRange(0, len(sent)-1).Draw(t, "delivered")], int64(revision), 0)
+			if follower.Snapshot().Revision < last {
+				t.Fatalf("the follower went back from %d to %d", last, follower.Snapshot().Revision)
+			}
+		}
+		follower.Apply(reader.Since(follower.Snapshot().Revision, int64(revision)), int64(revision), 0)
+		for i := range 6 {
+			name := fmt.Sprint("s", i)
+			a, b := present(reader, name), present(follower, name)
+			if (a == nil) != (b == nil) {
+				t.Fatalf("%s: %v and %v", name, a, b)
+			}
+			if a != nil && a.Revision != b.Revision {
+				t.Fatalf("%s: %+v and %+v", name, a, b)
+			}
+		}
+	})
+}
+
+func find(m *Mirror, name string) *Backend {
+	for _, b := range m.Snapshot().Backends("desk") {
+		if b.Name == name {
+			return b
+		}
+	}
+	return nil
+}
+
+// present returns a server that has not been removed.
+func present(m *Mirror, name string) *Backend {
+	if b := find(m, name); b != nil && b.Removed == 0 {
+		return b
+	}
+	return nil
+}
+
+func TestMirrorRefusesGaps(t *testing.T) {
+	is := is.New(t)
+	m := NewMirror()
+	_, ok := m.Apply(Delta{Complete: true, Revision: 5, Records: []Record{server("s1", 4, nil)}}, 1, 0)
+	is.True(ok)
+	_, ok = m.Apply(Delta{Since: 6, Revision: 7, Records: []Record{gone("s1", 7)}}, 2, 0)
+	is.True(!ok) // revision 6 is missing
+	_, ok = m.Apply(Delta{Complete: true, Revision: 4}, 2, 0)
+	is.True(!ok) // older than what is known
+	is.Equal(m.Snapshot().Revision, uint64(5))
+	_, ok = m.Apply(Delta{Complete: true, Revision: 8}, 3, 0)
+	is.True(ok)
+	is.Equal(find(m, "s1").Removed, int64(3)) // a complete delta implies removals
+}
+
+func TestMirrorKeepsTheLastGoodEntity(t *testing.T) {
+	is := is.New(t)
+	m := NewMirror()
+	good := Record{ID: ID{Kind: KindConfiguration}, Revision: 2, Configuration: &Configuration{Version: 7}}
+	m.Apply(Delta{Complete: true, Revision: 3, Records: []Record{good, server("s1", 3, nil)}}, 1, 0)
+	broken := []Record{{ID: ID{Kind: KindConfiguration}, Revision: 4}, {ID: ID{Kind: KindServer, Name: "s1"}, Revision: 5}}
+	m.Apply(Delta{Since: 3, Revision: 5, Records: broken}, 2, 0)
+	is.Equal(m.Snapshot().Configuration.Version, int64(7))
+	is.True(find(m, "s1").Unreadable)
+	is.True(m.Snapshot().ByCookie(cookie.Of("s1")) != nil) // its flows still find it
+}
+
+func TestWarmUpRemainsWhenPassedOn(t *testing.T) {
+	is := is.New(t)
+	m := NewMirror()
+	cold := server("s1", 1, func(s *Server) { s.Warmup = 2 * time.Second })
+	m.Apply(Delta{Complete: true, Revision: 1, Records: []Record{cold}}, int64(time.Second), 0)
+	is.True(find(m, "s1").Cold(int64(2900 * time.Millisecond)))
+	is.True(!find(m, "s1").Cold(int64(3 * time.Second)))
+
+	passedOn := m.Since(0, int64(2*time.Second))
+	is.Equal(passedOn.Records[0].Server.Warmup, time.Second)
+	other := NewMirror()
+	other.Apply(passedOn, int64(10*time.Second), 100*time.Millisecond)
+	is.True(find(other, "s1").Cold(int64(10800 * time.Millisecond)))
+	is.True(!find(other, "s1").Cold(int64(10900 * time.Millisecond)))
+}
+
+func TestRemovedServersAreForgottenAfterTheRetention(t *testing.T) {
+	is := is.New(t)
+	m := NewMirror()
+	m.Apply(Delta{Complete: true, Revision: 2, Records: []Record{server("s1", 1, nil), gone("s2", 2)}}, 1, 0)
+	m.Apply(Delta{Since: 2, Revision: 3, Records: []Record{gone("s1", 3)}}, 2, 0)
+	is.True(m.Snapshot().ByCookie(cookie.Of("s1")) != nil)
+	m.Apply(Delta{Since: 3, Revision: 4}, int64(Retention)+3, 0)
+	is.True(m.Snapshot().ByCookie(cookie.Of("s1")) == nil)
+	is.True(m.Since(2, 0).Complete) // the removal can't be told any more
+	is.True(!m.Since(3, 0).Complete)
+}
+
+func TestLaterOfTwoServersWithOneCookieGetsNothing(t *testing.T) {
+	is := is.New(t)
+	s := newSnapshot(1)
+	first := &Backend{Name: "s1", Server: Server{Service: "desk"}}
+	s.addBackend(first)
+	second := &Backend{Name: "s1", Server: Server{Service: "desk"}} // the same name stands for a collision
+	s.addBackend(second)
+	is.True(!first.Ambiguous)
+	is.True(second.Ambiguous)
+	is.Equal(s.ByCookie(first.Cookie), first)
+
+	first.Removed = 1
+	third := &Backend{Name: "s1", Server: Server{Service: "desk"}}
+	s.addBackend(third)
+	is.True(!third.Ambiguous) // a removed server gives its cookie up
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,10 @@
 	// gossipEvery is how often an instance writes to one peer at random, whatever
 	// it has heard; a digest then reaches all of 415 instances within some seconds.
 	gossipEvery = time.Second
+	// youngFor is how long after its start an instance asks the seeds for the
+	// others, at pauses that begin with firstPause and double.
+	youngFor   = 4 * time.Second
+	firstPause = 100 * time.Millisecond
 	// maxMessage bounds a datagram that is read, in bytes.
 	maxMessage = 64 << 10
 )
@@ -134,11 +139,21 @@
 	e.sendAll(message{From: e.peers.self, Missed: &r}, e.peers.local())
 }
 
-// Run writes to a peer at random now and again, until the context ends.
+// Alone reports whether no other instance of the data centre is known.
+func (e *Exchange) Alone() bool { return len(e.peers.local()) == 0 }
+
+// Run finds the other instances, and then writes to a peer at random now and
+// again, until the context ends.
 func (e *Exchange) Run(ctx context.Context) {
+	began := e.Clock()
+	pause := firstPause
 	for {
-		e.gossip()
-		pause := gossipEvery/2 + time.Duration(e.Random.Int64N(int64(gossipEvery)))
+		young := e.Clock()-began < int64(youngFor)
+		e.gossip(young)
+		if pause *= 2; !young || pause > gossipEvery {
+			pause = gossipEvery
+		}
+		pause := pause/2 + time.Duration(e.Random.Int64N(int64(pause)))
 		select {
 		case <-ctx.Done():
 			return
@@ -147,17 +162,25 @@
 	}
 }
 
-func (e *Exchange) gossip() {
+// gossip writes to a peer at random, and to seeds that are not known as peers; a
+// young instance asks all seeds for an answer.
+func (e *Exchange) gossip(young bool) {
 	for _, lost := range e.peers.sweep(e.Clock()) {
 		e.Log.Info("Instance is lost.", "instance", lost.Address.String(), "data_centre", lost.DataCentre,
 			"silent_ms", lost.HeardMS)
 		e.resized()
 	}
-	to := e.unheardSeeds()
+	m := e.digest()
+	if young {
+		m.Hello = true
+		e.sendAll(m, e.otherSeeds())
+		m.Hello = false
+	} else {
+		e.sendAll(m, e.unheardSeeds())
+	}
 	if peer, ok := e.peers.any(); ok {
-		to = append(to, peer)
+		e.sendAll(m, []netip.Addr{peer})
 	}
-	e.sendAll(e.digest(), to)
 }
 
 func (e *Exchange) resized() {
@@ -166,21 +189,33 @@
 	e.Resized(n)
 }
 
-// unheardSeeds returns one seed that is not among the peers, if there is any.
-func (e *Exchange) unheardSeeds() []netip.Addr {
+// otherSeeds returns the seeds but for this instance itself.
+func (e *Exchange) otherSeeds() []netip.Addr {
 	var out []netip.Addr
 	for _, s := range *e.seeds.Load() {
-		if s != e.peers.self.Address && !e.peers.has(s) {
+		if s != e.peers.self.Address {
 			out = append(out, s)
 		}
 	}
 	return out
 }
 
+// unheardSeeds returns the seeds that are not among the peers.
+func (e *Exchange) unheardSeeds() []netip.Addr {
+	return slices.DeleteFunc(e.otherSeeds(), e.peers.has)
+}
+
+// welcome answers an instance that knows few others.
+func (e *Exchange) welcome(to Peer) {
+	m := e.digest()
+	m.Peers = e.peers.neighbours(to.DataCentre, welcomeSize, e.Clock())
+	e.sendAll(m, []netip.Addr{to.Address})
+}
+
 // digest returns a message with what this instance knows.
 func (e *Exchange) digest() message {
 	now := e.Clock()
-	m := message{From: e.peers.self, Peers: e.peers.sample(now)}
+	m := message{From: e.peers.self, Peers: e.peers.sample(sampleSize, now)}
 	known, _ := e.Catalogue.Known()
 	if known == 0 {
 		return m
@@ -225,8 +260,8 @@
 		if err != nil {
 			continue
 		}
-		var m message
-		if err := json.Unmarshal(buffer[:n], &m); err != nil || !m.From.Address.Is4() {
+		m, ok := decode(buffer[:n])
+		if !ok {
 			e.metrics.malformed.Inc(1)
 			continue
 		}
@@ -235,6 +270,12 @@
 	}
 }
 
+// decode returns a message, and false if it is malformed.
+func decode(data []byte) (m message, ok bool) {
+	err := json.Unmarshal(data, &m)
+	return m, err == nil && m.From.Address.Is4()
+}
+
 func (e *Exchange) take(m *message) {
 	now := e.Clock()
 	e.meet(m, now)
@@ -243,6 +284,9 @@
 		e.Missed(*m.Missed)
 		return
 	}
+	if m.Hello {
+		e.welcome(m.From)
+	}
 	if m.Revision == 0 {
 		return
 	}
--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,204 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"balsamfork/internal/catalogue"
+	"balsamfork/internal/suspicion"
+)
+
+// instance is an exchange with a catalogue that is only fed by its peers.
+type instance struct {
+	*Exchange
+	mirror  *catalogue.Mirror
+	mu      sync.Mutex
+	known   int64
+	reports []suspicion.Report
+}
+
+func (i *instance) Known() (int64, int64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.known, i.known
+}
+
+func (i *instance) Take(d catalogue.Delta, age time.Duration) bool {
+	_, ok := i.mirror.Apply(d, clock(), age)
+	if ok {
+		i.raise(clock() - int64(age))
+	}
+	return ok
+}
+
+func (i *instance) Confirm(revision uint64, age time.Duration) {
+	if revision == i.mirror.Snapshot().Revision {
+		i.raise(clock() - int64(age))
+	}
+}
+
+func (i *instance) raise(at int64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.known = max(i.known, at)
+}
+
+func (i *instance) taken() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.reports)
+}
+
+var begin = time.Now()
+
+func clock() int64 { return int64(time.Since(begin)) + 1 }
+
+// freePort returns a port that is free on the loopback addresses.
+func freePort(t *testing.T) uint16 {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String()).Port()
+}
+
+func start(t *testing.T, port uint16, last byte, dataCentre string, seeds ...netip.Addr) *instance {
+	i := &instance{mirror: catalogue.NewMirror()}
+	e, err := Open(Options{
+		Listen:     netip.AddrPortFrom(address(last), port),
+		DataCentre: dataCentre,
+		Mirror:     i.mirror,
+		Catalogue:  i,
+		Missed: func(r suspicion.Report) {
+			i.mu.Lock()
+			defer i.mu.Unlock()
+			i.reports = append(i.reports, r)
+		},
+		Resized: func(int) {},
+		Random:  rand.New(rand.NewPCG(uint64(last), 1)),
+		Clock:   clock,
+		Log:     slog.New(slog.DiscardHandler),
+		Scope:   tally.NoopScope,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	i.Exchange = e
+	e.SetSeeds(seeds)
+	ctx, cancel := context.WithCancel(context.Background())
+	go e.Run(ctx)
+	go e.Receive()
+	go e.Serve()
+	t.Cleanup(func() {
+		cancel()
+		_ = e.Close()
+	})
+	return i
+}
+
+func address(last byte) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 7, last}) }
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatal(what)
+}
+
+func (i *instance) read(revision uint64, servers int) {
+	var records []catalogue.Record
+	for n := range servers {
+		records = append(records, catalogue.Record{
+			ID:       catalogue.ID{Kind: catalogue.KindServer, Name: fmt.Sprint("s", n)},
+			Revision: revision,
+			Server: &catalogue.Server{
+				Number: 1, Address: netip.MustParseAddrPort("10.0.0.1:80"), Service: "desk", DataCentre: "a", Slots: 1,
+			},
+		})
+	}
+	i.mirror.Apply(catalogue.Delta{Complete: true, Revision: revision, Records: records}, clock(), 0)
+	i.raise(clock())
+	i.Announce()
+}
+
+// TestStartOfAFleet starts instances that know one seed only. All find one another,
+// and what one reads reaches those of its data centre and of the other one.
+func TestStartOfAFleet(t *testing.T) {
+	port := freePort(t)
+	seed := address(1)
+	var all []*instance
+	for n := range byte(8) {
+		all = append(all, start(t, port, n+1, string('a'+rune(n%2)), seed))
+	}
+	for n, i := range all {
+		eventually(t, fmt.Sprint("instance ", n, " does not know the others"), func() bool { return i.peers.size() == len(all) })
+	}
+	all[2].read(7, 3)
+	for n, i := range all {
+		eventually(t, fmt.Sprint("instance ", n, " has not heard"), func() bool { return i.mirror.Snapshot().Revision == 7 })
+	}
+	// A change that does not fit a datagram is pulled.
+	all[2].read(9, 500)
+	for n, i := range all {
+		eventually(t, fmt.Sprint("instance ", n, " has not pulled"), func() bool { return len(i.mirror.Snapshot().Backends("desk")) == 500 })
+	}
+}
+
+func TestReportsReachTheDataCentre(t *testing.T) {
+	is := is.New(t)
+	port := freePort(t)
+	a, b, other := start(t, port, 21, "a", address(22)), start(t, port, 22, "a", address(21)), start(t, port, 23, "b", address(21))
+	eventually(t, "instances don't know one another", func() bool { return a.peers.size() == 3 && b.peers.size() == 3 })
+	a.ReportMissed(suspicion.Report{Server: 5, DataCentre: "a"})
+	eventually(t, "the report was not taken", func() bool { return b.taken() == 1 })
+	is.True(b.reports[0].Source != 0)
+	is.Equal(b.reports[0].Server, uint32(5))
+	is.Equal(other.taken(), 0)
+}
+
+func TestMalformedMessagesAreDropped(t *testing.T) {
+	port := freePort(t)
+	i := start(t, port, 31, "a")
+	conn, err := net.Dial("udp4", netip.AddrPortFrom(address(31), port).String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, text := range []string{"", "{", "{}", `{"from":{"address":"::1"},"revision":9}`, `{"from":7}`} {
+		if _, err := conn.Write([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	j := start(t, port, 32, "a", address(31))
+	j.read(4, 1)
+	eventually(t, "it no longer listens", func() bool { return i.mirror.Snapshot().Revision == 4 })
+}
+
+func FuzzMessage(f *testing.F) {
+	f.Add([]byte(`{"from":{"address":"10.0.0.1","dataCentre":"a"},"revision":4,"delta":{"revision":4,"records":[{"kind":1}]}}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		i := &instance{mirror: catalogue.NewMirror()}
+		e := &Exchange{Options: Options{
+			Mirror: i.mirror, Catalogue: i, Clock: clock, Missed: func(suspicion.Report) {}, Resized: func(int) {},
+			Log: slog.New(slog.DiscardHandler),
+		}, peers: newPeers(Peer{Address: address(1)}, rand.New(rand.NewPCG(1, 1)))}
+		e.metrics.size = tally.NoopScope.Gauge("instances")
+		e.pulling.Store(true)
+		if m, ok := decode(data); ok && !m.Hello && !m.Relay {
+			e.take(&m)
+		}
+	})
+}
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -30,6 +30,8 @@
 	Delta *catalogue.Delta `json:"delta,omitempty"`
 	// Relay asks the receiver to pass the digest on within its data centre.
 	Relay bool `json:"relay,omitempty"`
+	// Hello asks for an answer: the sender knows few instances yet.
+	Hello bool `json:"hello,omitempty"`
 	// Peers is a sample of those that the sender knows.
 	Peers []Peer `json:"peers,omitempty"`
 	// Missed is a report on a server that did not answer.
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -11,10 +11,12 @@
 
 const (
 	// forgetAfter is how long a silent instance is still written to. It covers a
-	// restart and a cut of the pages' usual length.
-	forgetAfter = 15 * time.Second
-	// sampleSize is how many peers a digest names.
-	sampleSize = 8
+	// restart, a cut, and the time in which samples name each of 415 instances.
+	forgetAfter = time.Minute
+	// sampleSize is how many peers a digest names, and welcomeSize how many an
+	// answer to an instance that has just started.
+	sampleSize  = 16
+	welcomeSize = 48
 	// maxPeers bounds the table: four times the planned number of instances.
 	maxPeers = 2048
 )
@@ -108,13 +110,13 @@
 	return out
 }
 
-// sample returns some peers at random.
-func (p *peers) sample(now int64) []Peer {
+// sample returns up to n peers at random.
+func (p *peers) sample(n int, now int64) []Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := make([]Peer, 0, sampleSize)
+	out := make([]Peer, 0, n)
 	for address, k := range p.table {
-		if len(out) == sampleSize {
+		if len(out) == n {
 			break
 		}
 		out = append(out, k.peer(address, now))
@@ -122,6 +124,22 @@
 	return out
 }
 
+// neighbours returns up to n peers, those of a data centre first.
+func (p *peers) neighbours(dataCentre string, n int, now int64) []Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var near, far []Peer
+	for address, k := range p.table {
+		if k.dataCentre == dataCentre {
+			near = append(near, k.peer(address, now))
+		} else {
+			far = append(far, k.peer(address, now))
+		}
+	}
+	all := append(near, far...)
+	return all[:min(n, len(all))]
+}
+
 // any returns a peer at random, and false if there is none.
 func (p *peers) any() (netip.Addr, bool) {
 	p.mu.Lock()
--- a/internal/flowd/module.go
+++ b/internal/flowd/module.go
@@ -75,6 +75,7 @@
 // links connects parts that need one another. They are set once all are built.
 type links struct {
 	learned func()
+	alone   func() bool
 	missed  func(suspicion.Report)
 	peer    func(suspicion.Report)
 	resized func(int)
@@ -88,7 +89,8 @@
 		Mirror:  m,
 		Plan:    watch.NewPlan(random),
 		Clock:   clock,
-		Learned: func(uint64) { l.learned() },
+		Learned: func() { l.learned() },
+		Alone:   func() bool { return l.alone() },
 		Log:     telemetry.Part(log, "catalogue"),
 		Scope:   scope,
 	})
@@ -141,6 +143,7 @@
 // connect links the parts and runs them.
 func connect(lc fx.Lifecycle, l *links, w *watch.Watcher, e *exchange.Exchange, p *flowpath.Path, log *slog.Logger) {
 	l.learned = e.Announce
+	l.alone = e.Alone
 	l.missed = e.ReportMissed
 	l.peer = p.PeerMissed
 	l.resized = p.SetInstances
--- /dev/null
+++ b/internal/flowpath/decider_test.go
@@ -0,0 +1,327 @@
+package flowpath
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"balsamfork/internal/catalogue"
+	"balsamfork/internal/cookie"
+	"balsamfork/internal/flowtable"
+	"balsamfork/internal/suspicion"
+)
+
+const (
+	ms    = int64(time.Millisecond)
+	start = int64(time.Hour)
+)
+
+// world is a catalogue with a decider, at a time.
+type world struct {
+	*Decider
+	mirror *catalogue.Mirror
+	known  int64
+	since  int64
+	now    int64
+}
+
+func route(port uint16, service string) catalogue.Route {
+	return catalogue.Route{
+		Destination: catalogue.Destination{Address: netip.MustParseAddr("198.18.0.1"), Port: port},
+		Shares:      []catalogue.Share{{Service: service, Weight: 1}},
+	}
+}
+
+func record(name string, revision uint64, change func(*catalogue.Server)) catalogue.Record {
+	s := &catalogue.Server{
+		Number: revision, Address: netip.MustParseAddrPort("10.0.0.1:80"), Service: "desk", DataCentre: "a", Slots: 4,
+	}
+	if change != nil {
+		change(s)
+	}
+	return catalogue.Record{ID: catalogue.ID{Kind: catalogue.KindServer, Name: name}, Revision: revision, Created: revision, Server: s}
+}
+
+// newWorld has a route to service desk at port 443 and n servers of it.
+func newWorld(n int, change func(*catalogue.Server)) *world {
+	w := &world{Decider: NewDecider("a", WarmupLimits{Factor: 1.5, Slack: 5}), mirror: catalogue.NewMirror(), known: start, since: start, now: start}
+	records := []catalogue.Record{{
+		ID: catalogue.ID{Kind: catalogue.KindConfiguration}, Revision: 1,
+		Configuration: &catalogue.Configuration{
+			Version: 1, Routes: []catalogue.Route{route(443, "desk")}, Services: []catalogue.Service{{Name: "desk", WarmupRate: 10}},
+		},
+	}}
+	for i := range n {
+		records = append(records, record(fmt.Sprint("s", i), uint64(i+2), change))
+	}
+	w.mirror.Apply(catalogue.Delta{Complete: true, Revision: 100, Records: records}, w.now, 0)
+	return w
+}
+
+func (w *world) apply(records ...catalogue.Record) {
+	before := w.mirror.Snapshot().Revision
+	w.mirror.Apply(catalogue.Delta{Since: before, Revision: before + 1, Records: records}, w.now, 0)
+}
+
+func (w *world) decide(p Packet) Verdict {
+	return w.Decide(&p, Knowledge{Snapshot: w.mirror.Snapshot(), Known: w.known, Since: w.since}, w.now)
+}
+
+func flow(port uint16) Flow {
+	return Flow{
+		Source: netip.MustParseAddr("100.64.0.7"), SourcePort: port,
+		Destination: netip.MustParseAddr("198.18.0.1"), DestinationPort: 443,
+	}
+}
+
+func (w *world) open(port uint16, copies int) Verdict {
+	return w.decide(Packet{Flow: flow(port), Kind: Opening, Copy: copies})
+}
+
+func (w *world) send(port uint16, c, acknowledged uint32, data int) Verdict {
+	return w.decide(Packet{Flow: flow(port), Kind: Established, Cookie: c, Acknowledged: acknowledged, Data: data})
+}
+
+func TestFlowStaysAtItsServerThroughAnyInstance(t *testing.T) {
+	is := is.New(t)
+	first, second := newWorld(5, nil), newWorld(5, nil)
+	v := first.open(1, 0)
+	is.Equal(v.Action, Forward)
+	is.Equal(v.Reason, Placed)
+	got := second.send(1, v.Backend.Cookie, 1, 100) // an instance that has not seen it open
+	is.Equal(got.Action, Forward)
+	is.Equal(got.Backend.Name, v.Backend.Name)
+}
+
+func TestNoRouteIsRefusedOnlyOnRecentKnowledge(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2, nil)
+	p := Packet{Flow: flow(1), Kind: Opening}
+	p.Flow.DestinationPort = 80
+	is.Equal(w.decide(p).Action, Reset)
+	w.now += int64(freshEnough)
+	is.Equal(w.decide(p).Action, Hold)
+	w.known = w.now
+	is.Equal(w.decide(p).Reason, NoRoute)
+}
+
+func TestNoServerIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(0, nil)
+	v := w.open(1, 0)
+	is.Equal(v.Action, Reset)
+	is.Equal(v.Reason, NoServer)
+}
+
+// TestCopyGoesToAnotherServer answers servers that fall silent: the copy of an
+// opening packet whose server has shown no sign of life since goes elsewhere.
+func TestCopyGoesToAnotherServer(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(5, nil)
+	first := w.open(1, 0)
+	w.now += 200 * ms
+	second := w.open(1, 1)
+	is.Equal(second.Reason, Moved)
+	is.Equal(second.Missed.Name, first.Backend.Name)
+	is.True(second.Backend.Name != first.Backend.Name)
+}
+
+// TestCopyStaysAtAServerThatAnswers answers lost packets.
+func TestCopyStaysAtAServerThatAnswers(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, nil)
+	first := w.open(1, 0)
+	w.open(2, 0)
+	w.now += 5 * ms
+	w.send(2, first.Backend.Cookie, 9, 0) // the handshake of another flow
+	w.now += 195 * ms
+	v := w.open(1, 1)
+	is.Equal(v.Reason, Repeated)
+	is.Equal(v.Backend.Name, first.Backend.Name)
+	is.True(v.Missed == nil)
+}
+
+func TestOnlyServerIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, nil)
+	w.open(1, 0)
+	w.now += 200 * ms
+	v := w.open(1, 1)
+	is.Equal(v.Action, Forward)
+	is.Equal(v.Reason, Repeated)
+}
+
+// TestSilentServerGetsNoNewFlows answers a server that falls silent, as the pages'
+// replace_with_reuse (dark): after two unanswered packets no new flow goes there.
+func TestSilentServerGetsNoNewFlows(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(5, nil)
+	silent := w.open(1, 0).Backend
+	w.now += 200 * ms
+	v := w.open(1, 1)
+	r := suspicion.Report{Server: v.Missed.Cookie, DataCentre: v.Missed.DataCentre}
+	is.True(!w.PeerMissed(r, w.now)) // one account
+	r.Source = 42
+	is.True(w.PeerMissed(r, w.now)) // and a peer's
+	for port := uint16(100); port < 300; port++ {
+		is.True(w.open(port, 0).Backend.Name != silent.Name)
+	}
+}
+
+// TestLateSecondAnswerDoesNotMoveAFlow answers a slow instance: the caller took the
+// first server's answer, and the second one's changed its cookie.
+func TestLateSecondAnswerDoesNotMoveAFlow(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(5, nil)
+	first := w.open(1, 0).Backend
+	w.now += 200 * ms
+	second := w.open(1, 1).Backend
+	w.send(1, first.Cookie, 1, 0)
+	v := w.send(1, second.Cookie, 1, 100)
+	is.Equal(v.Reason, Repaired)
+	is.Equal(v.Backend.Name, first.Name)
+}
+
+func TestFlowOfAGoneServerIsResetOnceItCannotComeBack(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(3, nil)
+	b := w.open(1, 0).Backend
+	w.send(1, b.Cookie, 1, 0)
+	w.apply(catalogue.Record{ID: catalogue.ID{Kind: catalogue.KindServer, Name: b.Name}, Revision: 101, Removed: true})
+	w.known = w.now
+	is.Equal(w.send(1, b.Cookie, 1, 100).Action, Forward) // its entry may only have lapsed
+	w.now += 2300 * ms
+	v := w.send(1, b.Cookie, 1, 100)
+	is.Equal(v.Action, Reset)
+	is.Equal(v.Reason, ServerGone)
+}
+
+func TestUnknownCookie(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		age, since int64
+		want       Action
+	}{
+		{"a recent start may lack a server that lapsed", 0, 100 * ms, Hold},
+		{"old knowledge may lack a new server", 1600 * ms, 10000 * ms, Hold},
+		{"otherwise the server is gone", 100 * ms, 10000 * ms, Reset},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(2, nil)
+			w.now += 20000 * ms
+			w.known, w.since = w.now-c.age, w.now-c.since
+			v := w.send(1, cookie.Of("another"), 1, 100)
+			is.Equal(v.Action, c.want)
+			is.Equal(v.Reason, UnknownCookie)
+		})
+	}
+}
+
+func TestForgedPacketsAreDropped(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2, nil)
+	is.Equal(w.decide(Packet{Flow: flow(1), Kind: Accepting, Cookie: 1}).Reason, Forged)
+	is.Equal(w.send(1, cookie.None, 1, 100).Reason, NoCookie)
+	is.Equal(w.send(1, cookie.None, 1, 100).Action, Drop)
+}
+
+func TestDrainingServerKeepsItsFlowsAndGetsNoNewOnes(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2, nil)
+	b := w.open(1, 0).Backend
+	w.send(1, b.Cookie, 1, 0)
+	w.apply(record(b.Name, 101, func(s *catalogue.Server) { s.Draining = true }))
+	is.Equal(w.send(1, b.Cookie, 1, 100).Backend.Name, b.Name)
+	for port := uint16(10); port < 60; port++ {
+		is.True(w.open(port, 0).Backend.Name != b.Name)
+	}
+}
+
+// TestColdDataCentre answers servers that come back cold together, the only ones
+// there are: over all instances they get no more in any second than the limit.
+func TestColdDataCentre(t *testing.T) {
+	is := is.New(t)
+	const instances = 13
+	limit := 10*1.5 + 5.0
+	sent := map[string][]int64{}
+	for range instances {
+		w := newWorld(2, func(s *catalogue.Server) { s.Warmup = time.Minute })
+		w.SetInstances(instances)
+		for port := range uint16(2000) {
+			w.now += 2 * ms
+			if v := w.open(port, 0); v.Action == Forward {
+				sent[v.Backend.Name] = append(sent[v.Backend.Name], w.now)
+			}
+		}
+	}
+	is.Equal(len(sent), 2)
+	for _, times := range sent {
+		for _, from := range times {
+			n := 0
+			for _, at := range times {
+				if at >= from && at < from+1000*ms {
+					n++
+				}
+			}
+			is.True(float64(n) <= limit)
+		}
+	}
+}
+
+// TestWorkIsSpread answers long flows and requests in a burst: an instance's own
+// work is spread over all servers, no more than half above the mean.
+func TestWorkIsSpread(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(14, nil)
+	work := map[string]int{}
+	for port := range uint16(280) {
+		w.now += ms
+		v := w.open(port, 0)
+		work[v.Backend.Name]++
+		w.send(port, v.Backend.Cookie, 1, 100) // the request is not answered yet
+	}
+	for _, n := range work {
+		is.True(n <= 30)
+	}
+}
+
+func TestHandshakeTableIsBounded(t *testing.T) {
+	is := is.New(t)
+	table := flowtable.New()
+	for key := range uint64(100000) {
+		table.Add(key, int64(key)).State = flowtable.Open
+	}
+	count := 0
+	for key := range uint64(100000) {
+		if table.Find(key) != nil {
+			count++
+		}
+	}
+	is.True(count <= 8192)
+	is.True(table.Find(99999) != nil)
+}
+
+// BenchmarkSettled decides about packets of an open flow. It must not allocate.
+func BenchmarkSettled(b *testing.B) {
+	w := newWorld(150, nil)
+	c := w.open(1, 0).Backend.Cookie
+	p := Packet{Flow: flow(1), Kind: Established, Cookie: c, Acknowledged: 1, Data: 100}
+	k := Knowledge{Snapshot: w.mirror.Snapshot(), Known: w.known, Since: w.since}
+	b.ReportAllocs()
+	for b.Loop() {
+		w.Decide(&p, k, w.now)
+	}
+}
+
+func TestSettledPacketsDoNotAllocate(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(150, nil)
+	c := w.open(1, 0).Backend.Cookie
+	p := Packet{Flow: flow(1), Kind: Established, Cookie: c, Acknowledged: 1, Data: 100}
+	k := Knowledge{Snapshot: w.mirror.Snapshot(), Known: w.known, Since: w.since}
+	is.Equal(testing.AllocsPerRun(100, func() { w.Decide(&p, k, w.now) }), 0.0)
+}
--- a/internal/watch/plan.go
+++ b/internal/watch/plan.go
@@ -36,15 +36,15 @@
 }
 
 // Due returns when to read, if the catalogue was last known to be complete at
-// known, 0 for never.
-func (p *Plan) Due(known int64) int64 {
+// known, 0 for never. An instance that is alone reads for itself only and less often.
+func (p *Plan) Due(known int64, alone bool) int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if known == 0 {
 		return p.failed + int64(p.pause)
 	}
 	patience := p.patience
-	if known == p.lastRead {
+	if known == p.lastRead && !alone {
 		// Nobody else has read since: this instance is the regular reader.
 		patience = Period
 	}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -12,11 +12,7 @@
 	"balsamfork/internal/catalogue"
 )
 
-// readTimeout bounds one reading of the store. The pages' slow store answers
-// within 0.4 s; a connection that has gone silent shows by this.
-const readTimeout = 1200 * time.Millisecond
-
-// Source is the store.
+// Source is the store. Each of its calls is bounded in time.
 type Source interface {
 	// Position returns the store's revision, by a linearizable read.
 	Position(ctx context.Context) (uint64, error)
@@ -32,10 +28,12 @@
 	Source Source
 	Mirror *catalogue.Mirror
 	Plan   *Plan
+	// Alone reports whether no other instance of the data centre is known.
+	Alone func() bool
 	// Clock returns the steady time in nanoseconds.
 	Clock func() int64
-	// Learned is told after each reading, with the revision that was known before.
-	Learned func(before uint64)
+	// Learned is called after each reading.
+	Learned func()
 	Log     *slog.Logger
 	Scope   tally.Scope
 }
@@ -105,7 +103,7 @@
 // Run reads the store whenever the plan says so, until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	for {
-		wait := time.Duration(w.Plan.Due(w.known.Load()) - w.Clock())
+		wait := time.Duration(w.Plan.Due(w.known.Load(), w.Alone()) - w.Clock())
 		if wait > 0 {
 			select {
 			case <-ctx.Done():
@@ -134,8 +132,6 @@
 }
 
 func (w *Watcher) refresh(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
 	began := w.Clock()
 	before := w.Mirror.Snapshot().Revision
 	if err := w.read(ctx, before); err != nil {
@@ -147,7 +143,7 @@
 	w.regained()
 	w.confirm(began)
 	w.lag.RecordDuration(time.Duration(w.Clock() - began))
-	w.Learned(before)
+	w.Learned()
 }
 
 // read brings the mirror to the store's revision.
--- /dev/null
+++ b/internal/watch/watch_test.go
@@ -0,0 +1,224 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+	"pgregory.net/rapid"
+
+	"balsamfork/internal/catalogue"
+)
+
+// fakeStore is a store whose watch may miss changes and whose history may be gone.
+type fakeStore struct {
+	revision uint64
+	items    map[string]uint64
+	events   []catalogue.Record
+	missed   map[uint64]bool
+	noWatch  bool
+	down     bool
+	calls    int
+}
+
+var errDown = errors.New("down")
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{items: map[string]uint64{}, missed: map[uint64]bool{}}
+}
+
+func (f *fakeStore) record(name string, removed bool) catalogue.Record {
+	r := catalogue.Record{ID: catalogue.ID{Kind: catalogue.KindServer, Name: name}, Revision: f.items[name], Removed: removed}
+	if removed {
+		r.Revision = f.revision
+		return r
+	}
+	r.Server = &catalogue.Server{Number: 1, Address: netip.MustParseAddrPort("10.0.0.1:80"), Service: "desk", Slots: 1}
+	return r
+}
+
+func (f *fakeStore) write(name string, removed, seen bool) {
+	f.revision++
+	if removed {
+		delete(f.items, name)
+	} else {
+		f.items[name] = f.revision
+	}
+	f.events = append(f.events, f.record(name, removed))
+	f.missed[f.revision] = !seen
+}
+
+func (f *fakeStore) Position(context.Context) (uint64, error) {
+	f.calls++
+	if f.down {
+		return 0, errDown
+	}
+	return f.revision, nil
+}
+
+func (f *fakeStore) Changes(_ context.Context, after uint64) (catalogue.Delta, error) {
+	f.calls++
+	if f.noWatch {
+		return catalogue.Delta{}, catalogue.HistoryGone.New("dropped")
+	}
+	d := catalogue.Delta{Since: after, Revision: f.revision}
+	for _, e := range f.events {
+		if e.Revision > after && !f.missed[e.Revision] {
+			d.Records = append(d.Records, e)
+		}
+	}
+	return d, nil
+}
+
+func (f *fakeStore) All(context.Context) (catalogue.Delta, error) {
+	f.calls++
+	if f.down {
+		return catalogue.Delta{}, errDown
+	}
+	d := catalogue.Delta{Complete: true, Revision: f.revision}
+	for name := range f.items {
+		d.Records = append(d.Records, f.record(name, false))
+	}
+	return d, nil
+}
+
+type watched struct {
+	*Watcher
+	now int64
+}
+
+func newWatched(source Source, seed uint64) *watched {
+	w := &watched{now: int64(time.Second)}
+	w.Watcher = New(Options{
+		Source:  source,
+		Mirror:  catalogue.NewMirror(),
+		Plan:    NewPlan(rand.New(rand.NewPCG(seed, 0))),
+		Clock:   func() int64 { return w.now },
+		Learned: func() {},
+		Alone:   func() bool { return false },
+		Log:     slog.New(slog.DiscardHandler),
+		Scope:   tally.NoopScope,
+	})
+	return w
+}
+
+// TestReadingsAreComplete changes a store whose watch misses changes at random and
+// whose history goes at random. After each reading the mirror holds exactly what
+// the store does (a watch that hears nothing while changes are made).
+func TestReadingsAreComplete(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFakeStore()
+		w := newWatched(f, 1)
+		f.write("s0", false, true)
+		for range rapid.IntRange(1, 20).Draw(t, "readings") {
+			for range rapid.IntRange(0, 4).Draw(t, "changes") {
+				name := fmt.Sprint("s", rapid.IntRange(0, 4).Draw(t, "name"))
+				_, exists := f.items[name]
+				f.write(name, exists && rapid.Bool().Draw(t, "removed"), rapid.Bool().Draw(t, "seen"))
+			}
+			f.noWatch = rapid.Bool().Draw(t, "history gone")
+			w.now += int64(time.Second)
+			w.Refresh(context.Background())
+			snap := w.Mirror.Snapshot()
+			if snap.Revision != f.revision {
+				t.Fatalf("revision %d, store at %d", snap.Revision, f.revision)
+			}
+			present := 0
+			for _, b := range snap.Backends("desk") {
+				if b.Removed != 0 {
+					continue
+				}
+				present++
+				if f.items[b.Name] != b.Revision {
+					t.Fatalf("%s at %d, store at %d", b.Name, b.Revision, f.items[b.Name])
+				}
+			}
+			if present != len(f.items) {
+				t.Fatalf("%d servers, store has %d", present, len(f.items))
+			}
+			if known, _ := w.Known(); known != w.now {
+				t.Fatalf("known at %d, not %d", known, w.now)
+			}
+		}
+	})
+}
+
+func TestKnowledgeAgesWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	f := newFakeStore()
+	f.write("s0", false, true)
+	w := newWatched(f, 1)
+	w.Refresh(context.Background())
+	read := w.now
+	f.down = true
+	w.now += int64(time.Second)
+	w.Refresh(context.Background())
+	known, since := w.Known()
+	is.Equal(known, read)
+	is.Equal(since, read)
+	before := f.calls
+	w.Refresh(context.Background())
+	is.Equal(f.calls, before) // a store that has just failed is left alone
+
+	w.Confirm(w.Mirror.Snapshot().Revision, 300*time.Millisecond)
+	known, _ = w.Known()
+	is.Equal(known, w.now-int64(300*time.Millisecond)) // what a peer knows counts with its age
+	w.Confirm(99, 0)
+	known, _ = w.Known()
+	is.Equal(known, w.now-int64(300*time.Millisecond)) // another revision confirms nothing
+}
+
+// TestOneReaderIsEnough runs the plans of a data centre's instances that hear each
+// other's readings at once, and then loses the reader.
+func TestOneReaderIsEnough(t *testing.T) {
+	is := is.New(t)
+	const instances = 40
+	plans := make([]*Plan, instances)
+	for i := range plans {
+		plans[i] = NewPlan(rand.New(rand.NewPCG(uint64(i), 7)))
+	}
+	known := int64(1)
+	reads := map[int]int{}
+	lost := -1
+	var longest int64
+	for now := known; now < int64(60*time.Second); now += int64(10 * time.Millisecond) {
+		if lost < 0 && now > int64(30*time.Second) {
+			lost = busiest(reads)
+			clear(reads)
+		}
+		for i, p := range plans {
+			if i == lost || now < p.Due(known, false) {
+				continue
+			}
+			p.Succeeded(now)
+			reads[i]++
+			longest = max(longest, now-known)
+			known = now
+		}
+	}
+	total := 0
+	for _, n := range reads {
+		total += n
+	}
+	is.True(total <= int(30*time.Second/Period)+5)                   // one reads for all
+	is.True(longest <= int64(longestWait+10*time.Millisecond))        // and is replaced in time
+	is.True(longestWait+2*time.Second/5 < 3*time.Second)              // within the shortest bound, at the slowest answers
+	is.Equal(plans[0].Due(known, true) >= known+int64(Period), true) // alone, it doesn't read more
+}
+
+func busiest(reads map[int]int) int {
+	best := -1
+	for i, n := range reads {
+		if best < 0 || n > reads[best] {
+			best = i
+		}
+	}
+	return best
+}
