Keep one regular reader of the store

Instances that start also became regular readers.

Change: an instance becomes the regular reader when its patience has ended, and yields only to another regular reader with a lower address. Packets may ask for a reading every 250 ms. Two instances of each other data centre are told, not one.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -41,6 +41,14 @@
 	Confirm(revision uint64, age time.Duration)
 }
 
+// Reader is the part of an instance in reading the store.
+type Reader interface {
+	// Regular reports whether this instance reads the store regularly.
+	Regular() bool
+	// Yield leaves this to another instance.
+	Yield()
+}
+
 // Options is what an exchange is built from.
 type Options struct {
 	// Listen is the address for datagrams and connections of other instances; all
@@ -49,6 +57,7 @@
 	DataCentre string
 	Mirror     *catalogue.Mirror
 	Catalogue  Catalogue
+	Reader     Reader
 	// Missed takes a peer's report on a server. It must not block.
 	Missed func(suspicion.Report)
 	// Resized is told the number of instances when it changes. It must not block.
@@ -118,7 +127,7 @@
 func (e *Exchange) SetSeeds(seeds []netip.Addr) { e.seeds.Store(&seeds) }
 
 // Announce passes on what was read from the store: to all instances of the data
-// centre, and to one of each other, which passes it on there.
+// centre, and to some of each other, which pass it on there.
 func (e *Exchange) Announce() {
 	m := e.digest()
 	if m.Revision == 0 {
@@ -220,6 +229,7 @@
 	if known == 0 {
 		return m
 	}
+	m.Regular = e.Reader.Regular()
 	m.Revision = e.Mirror.Snapshot().Revision
 	m.AgeMS = (now - known) / int64(time.Millisecond)
 	return m
@@ -287,6 +297,9 @@
 	if m.Hello {
 		e.welcome(m.From)
 	}
+	if m.Regular && m.From.Address.Less(e.peers.self.Address) {
+		e.Reader.Yield()
+	}
 	if m.Revision == 0 {
 		return
 	}
@@ -336,7 +349,7 @@
 		return
 	}
 	e.metrics.relays.Inc(1)
-	m.From, m.Relay = e.peers.self, false
+	m.From, m.Relay, m.Regular = e.peers.self, false, false
 	m.AgeMS = time.Duration(e.Clock() - after).Milliseconds()
 	e.sendAll(m, e.peers.local())
 }
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -26,6 +26,8 @@
 	// in a report.
 	Revision uint64 `json:"revision,omitempty"`
 	AgeMS    int64  `json:"ageMs,omitempty"`
+	// Regular says that the sender reads the store regularly.
+	Regular bool `json:"regular,omitempty"`
 	// Delta holds the changes that led to Revision, if they are few.
 	Delta *catalogue.Delta `json:"delta,omitempty"`
 	// Relay asks the receiver to pass the digest on within its data centre.
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -1,10 +1,8 @@
 package exchange
 
 import (
-	"maps"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 )
@@ -17,6 +15,9 @@
 	// answer to an instance that has just started.
 	sampleSize  = 16
 	welcomeSize = 48
+	// relays is how many instances of each other data centre are told what was read,
+	// so that the loss of one message or instance goes unnoticed.
+	relays = 2
 	// maxPeers bounds the table: four times the planned number of instances.
 	maxPeers = 2048
 )
@@ -79,22 +80,19 @@
 	return len(p.table) + 1
 }
 
-// remote returns a random peer of each other data centre.
+// remote returns some random peers of each other data centre.
 func (p *peers) remote() []netip.Addr {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	chosen := map[string]netip.Addr{}
-	seen := map[string]int{}
+	chosen := map[string]int{}
+	var out []netip.Addr
 	for address, k := range p.table {
-		if k.dataCentre == p.self.DataCentre {
-			continue
-		}
-		seen[k.dataCentre]++
-		if p.random.IntN(seen[k.dataCentre]) == 0 {
-			chosen[k.dataCentre] = address
+		if k.dataCentre != p.self.DataCentre && chosen[k.dataCentre] < relays {
+			chosen[k.dataCentre]++
+			out = append(out, address)
 		}
 	}
-	return slices.Collect(maps.Values(chosen))
+	return out
 }
 
 // local returns the peers of this instance's data centre.
--- a/internal/flowd/module.go
+++ b/internal/flowd/module.go
@@ -31,6 +31,7 @@
 		newReadiness,
 		catalogue.NewMirror,
 		newLinks,
+		watch.NewPlan,
 		newWatcher,
 		newExchange,
 		newPath,
@@ -83,11 +84,11 @@
 
 func newLinks() *links { return &links{} }
 
-func newWatcher(s platform.Settings, m *catalogue.Mirror, random *rand.Rand, l *links, log *slog.Logger, scope tally.Scope) *watch.Watcher {
+func newWatcher(s platform.Settings, m *catalogue.Mirror, plan *watch.Plan, l *links, log *slog.Logger, scope tally.Scope) *watch.Watcher {
 	return watch.New(watch.Options{
 		Source:  platform.NewStore(s.Store, telemetry.Part(log, "store"), scope),
 		Mirror:  m,
-		Plan:    watch.NewPlan(random),
+		Plan:    plan,
 		Clock:   clock,
 		Learned: func() { l.learned() },
 		Alone:   func() bool { return l.alone() },
@@ -96,12 +97,13 @@
 	})
 }
 
-func newExchange(s platform.Settings, m *catalogue.Mirror, w *watch.Watcher, l *links, log *slog.Logger, scope tally.Scope) (*exchange.Exchange, error) {
+func newExchange(s platform.Settings, m *catalogue.Mirror, w *watch.Watcher, plan *watch.Plan, l *links, log *slog.Logger, scope tally.Scope) (*exchange.Exchange, error) {
 	e, err := exchange.Open(exchange.Options{
 		Listen:     netip.AddrPortFrom(s.Address, s.FirstPort),
 		DataCentre: s.DataCentre,
 		Mirror:     m,
 		Catalogue:  w,
+		Reader:     plan,
 		Missed:     func(r suspicion.Report) { l.peer(r) },
 		Resized:    func(n int) { l.resized(n) },
 		Random:     newRandom(),
--- a/internal/watch/plan.go
+++ b/internal/watch/plan.go
@@ -14,6 +14,9 @@
 	// wakes none of them, and one takes over in time for that bound.
 	shortestWait = 1200 * time.Millisecond
 	longestWait  = 2200 * time.Millisecond
+	// onDemandEvery is the shortest time between readings that packets ask for: a
+	// packet that still can't be decided comes again after 200 ms.
+	onDemandEvery = 250 * time.Millisecond
 	// firstPause and lastPause bound the wait after a reading that failed: an
 	// instance that the store turns away lives on what its peers tell.
 	firstPause = 250 * time.Millisecond
@@ -26,8 +29,12 @@
 	mu       sync.Mutex
 	patience time.Duration
 	lastRead int64
-	failed   int64
-	pause    time.Duration
+	// regular is the last reading as the regular reader, 0 if this instance is not
+	// it. It becomes the regular reader when its patience has ended, not by its
+	// start or by what packets ask for.
+	regular int64
+	failed  int64
+	pause   time.Duration
 }
 
 // NewPlan returns the plan of an instance that has read nothing yet.
@@ -43,32 +50,50 @@
 	if known == 0 {
 		return p.failed + int64(p.pause)
 	}
-	patience := p.patience
-	if known == p.lastRead && !alone {
-		// Nobody else has read since: this instance is the regular reader.
-		patience = Period
+	if p.regular != 0 && !alone {
+		return p.regular + int64(Period)
 	}
-	return max(known+int64(patience), p.failed+int64(p.pause))
+	return max(known+int64(p.patience), p.failed+int64(p.pause))
 }
 
-// Succeeded notes a reading that began at a time.
-func (p *Plan) Succeeded(began int64) {
+// Regular reports whether this instance is the regular reader.
+func (p *Plan) Regular() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastRead, p.failed, p.pause = began, 0, 0
+	return p.regular != 0
+}
+
+// Yield leaves regular reading to another instance.
+func (p *Plan) Yield() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.regular = 0
+}
+
+// MayRead reports whether a packet may ask for a reading at a time.
+func (p *Plan) MayRead(now int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.pause > 0 && now < p.failed+int64(p.pause) {
+		return false
+	}
+	return p.lastRead == 0 || now >= p.lastRead+int64(onDemandEvery)
 }
 
-// Paused reports whether a reading failed so recently that none is to be made.
-func (p *Plan) Paused(now int64) bool {
+// Succeeded notes a reading that began at a time, and whether the plan called for it.
+func (p *Plan) Succeeded(began int64, planned bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.pause > 0 && now < p.failed+int64(p.pause)
+	if planned && p.lastRead != 0 {
+		p.regular = began
+	}
+	p.lastRead, p.failed, p.pause = began, 0, 0
 }
 
 // Failed notes a reading that failed.
 func (p *Plan) Failed(now int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.failed = now
+	p.failed, p.regular = now, 0
 	p.pause = min(max(2*p.pause, firstPause), lastPause)
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -115,31 +115,34 @@
 		if ctx.Err() != nil {
 			return
 		}
-		w.Refresh(ctx)
+		w.readOnce(ctx, true)
 	}
 }
 
-// Refresh reads the store now, unless it failed to a moment ago. Calls at the same
-// time share one reading.
+// Refresh reads the store because a packet asks for it, unless that has just been
+// done or failed.
 func (w *Watcher) Refresh(ctx context.Context) {
-	if w.Plan.Paused(w.Clock()) {
-		return
+	if w.Plan.MayRead(w.Clock()) {
+		w.readOnce(ctx, false)
 	}
+}
+
+// readOnce reads the store. Calls at the same time share one reading.
+func (w *Watcher) readOnce(ctx context.Context, planned bool) {
 	_, _, _ = w.flight.Do("", func() (any, error) {
-		w.refresh(ctx)
+		w.readNow(ctx, planned)
 		return nil, nil
 	})
 }
 
-func (w *Watcher) refresh(ctx context.Context) {
+func (w *Watcher) readNow(ctx context.Context, planned bool) {
 	began := w.Clock()
-	before := w.Mirror.Snapshot().Revision
-	if err := w.read(ctx, before); err != nil {
+	if err := w.read(ctx, w.Mirror.Snapshot().Revision); err != nil {
 		w.Plan.Failed(w.Clock())
 		w.lost(began, err)
 		return
 	}
-	w.Plan.Succeeded(began)
+	w.Plan.Succeeded(began, planned)
 	w.regained()
 	w.confirm(began)
 	w.lag.RecordDuration(time.Duration(w.Clock() - began))
