Find servers that refuse flows, and data centres out of reach

After a suspicion single flows are tried. A data centre whose servers are silent is sought with pings until an instance there answers. An instance that reaches no server reports not to be ready, so that the fabric sends its callers to another data centre.

Ruled out: contact alone clearing suspicions of servers: with all servers of a data centre down its instances still answer.

--- a/internal/catalogue/snapshot.go
+++ b/internal/catalogue/snapshot.go
@@ -33,6 +33,7 @@
 	routes    map[Destination]*Route
 	services  map[string]*Service
 	backends  map[string][]*Backend
+	names     []string
 	cookies   map[uint32]*Backend
 	evacuated map[string]bool
 }
@@ -54,9 +55,8 @@
 // Evacuated reports whether nothing new may be sent to a data centre.
 func (s *Snapshot) Evacuated(dataCentre string) bool { return s.evacuated[dataCentre] }
 
-// Services returns the number of services that have backend servers, and Size the
-// number of backend servers.
-func (s *Snapshot) Services() int { return len(s.backends) }
+// ServiceNames returns the services that have backend servers.
+func (s *Snapshot) ServiceNames() []string { return s.names }
 
 // Size returns the number of backend servers, removed ones included.
 func (s *Snapshot) Size() int { return len(s.cookies) }
@@ -94,6 +94,9 @@
 	if limits := s.services[b.Service]; limits != nil {
 		b.WarmupRate = limits.WarmupRate
 	}
+	if len(s.backends[b.Service]) == 0 {
+		s.names = append(s.names, b.Service)
+	}
 	s.backends[b.Service] = append(s.backends[b.Service], b)
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -60,6 +60,9 @@
 	Reader     Reader
 	// Missed takes a peer's report on a server. It must not block.
 	Missed func(suspicion.Report)
+	// Contact is told of an answer from a data centre that was sought. It must not
+	// block.
+	Contact func(dataCentre string)
 	// Resized is told the number of instances when it changes. It must not block.
 	Resized func(int)
 	Random  *rand.Rand
@@ -73,11 +76,15 @@
 // goroutines.
 type Exchange struct {
 	Options
+	// ctx ends when the exchange is closed.
+	ctx     context.Context
+	cancel  context.CancelFunc
 	peers   *peers
 	seeds   atomic.Pointer[[]netip.Addr]
 	conn    *net.UDPConn
 	server  net.Listener
 	pulling atomic.Bool
+	sought  sought
 	// told is the revision that the last digest to the audience led to.
 	told    atomic.Uint64
 	metrics metrics
@@ -99,8 +106,11 @@
 		return nil, Error.Wrap(errors.Join(err, conn.Close()))
 	}
 	scope := o.Scope.SubScope("exchange")
+	ctx, cancel := context.WithCancel(context.Background())
 	e := &Exchange{
 		Options: o,
+		ctx:     ctx,
+		cancel:  cancel,
 		peers:   newPeers(Peer{Address: o.Listen.Addr(), DataCentre: o.DataCentre}, o.Random),
 		conn:    conn,
 		server:  server,
@@ -120,6 +130,7 @@
 
 // Close ends all goroutines of the exchange.
 func (e *Exchange) Close() error {
+	e.cancel()
 	return Error.Wrap(errors.Join(e.conn.Close(), e.server.Close()))
 }
 
@@ -152,8 +163,8 @@
 func (e *Exchange) Alone() bool { return len(e.peers.local()) == 0 }
 
 // Run finds the other instances, and then writes to a peer at random now and
-// again, until the context ends.
-func (e *Exchange) Run(ctx context.Context) {
+// again, until the exchange is closed.
+func (e *Exchange) Run() {
 	began := e.Clock()
 	pause := firstPause
 	for {
@@ -164,7 +175,7 @@
 		}
 		pause := pause/2 + time.Duration(e.Random.Int64N(int64(pause)))
 		select {
-		case <-ctx.Done():
+		case <-e.ctx.Done():
 			return
 		case <-time.After(pause):
 		}
@@ -294,6 +305,14 @@
 		e.Missed(*m.Missed)
 		return
 	}
+	if m.Pong {
+		e.found(m.From.DataCentre)
+		return
+	}
+	if m.Ping {
+		e.sendAll(message{From: e.peers.self, Pong: true}, []netip.Addr{m.From.Address})
+		return
+	}
 	if m.Hello {
 		e.welcome(m.From)
 	}
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -32,6 +32,9 @@
 	Delta *catalogue.Delta `json:"delta,omitempty"`
 	// Relay asks the receiver to pass the digest on within its data centre.
 	Relay bool `json:"relay,omitempty"`
+	// Ping asks for an answer that is a Pong, to see whether a data centre is reached.
+	Ping bool `json:"ping,omitempty"`
+	Pong bool `json:"pong,omitempty"`
 	// Hello asks for an answer: the sender knows few instances yet.
 	Hello bool `json:"hello,omitempty"`
 	// Peers is a sample of those that the sender knows.
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -95,6 +95,19 @@
 	return out
 }
 
+// some returns up to n random peers of a data centre.
+func (p *peers) some(dataCentre string, n int) []netip.Addr {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []netip.Addr
+	for address, k := range p.table {
+		if k.dataCentre == dataCentre && len(out) < n {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
 // local returns the peers of this instance's data centre.
 func (p *peers) local() []netip.Addr {
 	p.mu.Lock()
--- a/internal/flowd/module.go
+++ b/internal/flowd/module.go
@@ -61,16 +61,19 @@
 type readiness struct {
 	leaving atomic.Bool
 	mirror  *catalogue.Mirror
+	links   *links
 }
 
-func newReadiness(m *catalogue.Mirror) *readiness { return &readiness{mirror: m} }
+func newReadiness(m *catalogue.Mirror, l *links) *readiness { return &readiness{mirror: m, links: l} }
 
 func (r *readiness) leave() { r.leaving.Store(true) }
 
-// ready reports whether a configuration and backend servers are known.
+// ready reports whether a configuration and backend servers are known and some of
+// the servers can be reached. The fabric sends callers of a data centre in which no
+// instance is ready to another one.
 func (r *readiness) ready() bool {
 	snap := r.mirror.Snapshot()
-	return !r.leaving.Load() && snap.Configuration != nil && snap.Size() > 0
+	return !r.leaving.Load() && snap.Configuration != nil && snap.Size() > 0 && r.links.reaches()
 }
 
 // links connects parts that need one another. They are set once all are built.
@@ -78,8 +81,11 @@
 	learned func()
 	alone   func() bool
 	missed  func(suspicion.Report)
+	seek    func(dataCentre string)
 	peer    func(suspicion.Report)
+	contact func(dataCentre string)
 	resized func(int)
+	reaches func() bool
 }
 
 func newLinks() *links { return &links{} }
@@ -105,6 +111,7 @@
 		Catalogue:  w,
 		Reader:     plan,
 		Missed:     func(r suspicion.Report) { l.peer(r) },
+		Contact:    func(dataCentre string) { l.contact(dataCentre) },
 		Resized:    func(n int) { l.resized(n) },
 		Random:     newRandom(),
 		Clock:      clock,
@@ -118,20 +125,21 @@
 }
 
 func newPath(s platform.Settings, m *catalogue.Mirror, w *watch.Watcher, l *links, log *slog.Logger, scope tally.Scope) (*flowpath.Path, error) {
-	limits := flowpath.WarmupLimits{Factor: s.WarmupFactor, Slack: s.WarmupSlack}
 	return flowpath.Open(flowpath.Options{
-		Codec:   platform.Codec{},
-		Decider: flowpath.NewDecider(s.DataCentre, limits),
-		Listen:  s.Packets,
+		Codec:      platform.Codec{},
+		Listen:     s.Packets,
+		DataCentre: s.DataCentre,
+		Limits:     flowpath.WarmupLimits{Factor: s.WarmupFactor, Slack: s.WarmupSlack},
 		Knowledge: func() flowpath.Knowledge {
 			known, since := w.Known()
 			return flowpath.Knowledge{Snapshot: m.Snapshot(), Known: known, Since: since}
 		},
-		Refresh: func() { w.Refresh(context.Background()) },
-		Missed:  func(r suspicion.Report) { l.missed(r) },
-		Clock:   clock,
-		Log:     telemetry.Part(log, "flows"),
-		Scope:   scope,
+		Refresh:     func() { w.Refresh(context.Background()) },
+		Missed:      func(r suspicion.Report) { l.missed(r) },
+		Unreachable: func(dataCentre string) { l.seek(dataCentre) },
+		Clock:       clock,
+		Log:         telemetry.Part(log, "flows"),
+		Scope:       scope,
 	})
 }
 
@@ -147,13 +155,16 @@
 	l.learned = e.Announce
 	l.alone = e.Alone
 	l.missed = e.ReportMissed
+	l.seek = e.Seek
 	l.peer = p.PeerMissed
+	l.contact = p.Contact
 	l.resized = p.SetInstances
+	l.reaches = p.Reaches
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go w.Run(ctx)
-			go e.Run(ctx)
+			go e.Run()
 			go e.Receive()
 			go e.Serve()
 			go p.Release()
--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -71,8 +71,16 @@
 	Tier    selection.Tier
 	// Service is the one that the flow was opened for.
 	Service string
-	// Missed is the server that did not answer the packet before, or nil.
-	Missed *catalogue.Backend
+	// Unanswered is the server that did not answer the packet before, or nil.
+	Unanswered *catalogue.Backend
+}
+
+// Observer is told what the traffic shows of servers.
+type Observer interface {
+	// Unanswered tells of a server whose handshake did not come, and what follows.
+	Unanswered(b *catalogue.Backend, f suspicion.Finding)
+	// Recovered tells of a suspected server that has answered.
+	Recovered(b *catalogue.Backend)
 }
 
 // Knowledge is the catalogue and how well it is known.
@@ -86,7 +94,9 @@
 // Decider decides about packets. It belongs to one goroutine.
 type Decider struct {
 	selector  selection.Selector
+	observer  Observer
 	flows     *flowtable.Table
+	openings  openings
 	suspicion *suspicion.Table
 	cold      *coldBudget
 	work      map[uint32]int
@@ -94,8 +104,9 @@
 }
 
 // NewDecider returns a decider for an instance of a data centre.
-func NewDecider(dataCentre string, limits WarmupLimits) *Decider {
+func NewDecider(dataCentre string, limits WarmupLimits, observer Observer) *Decider {
 	return &Decider{
+		observer:  observer,
 		selector:  selection.Selector{DataCentre: dataCentre},
 		flows:     flowtable.New(),
 		suspicion: suspicion.New(),
@@ -107,15 +118,35 @@
 // SetInstances sets the number of instances that share the limits of cold servers.
 func (d *Decider) SetInstances(n int) { d.cold.instances = max(1, n) }
 
-// PeerMissed takes another instance's report on an unanswered opening packet and
-// says whether it made the server suspected.
-func (d *Decider) PeerMissed(r suspicion.Report, now int64) bool { return d.suspicion.Missed(r, now) }
+// PeerMissed takes another instance's report on an unanswered opening packet.
+func (d *Decider) PeerMissed(r suspicion.Report, now int64) suspicion.Finding {
+	return d.suspicion.Missed(r, now)
+}
+
+// Contact notes that an instance of a data centre has answered this one.
+func (d *Decider) Contact(dataCentre string, now int64) { d.suspicion.Contact(dataCentre, now) }
+
+// Reachable reports whether some service has a server that is not suspected, or
+// none is suspected at all.
+func (d *Decider) Reachable(snap *catalogue.Snapshot, now int64) bool {
+	suspected := false
+	for _, c := range snap.ServiceNames() {
+		switch tier := d.selector.Best(snap, c, d, now); {
+		case tier < selection.Suspected:
+			return true
+		case tier == selection.Suspected:
+			suspected = true
+		}
+	}
+	return !suspected
+}
 
 // Decide decides about one packet.
 func (d *Decider) Decide(p *Packet, k Knowledge, now int64) Verdict {
 	if now-d.counted > int64(recountEvery) {
 		d.recount(now)
 	}
+	d.checkOpenings(k.Snapshot, now)
 	switch p.Kind {
 	case Opening:
 		return d.open(p, k, now)
@@ -131,6 +162,30 @@
 	d.counted = now
 }
 
+// checkOpenings looks for handshakes that should have come. A server that refuses
+// flows answers the caller directly, so the lack of a handshake is all that shows.
+func (d *Decider) checkOpenings(snap *catalogue.Snapshot, now int64) {
+	d.openings.observe(now)
+	for {
+		o, overdue := d.openings.overdue(now)
+		if !overdue {
+			return
+		}
+		e := d.flows.Find(o.flow)
+		if e != nil && e.State == flowtable.Opening && e.Sent == o.sent {
+			d.unanswered(snap.ByCookie(e.Cookie), now)
+		}
+	}
+}
+
+func (d *Decider) unanswered(b *catalogue.Backend, now int64) {
+	if b == nil {
+		return
+	}
+	f := d.suspicion.Missed(suspicion.Report{Server: b.Cookie, DataCentre: b.DataCentre}, now)
+	d.observer.Unanswered(b, f)
+}
+
 // open decides about an opening packet.
 func (d *Decider) open(p *Packet, k Knowledge, now int64) Verdict {
 	route := k.Snapshot.Route(p.Flow.To())
@@ -173,6 +228,8 @@
 	v.Backend = choice.Backend
 	e.State, e.Cookie, e.Sent, e.Last = flowtable.Opening, v.Backend.Cookie, now, now
 	d.work[e.Cookie]++
+	d.openings.add(hash, now)
+	d.suspicion.Tried(e.Cookie, now)
 	return v
 }
 
@@ -193,7 +250,7 @@
 		e.State, e.Cookie, e.Sent, e.Last = flowtable.Opening, tried, now, now
 		return Verdict{Backend: backend, Reason: Repeated, Service: v.Service}
 	}
-	v.Missed = backend
+	v.Unanswered = backend
 	if v.Backend != nil {
 		e.Tried, v.Reason = tried, Moved
 	}
@@ -257,11 +314,11 @@
 	if e.State == flowtable.Opening {
 		e.State, e.Cookie = flowtable.Open, b.Cookie
 		e.Acknowledged = p.Acknowledged
-		d.suspicion.Answered(b.Cookie, b.DataCentre, now)
+		d.answered(b, now)
 	}
 	if p.Acknowledged != e.Acknowledged {
 		e.Acknowledged, e.Busy = p.Acknowledged, false
-		d.suspicion.Answered(b.Cookie, b.DataCentre, now)
+		d.answered(b, now)
 	}
 	e.Last = now
 	switch {
@@ -274,6 +331,12 @@
 	}
 }
 
+func (d *Decider) answered(b *catalogue.Backend, now int64) {
+	if d.suspicion.Answered(b.Cookie, b.DataCentre, now) {
+		d.observer.Recovered(b)
+	}
+}
+
 // Suspected implements selection.View.
 func (d *Decider) Suspected(b *catalogue.Backend, now int64) bool {
 	return d.suspicion.Suspected(b.Cookie, now) || d.suspicion.Unreachable(b.DataCentre, now)
--- a/internal/flowpath/log.go
+++ b/internal/flowpath/log.go
@@ -26,22 +26,13 @@
 		attributes = append(attributes, slog.String("service", v.Service), slog.String("tier", v.Tier.String()))
 	}
 	if v.Backend != nil {
-		attributes = append(attributes, slog.String("server", v.Backend.Name), slog.Float64("load", p.Decider.Load(v.Backend)))
+		attributes = append(attributes, slog.String("server", v.Backend.Name), slog.Float64("load", p.decider.Load(v.Backend)))
 	}
-	if v.Missed != nil {
-		attributes = append(attributes, slog.String("unanswered", v.Missed.Name))
+	if v.Unanswered != nil {
+		attributes = append(attributes, slog.String("unanswered", v.Unanswered.Name))
 	}
 	if packet.Cookie != 0 {
 		attributes = append(attributes, slog.Uint64("cookie", uint64(packet.Cookie)))
 	}
 	p.record.Write("Flow decided.", attributes...)
 }
-
-func (p *Path) logSuspected(cookie uint32, dataCentre, source string) {
-	p.metrics.suspicions.Inc(1)
-	name := ""
-	if b := p.Knowledge().Snapshot.ByCookie(cookie); b != nil {
-		name = b.Name
-	}
-	p.Log.Warn("Backend server is suspected.", "server", name, "data_centre", dataCentre, "evidence", source)
-}
--- a/internal/flowpath/metrics.go
+++ b/internal/flowpath/metrics.go
@@ -12,18 +12,19 @@
 // metrics holds the counters of the packet path, made beforehand so that counting
 // takes no lock.
 type metrics struct {
-	actions        [Hold + 1][len(reasonNames)]tally.Counter
-	packets        tally.Counter
-	copies         tally.Counter
-	malformed      tally.Counter
-	readErrors     tally.Counter
-	writeErrors    tally.Counter
-	holdsDropped   tally.Counter
-	reportsDropped tally.Counter
-	suspicions     tally.Counter
-	age            tally.Gauge
-	handling       tally.Histogram
-	seen           uint64
+	actions      [Hold + 1][len(reasonNames)]tally.Counter
+	packets      tally.Counter
+	copies       tally.Counter
+	malformed    tally.Counter
+	readErrors   tally.Counter
+	writeErrors  tally.Counter
+	holdsDropped tally.Counter
+	newsDropped  tally.Counter
+	unanswered   tally.Counter
+	suspicions   tally.Counter
+	age          tally.Gauge
+	handling     tally.Histogram
+	seen         uint64
 }
 
 var actionNames = [...]string{"forward", "reset", "drop", "hold"}
@@ -40,16 +41,17 @@
 func newMetrics(scope tally.Scope) metrics {
 	scope = scope.SubScope("flows")
 	m := metrics{
-		packets:        scope.Counter("packets"),
-		copies:         scope.Counter("opening_copies"),
-		malformed:      scope.Counter("packets_malformed"),
-		readErrors:     scope.Counter("read_errors"),
-		writeErrors:    scope.Counter("write_errors"),
-		holdsDropped:   scope.Counter("holds_dropped"),
-		reportsDropped: scope.Counter("reports_dropped"),
-		suspicions:     scope.Counter("suspicions"),
-		age:            scope.Gauge("catalogue_age_seconds"),
-		handling:       scope.Histogram("handling_seconds", handlingBuckets),
+		packets:      scope.Counter("packets"),
+		copies:       scope.Counter("opening_copies"),
+		malformed:    scope.Counter("packets_malformed"),
+		readErrors:   scope.Counter("read_errors"),
+		writeErrors:  scope.Counter("write_errors"),
+		holdsDropped: scope.Counter("holds_dropped"),
+		newsDropped:  scope.Counter("news_dropped"),
+		unanswered:   scope.Counter("openings_unanswered"),
+		suspicions:   scope.Counter("suspicions"),
+		age:          scope.Gauge("catalogue_age_seconds"),
+		handling:     scope.Histogram("handling_seconds", handlingBuckets),
 	}
 	for a := range m.actions {
 		for r := range m.actions[a] {
--- a/internal/flowpath/path.go
+++ b/internal/flowpath/path.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
 
+	"balsamfork/internal/catalogue"
 	"balsamfork/internal/decisionlog"
 	"balsamfork/internal/suspicion"
 )
@@ -25,22 +26,29 @@
 	socketBuffer = 1 << 20
 	// maxHeld bounds the packets that wait for a newer catalogue.
 	maxHeld = 64
-	// maxReports bounds reports of peers that wait to be taken.
-	maxReports = 256
+	// maxNews bounds what peers tell and waits to be taken.
+	maxNews = 256
+	// reviewEvery is how often the instance looks whether it reaches any server.
+	reviewEvery = 250 * time.Millisecond
 )
 
 // Options is what a path is built from.
 type Options struct {
-	Codec   Codec
-	Decider *Decider
+	Codec Codec
 	// Listen is where packets arrive.
 	Listen netip.AddrPort
+	// DataCentre is that of this instance.
+	DataCentre string
+	Limits     WarmupLimits
 	// Knowledge returns the catalogue.
 	Knowledge func() Knowledge
 	// Refresh asks for the catalogue to be read, and returns when this is done.
 	Refresh func()
 	// Missed tells the peers that a server did not answer. It must not block.
 	Missed func(suspicion.Report)
+	// Unreachable asks for a contact with a data centre whose servers don't answer;
+	// Contact is to be called once there is one. It must not block.
+	Unreachable func(dataCentre string)
 	// Clock returns the steady time in nanoseconds.
 	Clock func() int64
 	Log   *slog.Logger
@@ -50,6 +58,7 @@
 // Path carries packets between the fabric and backend servers.
 type Path struct {
 	Options
+	decider  *Decider
 	conn     *net.UDPConn
 	room     int
 	out      []byte
@@ -57,13 +66,21 @@
 	record   *decisionlog.Recorder
 	held     chan []byte
 	released chan []byte
-	reports  chan suspicion.Report
+	news     chan news
 	pending  atomic.Bool
+	reviewed int64
+	reaches  atomic.Bool
 	peers    atomic.Int32
 	lastRead atomic.Int64
 	closed   chan struct{}
 }
 
+// news is what peers tell: a report, or a contact with a data centre.
+type news struct {
+	report  suspicion.Report
+	contact string
+}
+
 // Open binds the socket.
 func Open(o Options) (*Path, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(o.Listen))
@@ -79,9 +96,11 @@
 		record:   decisionlog.NewRecorder(o.Log),
 		held:     make(chan []byte, maxHeld),
 		released: make(chan []byte, maxHeld),
-		reports:  make(chan suspicion.Report, maxReports),
+		news:     make(chan news, maxNews),
 		closed:   make(chan struct{}),
 	}
+	p.decider = NewDecider(o.DataCentre, o.Limits, p)
+	p.reaches.Store(true)
 	if err := conn.SetReadBuffer(socketBuffer); err != nil {
 		o.Log.Warn("Read buffer of the packet socket was not set.", "error", err)
 	}
@@ -100,17 +119,41 @@
 // SetInstances sets the number of instances, for shares of limits.
 func (p *Path) SetInstances(n int) { p.peers.Store(int32(n)) }
 
-// PeerMissed takes a peer's report. It does not block; a report without room is
-// dropped.
-func (p *Path) PeerMissed(r suspicion.Report) {
+// PeerMissed takes a peer's report. It does not block; news without room is dropped.
+func (p *Path) PeerMissed(r suspicion.Report) { p.tell(news{report: r}) }
+
+// Contact notes that an instance of a data centre has answered. It does not block.
+func (p *Path) Contact(dataCentre string) {
+	p.tell(news{contact: dataCentre})
+	p.wake()
+}
+
+func (p *Path) tell(n news) {
 	select {
-	case p.reports <- r:
+	case p.news <- n:
 		p.pending.Store(true)
 	default:
-		p.metrics.reportsDropped.Inc(1)
+		p.metrics.newsDropped.Inc(1)
 	}
 }
 
+// wake lets Run look at what waits although no packet has come.
+func (p *Path) wake() {
+	if err := p.conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		p.metrics.readErrors.Inc(1)
+	}
+}
+
+// Reaches reports whether this instance reaches a server of any service. While it
+// does not, asking makes it look again.
+func (p *Path) Reaches() bool {
+	reaches := p.reaches.Load()
+	if !reaches {
+		p.wake()
+	}
+	return reaches
+}
+
 // Run reads and forwards packets until the path is closed.
 func (p *Path) Run() error {
 	buffer := make([]byte, p.room+p.Codec.MaxPacket()+1)
@@ -121,7 +164,7 @@
 				return nil
 			}
 			if errors.Is(err, os.ErrDeadlineExceeded) {
-				p.takeReleased()
+				p.wakened()
 				continue
 			}
 			p.metrics.readErrors.Inc(1)
@@ -130,7 +173,10 @@
 		now := p.Clock()
 		p.lastRead.Store(now)
 		if p.pending.Load() {
-			p.takeReports(now)
+			p.takeNews(now)
+		}
+		if now-p.reviewed > int64(reviewEvery) {
+			p.review(now)
 		}
 		p.handle(buffer[:p.room+n], now, true)
 	}
@@ -146,41 +192,88 @@
 		case buffer := <-p.held:
 			p.Refresh()
 			p.released <- buffer
-			_ = p.conn.SetReadDeadline(time.Unix(1, 0))
+			p.wake()
 		}
 	}
 }
 
-// takeReleased decides again about packets that waited.
-func (p *Path) takeReleased() {
+// wakened decides again about packets that waited.
+func (p *Path) wakened() {
 	if err := p.conn.SetReadDeadline(time.Time{}); err != nil {
+		p.metrics.readErrors.Inc(1)
 		return
 	}
+	now := p.Clock()
+	p.takeNews(now)
+	p.review(now)
 	for {
 		select {
 		case buffer := <-p.released:
-			p.handle(buffer, p.Clock(), false)
+			p.handle(buffer, now, false)
 		default:
 			return
 		}
 	}
 }
 
-func (p *Path) takeReports(now int64) {
+func (p *Path) takeNews(now int64) {
 	p.pending.Store(false)
+	p.decider.SetInstances(int(p.peers.Load()))
 	for {
 		select {
-		case r := <-p.reports:
-			if p.Decider.PeerMissed(r, now) {
-				p.logSuspected(r.Server, r.DataCentre, "peers")
-			}
+		case n := <-p.news:
+			p.takeOne(n, now)
 		default:
-			p.Decider.SetInstances(int(p.peers.Load()))
 			return
 		}
 	}
 }
 
+func (p *Path) takeOne(n news, now int64) {
+	if n.contact != "" {
+		p.decider.Contact(n.contact, now)
+		p.Log.Info("Data centre has answered.", "data_centre", n.contact)
+		return
+	}
+	b := p.Knowledge().Snapshot.ByCookie(n.report.Server)
+	if b != nil {
+		p.found(b, p.decider.PeerMissed(n.report, now), "peers")
+	}
+}
+
+// review looks whether this instance reaches any server.
+func (p *Path) review(now int64) {
+	p.reviewed = now
+	reaches := p.decider.Reachable(p.Knowledge().Snapshot, now)
+	if p.reaches.Swap(reaches) != reaches {
+		p.Log.Warn("Reach has changed.", "reaches_servers", reaches)
+	}
+}
+
+// Unanswered implements Observer.
+func (p *Path) Unanswered(b *catalogue.Backend, f suspicion.Finding) {
+	p.metrics.unanswered.Inc(1)
+	p.found(b, f, "own traffic")
+	p.Missed(suspicion.Report{Server: b.Cookie, DataCentre: b.DataCentre})
+}
+
+// Recovered implements Observer.
+func (p *Path) Recovered(b *catalogue.Backend) {
+	p.Log.Info("Backend server answers again.", "server", b.Name, "data_centre", b.DataCentre)
+}
+
+// found logs a finding and follows it up.
+func (p *Path) found(b *catalogue.Backend, f suspicion.Finding, evidence string) {
+	if f.Suspected {
+		p.metrics.suspicions.Inc(1)
+		p.Log.Warn("Backend server is suspected.", "server", b.Name, "data_centre", b.DataCentre, "evidence", evidence)
+	}
+	if f.Unreachable {
+		p.Log.Warn("Data centre is unreachable.", "data_centre", b.DataCentre, "evidence", evidence)
+		p.Unreachable(b.DataCentre)
+	}
+}
+
 // handle decides about one packet, which stands behind the headroom of a buffer.
 func (p *Path) handle(buffer []byte, now int64, mayHold bool) {
 	packet, ok := p.Codec.Decode(buffer[p.room:])
@@ -189,7 +282,7 @@
 		return
 	}
 	k := p.Knowledge()
-	v := p.Decider.Decide(&packet, k, now)
+	v := p.decider.Decide(&packet, k, now)
 	p.metrics.count(&packet, &v, now, k.Known)
 	switch v.Action {
 	case Forward:
@@ -205,9 +298,6 @@
 	if v.Reason != Known {
 		p.log(&packet, &v, k, now)
 	}
-	if v.Missed != nil {
-		p.missed(&v, now)
-	}
 }
 
 func (p *Path) forward(buffer []byte, v *Verdict) {
@@ -232,11 +322,3 @@
 		p.metrics.holdsDropped.Inc(1)
 	}
 }
-
-func (p *Path) missed(v *Verdict, now int64) {
-	r := suspicion.Report{Server: v.Missed.Cookie, DataCentre: v.Missed.DataCentre}
-	if p.Decider.PeerMissed(r, now) {
-		p.logSuspected(r.Server, r.DataCentre, "own traffic")
-	}
-	p.Missed(r)
-}
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -85,6 +85,17 @@
 	return Choice{Backend: chosen, Tier: tier}
 }
 
+// Best returns the best tier in which a service has a server.
+func (s Selector) Best(snap *catalogue.Snapshot, service string, v View, now int64) Tier {
+	best := Unusable
+	for _, b := range snap.Backends(service) {
+		if best = min(best, s.tier(snap, b, v, now)); best == Local {
+			break
+		}
+	}
+	return best
+}
+
 func (s Selector) tier(snap *catalogue.Snapshot, b *catalogue.Backend, v View, now int64) Tier {
 	switch {
 	case b.Draining, b.Ambiguous, b.Unreadable, snap.Evacuated(b.DataCentre):
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -1,9 +1,10 @@
 // Package suspicion finds backend servers and data centres that don't answer, from
-// the traffic itself: an opening packet that a caller repeats has not been
-// answered. One unanswered packet may be lost, and one instance may be at fault
-// itself, so a server is suspected on two accounts, of this instance or of its
-// peers, since its last sign of life. The package does no I/O and reads no clock;
-// it belongs to one goroutine.
+// the traffic itself: the handshake of an opening packet that was sent there does
+// not come. One packet may be lost, and one instance may be at fault itself, so a
+// server is suspected on two accounts, of this instance or of its peers, since its
+// last sign of life. When a suspicion ends, the server gets single flows as trials
+// until one is answered (a circuit breaker's half-open state). The package does no
+// I/O and reads no clock; it belongs to one goroutine.
 package suspicion
 
 import "time"
@@ -19,11 +20,14 @@
 	// store drops the entry of a dead server within about 5 s.
 	firstTerm = 2 * time.Second
 	lastTerm  = 8 * time.Second
-	// memory is how long a past suspicion makes the next one longer.
-	memory = 20 * time.Second
+	// trialEvery is the time between the trials of a server.
+	trialEvery = 300 * time.Millisecond
 	// silentServers is how many suspected servers of a data centre, none of whose
 	// servers has answered since, make it unreachable.
 	silentServers = 2
+	// unreachableFor is how long a data centre counts as unreachable without a
+	// contact: cuts of the pages last some 6 s, and contact is sought meanwhile.
+	unreachableFor = 12 * time.Second
 )
 
 // Report is one account of an unanswered opening packet.
@@ -35,23 +39,32 @@
 	DataCentre string
 }
 
-// account is one recent report on a server.
-type account struct {
-	source uint64
-	at     int64
+// Finding is what a report leads to.
+type Finding struct {
+	// Suspected says that the server has become suspected, Unreachable that its
+	// data centre has become unreachable.
+	Suspected   bool
+	Unreachable bool
 }
 
 type server struct {
 	dataCentre string
-	accounts   [needed]account
-	answered   int64
-	since      int64
-	until      int64
-	term       time.Duration
+	// accounts holds the times of the last accounts, 0 for none.
+	accounts [needed]int64
+	answered int64
+	// since and until bound the last suspicion; term is its length. It is doubtful
+	// from its beginning until the server answers.
+	since    int64
+	until    int64
+	term     time.Duration
+	doubtful bool
+	tried    int64
 }
 
 type dataCentre struct {
-	answered int64
+	answered  int64
+	contacted int64
+	until     int64
 }
 
 // Table holds the evidence on all backend servers.
@@ -65,50 +78,88 @@
 	return &Table{servers: map[uint32]*server{}, dataCentres: map[string]*dataCentre{}}
 }
 
-// Missed takes a report and says whether it made the server suspected.
-func (t *Table) Missed(r Report, now int64) bool {
+// Missed takes a report.
+func (t *Table) Missed(r Report, now int64) Finding {
 	s := t.server(r.Server, r.DataCentre)
-	if now-s.answered < 0 || s.until > now {
-		return false
-	}
-	s.replaceOldest(account{source: r.Source, at: now})
-	for _, a := range s.accounts {
-		if a.at == 0 || a.at <= s.answered || now-a.at > int64(evidenceFor) {
-			return false
-		}
+	if s.until > now || !s.convicted(now) {
+		return Finding{}
 	}
 	s.suspect(now)
-	return true
+	return Finding{Suspected: true, Unreachable: t.judge(r.DataCentre, now)}
 }
 
-func (s *server) replaceOldest(a account) {
+// convicted notes an account and reports whether there are enough of them.
+func (s *server) convicted(now int64) bool {
 	oldest := 0
 	for i := range s.accounts {
-		if s.accounts[i].at < s.accounts[oldest].at {
+		if s.accounts[i] < s.accounts[oldest] {
 			oldest = i
 		}
 	}
-	s.accounts[oldest] = a
+	s.accounts[oldest] = now
+	if s.doubtful {
+		return true
+	}
+	for _, at := range s.accounts {
+		if at == 0 || at <= s.answered || now-at > int64(evidenceFor) {
+			return false
+		}
+	}
+	return true
 }
 
 func (s *server) suspect(now int64) {
-	if s.term == 0 || now-s.until > int64(memory) {
-		s.term = firstTerm
-	} else {
+	if s.doubtful {
 		s.term = min(2*s.term, lastTerm)
+	} else {
+		s.term = firstTerm
 	}
+	s.doubtful = true
 	s.since, s.until = now, now+int64(s.term)
 }
 
+// judge reports whether a data centre has become unreachable.
+func (t *Table) judge(where string, now int64) bool {
+	d := t.dataCentre(where)
+	if d.until > now {
+		return false
+	}
+	silent := 0
+	for _, s := range t.servers {
+		if s.dataCentre == where && s.until > now && s.since > max(d.answered, d.contacted) {
+			silent++
+		}
+	}
+	if silent < silentServers {
+		return false
+	}
+	d.until = now + int64(unreachableFor)
+	return true
+}
+
 // Answered notes a sign of life of a server and says whether it ends a suspicion.
 func (t *Table) Answered(id uint32, where string, now int64) bool {
 	s := t.server(id, where)
-	ended := s.until > now
-	s.answered, s.until = now, min(s.until, now)
-	t.dataCentre(where).answered = now
+	ended := s.doubtful
+	s.answered, s.doubtful, s.until = now, false, min(s.until, now)
+	d := t.dataCentre(where)
+	d.answered, d.until = now, min(d.until, now)
 	return ended
 }
 
+// Contact notes that an instance of a data centre has answered this one.
+func (t *Table) Contact(where string, now int64) {
+	d := t.dataCentre(where)
+	d.contacted, d.until = now, min(d.until, now)
+}
+
+// Tried notes that a flow was sent to a server.
+func (t *Table) Tried(id uint32, now int64) {
+	if s := t.servers[id]; s != nil {
+		s.tried = now
+	}
+}
+
 // Answers returns when a server last gave a sign of life, 0 if never.
 func (t *Table) Answers(id uint32) int64 {
 	if s := t.servers[id]; s != nil {
@@ -117,22 +168,19 @@
 	return 0
 }
 
-// Suspected reports whether a server is to get no new flows.
+// Suspected reports whether a server is to get no new flow now.
 func (t *Table) Suspected(id uint32, now int64) bool {
 	s := t.servers[id]
-	return s != nil && s.until > now
+	if s == nil || !s.doubtful {
+		return false
+	}
+	return s.until > now || now-s.tried < int64(trialEvery)
 }
 
-// Unreachable reports whether the servers of a data centre don't answer.
+// Unreachable reports whether a data centre can't be reached.
 func (t *Table) Unreachable(where string, now int64) bool {
-	silent := 0
-	answered := t.dataCentre(where).answered
-	for _, s := range t.servers {
-		if s.dataCentre == where && s.until > now && s.since > answered {
-			silent++
-		}
-	}
-	return silent >= silentServers
+	d := t.dataCentres[where]
+	return d != nil && d.until > now
 }
 
 // Forget drops the servers that keep reports false for.
