Wait for other data centres before counting on them after a start

Change: an instance without servers of its own data centre is ready once one of the others has answered a ping, or after 6 s.

--- a/internal/flowd/module.go
+++ b/internal/flowd/module.go
@@ -152,7 +152,10 @@
 
 // connect links the parts and runs them.
 func connect(lc fx.Lifecycle, l *links, w *watch.Watcher, e *exchange.Exchange, p *flowpath.Path, log *slog.Logger) {
-	l.learned = e.Announce
+	l.learned = func() {
+		p.Learned()
+		e.Announce()
+	}
 	l.alone = e.Alone
 	l.missed = e.ReportMissed
 	l.seek = e.Seek
--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -1,6 +1,7 @@
 package flowpath
 
 import (
+	"slices"
 	"time"
 
 	"balsamfork/internal/catalogue"
@@ -18,6 +19,9 @@
 	// cookie that it lacks counts as that of a removed server. It covers entries that
 	// lapsed while the store was away.
 	settledFor = 3 * time.Second
+	// unseenFor is how long after its start an instance waits for data centres that
+	// it depends on to answer. It covers the usual cut of the pages.
+	unseenFor = 6 * time.Second
 	// recountEvery is how often the work of backend servers is counted anew from
 	// the flows.
 	recountEvery = 250 * time.Millisecond
@@ -101,6 +105,8 @@
 	cold      *coldBudget
 	work      map[uint32]int
 	counted   int64
+	// began is the first look at what can be reached.
+	began int64
 }
 
 // NewDecider returns a decider for an instance of a data centre.
@@ -126,19 +132,59 @@
 // Contact notes that an instance of a data centre has answered this one.
 func (d *Decider) Contact(dataCentre string, now int64) { d.suspicion.Contact(dataCentre, now) }
 
-// Reachable reports whether some service has a server that is not suspected, or
-// none is suspected at all.
-func (d *Decider) Reachable(snap *catalogue.Snapshot, now int64) bool {
+// Reach is what an instance can do for callers.
+type Reach struct {
+	// Servers says that some service has a server that can be reached, or that none
+	// is suspected.
+	Servers bool
+	// Unseen holds data centres whose servers are needed and of which nothing has
+	// been heard since the start.
+	Unseen []string
+}
+
+// Reach looks which servers can be reached. An instance that depends on other data
+// centres does not count on them before they have answered: it may have started
+// behind a cut.
+func (d *Decider) Reach(snap *catalogue.Snapshot, now int64) Reach {
+	if d.began == 0 {
+		d.began = now
+	}
+	var r Reach
 	suspected := false
-	for _, c := range snap.ServiceNames() {
-		switch tier := d.selector.Best(snap, c, d, now); {
-		case tier < selection.Suspected:
-			return true
-		case tier == selection.Suspected:
+	for _, service := range snap.ServiceNames() {
+		switch d.selector.Best(snap, service, d, now) {
+		case selection.Local, selection.Cold:
+			return Reach{Servers: true}
+		case selection.Remote:
+			unseen := d.unseen(snap, service, now)
+			r.Servers = r.Servers || len(unseen) == 0
+			r.Unseen = append(r.Unseen, unseen...)
+		case selection.Suspected:
 			suspected = true
 		}
 	}
-	return !suspected
+	if !suspected && len(r.Unseen) == 0 {
+		r.Servers = true
+	}
+	return r
+}
+
+// unseen returns the data centres of a service's servers if none of them has been
+// heard of since the start.
+func (d *Decider) unseen(snap *catalogue.Snapshot, service string, now int64) []string {
+	if now-d.began > int64(unseenFor) {
+		return nil
+	}
+	var out []string
+	for _, b := range snap.Backends(service) {
+		if d.suspicion.Seen(b.DataCentre) {
+			return nil
+		}
+		if b.DataCentre != d.selector.DataCentre && !slices.Contains(out, b.DataCentre) {
+			out = append(out, b.DataCentre)
+		}
+	}
+	return out
 }
 
 // Decide decides about one packet.
--- a/internal/flowpath/path.go
+++ b/internal/flowpath/path.go
@@ -100,7 +100,6 @@
 		closed:   make(chan struct{}),
 	}
 	p.decider = NewDecider(o.DataCentre, o.Limits, p)
-	p.reaches.Store(true)
 	if err := conn.SetReadBuffer(socketBuffer); err != nil {
 		o.Log.Warn("Read buffer of the packet socket was not set.", "error", err)
 	}
@@ -144,6 +143,13 @@
 	}
 }
 
+// Learned tells that the catalogue has been read.
+func (p *Path) Learned() {
+	if !p.reaches.Load() {
+		p.wake()
+	}
+}
+
 // Reaches reports whether this instance reaches a server of any service. While it
 // does not, asking makes it look again.
 func (p *Path) Reaches() bool {
@@ -244,9 +250,12 @@
 // review looks whether this instance reaches any server.
 func (p *Path) review(now int64) {
 	p.reviewed = now
-	reaches := p.decider.Reachable(p.Knowledge().Snapshot, now)
-	if p.reaches.Swap(reaches) != reaches {
-		p.Log.Warn("Reach has changed.", "reaches_servers", reaches)
+	reach := p.decider.Reach(p.Knowledge().Snapshot, now)
+	for _, dataCentre := range reach.Unseen {
+		p.Unreachable(dataCentre)
+	}
+	if p.reaches.Swap(reach.Servers) != reach.Servers {
+		p.Log.Info("Reach has changed.", "reaches_servers", reach.Servers, "unseen", reach.Unseen)
 	}
 }
 
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -177,6 +177,12 @@
 	return s.until > now || now-s.tried < int64(trialEvery)
 }
 
+// Seen reports whether a data centre has ever shown a sign of life.
+func (t *Table) Seen(where string) bool {
+	d := t.dataCentres[where]
+	return d != nil && (d.answered != 0 || d.contacted != 0)
+}
+
 // Unreachable reports whether a data centre can't be reached.
 func (t *Table) Unreachable(where string, now int64) bool {
 	d := t.dataCentres[where]
