Reset open flows of a server that several instances find dead

Change: four accounts of at least two instances since the last sign of life, of which two were handshakes that did not come, make a server of the own data centre dead, and its flows are reset on their next packet. Data that a caller repeats is an account against a server that is already suspected.

Repeated data alone: an answer may take longer than the caller's 200 ms.

--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -53,6 +53,7 @@
 	NoServer
 	ColdLimit
 	ServerGone
+	ServerDead
 	UnknownCookie
 	NoCookie
 	Forged
@@ -61,6 +62,7 @@
 
 var reasonNames = [...]string{
 	"placed", "repeated", "moved", "known", "repaired", "no_route", "no_server", "cold_limit", "server_gone",
+	"server_dead",
 	"unknown_cookie", "no_cookie", "forged", "stale_catalogue",
 }
 
@@ -336,9 +338,20 @@
 		return Verdict{Action: Reset, Reason: ServerGone, Backend: backend}
 	}
 	d.note(p, e, hash, backend, now)
+	if d.dead(backend, now) {
+		return Verdict{Action: Reset, Reason: ServerDead, Backend: backend}
+	}
 	return Verdict{Action: Forward, Reason: reason, Backend: backend}
 }
 
+// dead reports whether a server is certain to be dead, so that its callers do better
+// elsewhere. Only servers of the own data centre are judged: the way to another one
+// may be cut while they live.
+func (d *Decider) dead(b *catalogue.Backend, now int64) bool {
+	return b.DataCentre == d.selector.DataCentre && d.suspicion.Dead(b.Cookie) &&
+		!d.suspicion.Unreachable(b.DataCentre, now)
+}
+
 // unknown decides about a cookie that the catalogue lacks.
 func (d *Decider) unknown(k Knowledge, now int64) Verdict {
 	v := Verdict{Action: Hold, Reason: UnknownCookie}
@@ -372,8 +385,18 @@
 		d.flows.Remove(e)
 	case p.Finish:
 		e.State, e.Busy = flowtable.Closing, false
+	case p.Data > 0 && e.Busy && p.Sequence == e.Sequence:
+		d.repeated(b, now)
 	case p.Data > 0:
-		e.Busy = true
+		e.Busy, e.Sequence = true, p.Sequence
+	}
+}
+
+// repeated takes data that a caller has sent again. An answer may take longer than
+// that, so it counts only against a server that no longer accepts flows either.
+func (d *Decider) repeated(b *catalogue.Backend, now int64) {
+	if d.suspicion.Suspected(b.Cookie, now) {
+		d.unanswered(b, now)
 	}
 }
 
--- a/internal/flowpath/decider_test.go
+++ b/internal/flowpath/decider_test.go
@@ -189,6 +189,53 @@
 	}
 }
 
+// TestOpenFlowsOfADeadServer answers long flows whose server has fallen silent: its
+// callers are told at once to come back once several instances find it dead.
+func TestOpenFlowsOfADeadServer(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		dataCentre string
+		source     uint64
+		want       Action
+	}{
+		{"on the word of two instances", "a", 7, Reset},
+		{"not on that of one", "a", 0, Forward},
+		{"not across data centres", "b", 7, Forward},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(1, func(s *catalogue.Server) { s.DataCentre = c.dataCentre })
+			b := w.open(1, 0).Backend
+			w.send(1, b.Cookie, 1, 0)
+			for range 3 {
+				w.now += 50 * ms
+				w.PeerMissed(suspicion.Report{Server: b.Cookie, DataCentre: c.dataCentre}, w.now)
+			}
+			w.PeerMissed(suspicion.Report{Server: b.Cookie, DataCentre: c.dataCentre, Source: c.source}, w.now)
+			is.Equal(w.send(1, b.Cookie, 1, 100).Action, c.want)
+			is.Equal(w.send(1, b.Cookie, 2, 100).Action, Forward) // an answer clears it
+		})
+	}
+}
+
+// TestRepeatedDataCountsOnlyAgainstASuspect holds for servers that take long to
+// answer.
+func TestRepeatedDataCountsOnlyAgainstASuspect(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, nil)
+	b := w.open(1, 0).Backend
+	w.send(1, b.Cookie, 1, 100)
+	w.now += 50 * ms
+	w.send(1, b.Cookie, 1, 100)
+	is.Equal(len(w.unanswered), 0)
+	for range 2 {
+		w.PeerMissed(suspicion.Report{Server: b.Cookie, DataCentre: "a", Source: 7}, w.now)
+	}
+	w.now += 50 * ms
+	w.send(1, b.Cookie, 1, 100)
+	is.Equal(w.unanswered, []string{"s0"})
+}
+
 // TestServersThatRefuseFlows answers a data centre whose servers are all down and
 // reset flows: callers see the resets, instances only that no handshake comes. The
 // flows go to the other data centre.
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -39,8 +39,9 @@
 	Tried uint32
 	// Sent is when the opening packet last went out, Last when a packet last came.
 	Sent, Last int64
-	// Acknowledged is the caller's last acknowledgement.
-	Acknowledged uint32
+	// Acknowledged is the caller's last acknowledgement, Sequence the position of
+	// its last data.
+	Acknowledged, Sequence uint32
 	// Busy says that a request has gone out since the last acknowledgement moved.
 	Busy bool
 }
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -15,6 +15,12 @@
 	evidenceFor = 1500 * time.Millisecond
 	// needed is how many accounts make a suspicion.
 	needed = 2
+	// deadAccounts is how many accounts, of two instances at least and within
+	// deadWithin, make a server dead: its open flows are reset then, which must never
+	// happen to a server that lives. At one lost datagram in a hundred, four in a row
+	// without an answer between are one in 10^8.
+	deadAccounts = 4
+	deadWithin   = 3 * time.Second
 	// firstTerm and lastTerm bound how long a suspicion lasts before the server is
 	// tried again; it doubles each time that the server still doesn't answer. The
 	// store drops the entry of a dead server within about 5 s.
@@ -47,10 +53,16 @@
 	Unreachable bool
 }
 
+type account struct {
+	source uint64
+	at     int64
+}
+
 type server struct {
 	dataCentre string
-	// accounts holds the times of the last accounts, 0 for none.
-	accounts [needed]int64
+	// accounts holds the last accounts, the newest first; those not later than
+	// answered don't count.
+	accounts [deadAccounts]account
 	answered int64
 	// since and until bound the last suspicion; term is its length. It is doubtful
 	// from its beginning until the server answers.
@@ -81,6 +93,8 @@
 // Missed takes a report.
 func (t *Table) Missed(r Report, now int64) Finding {
 	s := t.server(r.Server, r.DataCentre)
+	copy(s.accounts[1:], s.accounts[:])
+	s.accounts[0] = account{source: r.Source, at: now}
 	if s.until > now || !s.convicted(now) {
 		return Finding{}
 	}
@@ -88,24 +102,38 @@
 	return Finding{Suspected: true, Unreachable: t.judge(r.DataCentre, now)}
 }
 
-// convicted notes an account and reports whether there are enough of them.
+// convicted reports whether the accounts make the server suspected.
 func (s *server) convicted(now int64) bool {
-	oldest := 0
-	for i := range s.accounts {
-		if s.accounts[i] < s.accounts[oldest] {
-			oldest = i
+	return s.doubtful || s.count(now, evidenceFor) >= needed
+}
+
+// count returns the number of accounts in a span until now since the last answer.
+func (s *server) count(now int64, span time.Duration) int {
+	n := 0
+	for _, a := range s.accounts {
+		if a.at > s.answered && now-a.at <= int64(span) {
+			n++
 		}
 	}
-	s.accounts[oldest] = now
-	if s.doubtful {
-		return true
+	return n
+}
+
+// Dead reports whether a server is certain not to answer any instance.
+func (t *Table) Dead(id uint32) bool {
+	s := t.servers[id]
+	if s == nil || !s.doubtful {
+		return false
 	}
-	for _, at := range s.accounts {
-		if at == 0 || at <= s.answered || now-at > int64(evidenceFor) {
-			return false
+	newest := s.accounts[0]
+	if s.count(newest.at, deadWithin) < deadAccounts {
+		return false
+	}
+	for _, a := range s.accounts[1:] {
+		if a.source != newest.source {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 func (s *server) suspect(now int64) {
--- a/internal/suspicion/suspicion_test.go
+++ b/internal/suspicion/suspicion_test.go
@@ -109,3 +109,35 @@
 	is.True(!s.Unreachable("b", at+3*ms))
 	is.True(s.Suspected(0, at+3*ms))
 }
+
+func TestDead(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		sources  []uint64
+		every    int64
+		answered int
+		dead     bool
+	}{
+		{"four accounts of two instances", []uint64{0, 0, 0, 5}, 100 * ms, -1, true},
+		{"of one instance alone", []uint64{0, 0, 0, 0, 0, 0}, 100 * ms, -1, false},
+		{"three accounts", []uint64{0, 5, 6}, 100 * ms, -1, false},
+		{"an answer between", []uint64{0, 5, 0, 5}, 100 * ms, 1, false},
+		{"too far apart", []uint64{0, 5, 0, 5}, 1400 * ms, -1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := New()
+			at := 1000 * ms
+			for i, source := range c.sources {
+				s.Missed(Report{Server: 1, Source: source}, at)
+				if i == c.answered {
+					s.Answered(1, "", at+ms)
+				}
+				at += c.every
+			}
+			is.Equal(s.Dead(1), c.dead)
+			s.Answered(1, "", at)
+			is.True(!s.Dead(1))
+		})
+	}
+}
