Explain a flow from the logs of instances

Cause: an operator had only single lines to go by.

Change: balsamfork explain; suspicion lines with their evidence; histograms of packet handling and of the lag of changes; balsamfork-flowd -check. Only bare acknowledgements and handshakes are signs of life.

Tests: TestOpenFlowsOfADeadServer (its repeated acknowledgement failed before), internal/explain.

--- a/cmd/balsamfork-flowd/main.go
+++ b/cmd/balsamfork-flowd/main.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"log/slog"
 	"os"
@@ -38,15 +39,23 @@
 )
 
 func main() {
-	os.Exit(run())
+	os.Exit(run(os.Args[1:]))
 }
 
-func run() int {
+func run(args []string) int {
+	flags := flag.NewFlagSet("balsamfork-flowd", flag.ContinueOnError)
+	check := flags.Bool("check", false, "check the settings and exit")
+	if err := flags.Parse(args); err != nil {
+		return exitSettings
+	}
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
+	if *check {
+		return exitOK
+	}
 	debug.SetGCPercent(garbageCollection)
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryLimit)))
 	out := decisionlog.NewWriter(os.Stdout)
--- a/internal/cli/groups.go
+++ b/internal/cli/groups.go
@@ -12,7 +12,7 @@
 		{"declarations", []*command{validateCommand(env), planCommand(env), applyCommand(env)}},
 		{"operation", []*command{
 			drainCommand(env), undrainCommand(env), takeoutCommand(env), returnCommand(env),
-			statusCommand(env), auditCommand(env), restoreCommand(env),
+			statusCommand(env), auditCommand(env), restoreCommand(env), explainCommand(env),
 		}},
 		{"other", []*command{keysCommand(env), demoCommand(env), versionCommand(env)}},
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -186,7 +186,7 @@
 // young instance asks all seeds for an answer.
 func (e *Exchange) gossip(young bool) {
 	for _, lost := range e.peers.sweep(e.Clock()) {
-		e.Log.Info("Instance is lost.", "instance", lost.Address.String(), "data_centre", lost.DataCentre,
+		e.Log.Info("Instance is lost.", "peer", lost.Address.String(), "data_centre", lost.DataCentre,
 			"silent_ms", lost.HeardMS)
 		e.resized()
 	}
@@ -263,7 +263,7 @@
 	}
 	for _, address := range to {
 		if _, err := e.conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(address, e.Listen.Port())); err != nil {
-			e.Log.Debug("Message was not sent.", "instance", address.String(), "error", err)
+			e.Log.Debug("Message was not sent.", "peer", address.String(), "error", err)
 			continue
 		}
 		e.metrics.sent.Inc(1)
@@ -331,7 +331,7 @@
 	grown := false
 	for _, peer := range append([]Peer{m.From}, m.Peers...) {
 		if e.peers.heard(peer, now) {
-			e.Log.Info("Instance is known.", "instance", peer.Address.String(), "data_centre", peer.DataCentre,
+			e.Log.Info("Instance is known.", "peer", peer.Address.String(), "data_centre", peer.DataCentre,
 				"from", m.From.Address.String())
 			grown = true
 		}
--- a/internal/exchange/pull.go
+++ b/internal/exchange/pull.go
@@ -28,7 +28,7 @@
 		e.metrics.pulls.Inc(1)
 		if err := e.pullNow(from); err != nil {
 			e.metrics.pullsFailed.Inc(1)
-			e.Log.Warn("Changes were not pulled.", "instance", from.String(), "error", err)
+			e.Log.Warn("Changes were not pulled.", "peer", from.String(), "error", err)
 		}
 	}()
 }
--- a/internal/flowd/flowd.go
+++ b/internal/flowd/flowd.go
@@ -63,7 +63,7 @@
 	if err := d.fx.Start(ctx); err != nil {
 		return Error.Wrap(err)
 	}
-	d.log.Info("Instance has started.", "instance", d.settings.Instance, "data_centre", d.settings.DataCentre,
+	d.log.Info("Instance has started.", "data_centre", d.settings.DataCentre,
 		"address", d.settings.Address.String(), "after_ms", float64(clock())/1e6)
 	return nil
 }
--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -377,7 +377,12 @@
 	}
 	if p.Acknowledged != e.Acknowledged {
 		e.Acknowledged, e.Busy = p.Acknowledged, false
-		d.answered(b, now)
+		// Data and ends are sent again and may carry an old acknowledgement that
+		// passed through another instance before; a bare one is only sent as data
+		// arrives.
+		if p.Data == 0 && !p.Finish {
+			d.answered(b, now)
+		}
 	}
 	e.Last = now
 	switch {
--- a/internal/flowpath/decider_test.go
+++ b/internal/flowpath/decider_test.go
@@ -213,7 +213,8 @@
 			}
 			w.PeerMissed(suspicion.Report{Server: b.Cookie, DataCentre: c.dataCentre, Source: c.source}, w.now)
 			is.Equal(w.send(1, b.Cookie, 1, 100).Action, c.want)
-			is.Equal(w.send(1, b.Cookie, 2, 100).Action, Forward) // an answer clears it
+			is.Equal(w.send(1, b.Cookie, 2, 100).Action, c.want) // an acknowledgement of before, sent again
+			is.Equal(w.send(1, b.Cookie, 3, 0).Action, Forward)  // an answer clears it
 		})
 	}
 }
--- a/internal/flowpath/metrics.go
+++ b/internal/flowpath/metrics.go
@@ -70,7 +70,10 @@
 		m.copies.Inc(1)
 	}
 	m.seen++
-	if m.seen%sampleEvery == 0 {
+	if m.sample() {
 		m.age.Update(time.Duration(now - known).Seconds())
 	}
 }
+
+// sample reports whether the packet that was counted last is one to measure.
+func (m *metrics) sample() bool { return m.seen%sampleEvery == 0 }
--- a/internal/flowpath/path.go
+++ b/internal/flowpath/path.go
@@ -185,6 +185,9 @@
 			p.review(now)
 		}
 		p.handle(buffer[:p.room+n], now, true)
+		if p.metrics.sample() {
+			p.metrics.handling.RecordDuration(time.Duration(p.Clock() - now))
+		}
 	}
 }
 
@@ -275,7 +278,8 @@
 func (p *Path) found(b *catalogue.Backend, f suspicion.Finding, evidence string) {
 	if f.Suspected {
 		p.metrics.suspicions.Inc(1)
-		p.Log.Warn("Backend server is suspected.", "server", b.Name, "data_centre", b.DataCentre, "evidence", evidence)
+		p.Log.Warn("Backend server is suspected.", "server", b.Name, "data_centre", b.DataCentre,
+			"evidence", evidence, "accounts", f.Accounts, "silent_ms", f.Silent.Milliseconds())
 	}
 	if f.Unreachable {
 		p.Log.Warn("Data centre is unreachable.", "data_centre", b.DataCentre, "evidence", evidence)
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -51,6 +51,10 @@
 	// data centre has become unreachable.
 	Suspected   bool
 	Unreachable bool
+	// Accounts is how many accounts there are since the server's last sign of life,
+	// and Silent how long ago that was; 0 if there was none.
+	Accounts int
+	Silent   time.Duration
 }
 
 type account struct {
@@ -95,11 +99,17 @@
 	s := t.server(r.Server, r.DataCentre)
 	copy(s.accounts[1:], s.accounts[:])
 	s.accounts[0] = account{source: r.Source, at: now}
+	f := Finding{Accounts: s.count(now, deadWithin)}
+	if s.answered != 0 {
+		f.Silent = time.Duration(now - s.answered)
+	}
 	if s.until > now || !s.convicted(now) {
-		return Finding{}
+		return f
 	}
 	s.suspect(now)
-	return Finding{Suspected: true, Unreachable: t.judge(r.DataCentre, now)}
+	f.Suspected = true
+	f.Unreachable = t.judge(r.DataCentre, now)
+	return f
 }
 
 // convicted reports whether the accounts make the server suspected.
--- a/internal/suspicion/suspicion_test.go
+++ b/internal/suspicion/suspicion_test.go
@@ -85,7 +85,7 @@
 	for server := uint32(1); server <= 2; server++ {
 		s.Missed(Report{Server: server, DataCentre: "b"}, at+ms)
 		f := s.Missed(Report{Server: server, DataCentre: "b"}, at+2*ms)
-		is.Equal(f, Finding{Suspected: true, Unreachable: server == 2})
+		is.Equal(f, Finding{Suspected: true, Unreachable: server == 2, Accounts: 2, Silent: 2 * time.Millisecond})
 	}
 	s.Answered(7, "a", at+3*ms)
 	is.True(s.Unreachable("b", at+4*ms))
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -48,6 +48,7 @@
 	flight  singleflight.Group
 	changed chan struct{}
 	entries tally.Counter
+	reading tally.Histogram
 	lag     tally.Histogram
 }
 
@@ -58,7 +59,8 @@
 		Options: o,
 		changed: make(chan struct{}, 1),
 		entries: scope.Counter("changes"),
-		lag:     scope.Histogram("reading_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)),
+		reading: scope.Histogram("reading_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)),
+		lag:     scope.Histogram("change_lag_seconds", tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 2, 12)),
 	}
 }
 
@@ -145,7 +147,7 @@
 	w.Plan.Succeeded(began, planned)
 	w.regained()
 	w.confirm(began)
-	w.lag.RecordDuration(time.Duration(w.Clock() - began))
+	w.reading.RecordDuration(time.Duration(w.Clock() - began))
 	w.Learned()
 }
 
@@ -202,6 +204,10 @@
 // report logs what has changed, one line a record.
 func (w *Watcher) report(changed []catalogue.Record, source string, age time.Duration) {
 	w.entries.Inc(int64(len(changed)))
+	if known := w.known.Load(); known != 0 && len(changed) > 0 {
+		// The change is younger than the last reading that did not have it.
+		w.lag.RecordDuration(time.Duration(w.Clock() - known))
+	}
 	if len(changed) > maxLines {
 		w.Log.Info("Catalogue changed.", "records", len(changed), "source", source, "age_ms", age.Milliseconds(),
 			"revision", w.Mirror.Snapshot().Revision)
