--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,10 @@
 
 GO ?= go
 FUZZTIME ?= 10s
+SEED ?= 0
+SEEDS ?= 1
 
-.PHONY: demo test lint unit bench fuzz capacity build
+.PHONY: demo test lint unit bench fuzz soak capacity build
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -35,5 +37,9 @@
 	  done; \
 	done
 
+# Real processes under faults; SEED=0 runs the seeds of CI.
+soak:
+	$(GO) test -run '^TestSoak$$' -v -timeout 60m ./cmd/balsamfork-flowd -args -soak.seed $(SEED) -soak.seeds $(SEEDS)
+
 capacity:
 	$(GO) test -run '^TestCapacity' -v ./internal/capacity -args -print
--- /dev/null
+++ b/cmd/balsamfork-flowd/deployment_test.go
@@ -0,0 +1,283 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"balsamfork/platform/platformtest"
+)
+
+// The ports of all instances; each has an address of its own.
+const (
+	packetPort    = 8172
+	readinessPort = 8167
+	firstPort     = 7720
+	serverPort    = 8000
+)
+
+// The places of a deployment, and what is in each.
+const (
+	dataCentres  = 3
+	perCentre    = 3
+	serversEach  = 4
+	callersEach  = 3
+	probeEvery   = 500 * time.Millisecond
+	probeTimeout = 400 * time.Millisecond
+	missesToGo   = 2
+)
+
+// instance is one process.
+type instance struct {
+	name, dataCentre string
+	address          netip.Addr
+	settings, log    string
+	proxy            *platformtest.Proxy
+	process          *exec.Cmd
+	exited           chan error
+	mu               sync.Mutex
+	inRotation       atomic.Bool
+}
+
+// deployment is a platform with instances.
+type deployment struct {
+	t         testing.TB
+	network   byte
+	store     *platformtest.Store
+	server    *http.Server
+	instances []*instance
+	mu        sync.Mutex
+	servers   []*platformtest.Server
+	nextID    uint64
+	version   int
+	done      chan struct{}
+}
+
+func centre(n int) string { return string(rune('a' + n)) }
+
+func (d *deployment) address(kind, n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, d.network, byte(kind), byte(n + 1)})
+}
+
+// newDeployment starts a platform and its instances. Deployments with different
+// networks can run at the same time.
+func newDeployment(t testing.TB, network byte) *deployment {
+	d := &deployment{t: t, network: network, store: platformtest.NewStore(), nextID: 0xa0, done: make(chan struct{})}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	d.must(err)
+	d.server = &http.Server{Handler: d.store}
+	go func() { _ = d.server.Serve(listener) }()
+	d.configure()
+	for c := range dataCentres {
+		for range serversEach {
+			d.addServer("desk", c)
+		}
+		d.addServer("sheets", c)
+	}
+	for c := range dataCentres {
+		for n := range perCentre {
+			d.instances = append(d.instances, d.newInstance(c, n, listener.Addr().String()))
+		}
+	}
+	for _, i := range d.instances {
+		d.start(i)
+		go d.probe(i)
+	}
+	return d
+}
+
+func (d *deployment) must(err error) {
+	if err != nil {
+		d.t.Helper()
+		d.t.Fatal(err)
+	}
+}
+
+func (d *deployment) close() {
+	close(d.done)
+	for _, i := range d.instances {
+		i.mu.Lock()
+		d.end(i, syscall.SIGKILL)
+		i.mu.Unlock()
+		i.proxy.Close()
+	}
+	d.store.Close()
+	_ = d.server.Close()
+	for _, s := range d.live() {
+		s.Stop()
+	}
+}
+
+// The destinations of the two services.
+var (
+	deskAt   = netip.MustParseAddrPort("198.18.0.1:443")
+	sheetsAt = netip.MustParseAddrPort("198.18.0.2:443")
+)
+
+// configure writes the next version of the configuration.
+func (d *deployment) configure() {
+	d.version += 3
+	route := func(at netip.AddrPort, service string) map[string]any {
+		return map[string]any{
+			"name": service, "host": at.Addr().String(), "prefix": fmt.Sprintf("/%d/", at.Port()), "service": service,
+		}
+	}
+	d.store.Put("op/config", map[string]any{
+		"version": d.version,
+		"routes":  []any{route(deskAt, "desk"), route(sheetsAt, "sheets")},
+		"limits":  map[string]any{"idle_timeout_ms": 15000 + d.version},
+	})
+}
+
+// addServer starts a backend server and registers it.
+func (d *deployment) addServer(service string, c int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.nextID++
+	s := &platformtest.Server{Number: d.nextID, Port: packetPort, Entry: platformtest.Entry{
+		Service: service, Zone: centre(c), Slots: 4, State: "ready", Born: time.Now().UnixMilli(),
+		Address: netip.AddrPortFrom(d.address(10+c, int(d.nextID)), serverPort).String(),
+	}}
+	d.must(s.Start())
+	d.servers = append(d.servers, s)
+	d.store.Put(s.Key(), s.Entry)
+}
+
+// live returns the servers that have not been dropped.
+func (d *deployment) live() []*platformtest.Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]*platformtest.Server(nil), d.servers...)
+}
+
+// drop stops a server and removes its entry.
+func (d *deployment) drop(s *platformtest.Server) {
+	s.Stop()
+	d.store.Remove(s.Key())
+}
+
+func (d *deployment) newInstance(c, n int, store string) *instance {
+	proxy, err := platformtest.NewProxy(store)
+	d.must(err)
+	i := &instance{name: fmt.Sprintf("edge-%s-%d", centre(c), n+1), dataCentre: centre(c), address: d.address(1+c, n), proxy: proxy}
+	dir := d.t.TempDir()
+	i.settings, i.log = filepath.Join(dir, "node.json"), filepath.Join(dir, "log")
+	at := func(port int) string { return fmt.Sprintf("%v:%d", i.address, port) }
+	settings, err := json.Marshal(map[string]any{
+		"node_name": i.name, "zone": i.dataCentre, "ip": i.address.String(),
+		"listen":              map[string]any{"datagram_addr": at(packetPort), "ready_addr": at(readinessPort)},
+		"internal_port_range": []int{firstPort, firstPort + 15},
+		"seeds":               []string{netip.AddrPortFrom(d.address(1, 0), 8166).String(), netip.AddrPortFrom(d.address(2, 1), 8166).String()},
+		"limits":              map[string]any{"memory_mb": 206},
+		"bounds": map[string]any{
+			"grace_s": 6, "config_apply_ms": 3000, "drain_ms": 3000, "max_flow_s": 60, "warmup_burst_factor": 1.5, "warmup_slack": 5,
+		},
+		"forwarding_mode": "echo",
+		"platform":        map[string]any{"address": proxy.Address(), "forwarding_mode": "kv"},
+	})
+	d.must(err)
+	d.must(os.WriteFile(i.settings, settings, 0o600))
+	return i
+}
+
+// start starts the process of an instance.
+func (d *deployment) start(i *instance) {
+	out, err := os.OpenFile(i.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	d.must(err)
+	i.process = exec.Command(os.Args[0])
+	i.process.Env = append(os.Environ(), asInstance+"=1", "BALSAMFORK_NODE_FILE="+i.settings)
+	i.process.Stdout, i.process.Stderr = out, out
+	d.must(i.process.Start())
+	_ = out.Close()
+	i.exited = make(chan error, 1)
+	go func(process *exec.Cmd, exited chan<- error) { exited <- process.Wait() }(i.process, i.exited)
+}
+
+// errHangs says that a process did not end in its grace period.
+var errHangs = errors.New("the process did not end in time")
+
+// grace is the time from SIGTERM to SIGKILL.
+const grace = 6 * time.Second
+
+// end signals a process, waits for its end and returns how it ended.
+func (d *deployment) end(i *instance, s syscall.Signal) error {
+	_ = i.process.Process.Signal(s)
+	select {
+	case err := <-i.exited:
+		return err
+	case <-time.After(grace):
+		_ = i.process.Process.Kill()
+		<-i.exited
+		return errHangs
+	}
+}
+
+// probe keeps an instance in and out of rotation as the fabric does.
+func (d *deployment) probe(i *instance) {
+	client := &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	misses := 0
+	for {
+		response, err := client.Get(fmt.Sprintf("http://%v:%d/readyz", i.address, readinessPort))
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		if err == nil && response.StatusCode == http.StatusOK {
+			misses = 0
+			i.inRotation.Store(true)
+		} else if misses++; misses >= missesToGo {
+			i.inRotation.Store(false)
+		}
+		select {
+		case <-d.done:
+			return
+		case <-time.After(probeEvery):
+		}
+	}
+}
+
+// route picks the instance for a flow of a data centre's caller, as the fabric does.
+func (d *deployment) route(dataCentre string) func(netip.AddrPort) (netip.AddrPort, bool) {
+	return func(flow netip.AddrPort) (netip.AddrPort, bool) {
+		var home, ready, elsewhere []*instance
+		for _, i := range d.instances {
+			switch in := i.inRotation.Load(); {
+			case i.dataCentre == dataCentre && in:
+				home, ready = append(home, i), append(ready, i)
+			case i.dataCentre == dataCentre:
+				home = append(home, i)
+			case in:
+				elsewhere = append(elsewhere, i)
+			}
+		}
+		chosen := ready
+		switch {
+		case len(ready) == 0 && len(elsewhere) > 0:
+			chosen = elsewhere
+		case 2*len(ready) < len(home):
+			chosen = home
+		}
+		i := chosen[int(flow.Port())%len(chosen)]
+		return netip.AddrPortFrom(i.address, packetPort), true
+	}
+}
+
+// holder returns the server at which a flow is open, or nil.
+func (d *deployment) holder(flow netip.AddrPort) *platformtest.Server {
+	for _, s := range d.live() {
+		if s.Holds(flow) {
+			return s
+		}
+	}
+	return nil
+}
