--- a/internal/app/connect.go
+++ b/internal/app/connect.go
@@ -20,7 +20,7 @@
 	"balsamfork/internal/keys"
 	"balsamfork/internal/link"
 	"balsamfork/internal/placement"
-	"balsamfork/internal/platform"
+	"balsamfork/internal/instancelist"
 	"balsamfork/internal/prober"
 	"balsamfork/internal/requestpath"
 	"balsamfork/internal/telemetry"
@@ -98,7 +98,7 @@
 	Settling  *handover.Coordinator
 	Settler   *confsettle.Settler
 	Prober    *prober.Prober
-	Platform  *platform.Reader
+	Platform  *instancelist.Reader
 	Ready     *configured
 }
 
--- a/internal/app/parts.go
+++ b/internal/app/parts.go
@@ -22,7 +22,7 @@
 	"balsamfork/internal/link"
 	"balsamfork/internal/member"
 	"balsamfork/internal/placement"
-	"balsamfork/internal/platform"
+	"balsamfork/internal/instancelist"
 	"balsamfork/internal/prober"
 	"balsamfork/internal/records"
 	"balsamfork/internal/requestpath"
@@ -157,8 +157,8 @@
 
 func newPlatform(
 	s *settings.Valid, c *storeclient.Client, g *gossip.Gossip, log *slog.Logger, scope tally.Scope,
-) *platform.Reader {
-	return platform.New(c, func(list []fleet.Instance) { g.Seed(append(list, s.Peers...)) }, seed(), log, scope)
+) *instancelist.Reader {
+	return instancelist.New(c, func(list []fleet.Instance) { g.Seed(append(list, s.Peers...)) }, seed(), log, scope)
 }
 
 func newExchanger(e *placement.Engine, l *link.Link, log *slog.Logger, scope tally.Scope) *handover.Exchanger {
--- a/internal/platform/platform.go
+++ b/internal/instancelist/instancelist.go
@@ -1,6 +1,6 @@
-// Package platform reads the platform's list of instances. The list lags behind
+// Package instancelist reads the platform's list of instances. The list lags behind
 // the truth: it is a seed for membership and nothing more.
-package platform
+package instancelist
 
 import (
 	"context"
@@ -24,7 +24,7 @@
 const MaxInstances = 4096
 
 // Malformed is the class of errors for a value that is no list of instances.
-var Malformed = errs.Class("platform: malformed list")
+var Malformed = errs.Class("instancelist: malformed list")
 
 const (
 	// period is the mean time between two readings: the whole fleet at 410
@@ -96,12 +96,12 @@
 
 // New makes a Reader that hands each list it reads to onList.
 func New(s store.Store, onList func([]fleet.Instance), seed uint64, log *slog.Logger, scope tally.Scope) *Reader {
-	scope = scope.SubScope("platform")
+	scope = scope.SubScope("instancelist")
 	return &Reader{
 		store:  s,
 		onList: onList,
 		random: rand.New(rand.NewPCG(seed, 0)),
-		log:    log.With("part", "platform"),
+		log:    log.With("part", "instancelist"),
 		failed: scope.Counter("readings_failed"),
 		reads:  scope.Counter("readings"),
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/instancelist/instancelist_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package instancelist_test
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"balsamfork/internal/fleet"
-	"balsamfork/internal/platform"
+	"balsamfork/internal/instancelist"
 	"balsamfork/internal/store"
 )
 
@@ -41,21 +41,21 @@
 
 func TestParse(t *testing.T) {
 	is := is.New(t)
-	got, err := platform.Parse([]byte(list))
+	got, err := instancelist.Parse([]byte(list))
 	is.NoErr(err)
 	is.Equal(len(got), 2)
 	is.Equal(got[0].DataCentre, "kuldiga")
 	is.Equal(got[1].State, fleet.Leaving)
 	for _, bad := range []string{"", "{}", `[{"id":"a"}]`, `[{"control":"10.0.0.1:7000"}]`, `[{"id":"a","control":"there"}]`} {
-		_, err := platform.Parse([]byte(bad))
-		is.True(platform.Malformed.Has(err))
+		_, err := instancelist.Parse([]byte(bad))
+		is.True(instancelist.Malformed.Has(err))
 	}
 }
 
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(list))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		got, err := platform.Parse(data)
+		got, err := instancelist.Parse(data)
 		if err != nil && got != nil {
 			t.Fatal("both a list and an error")
 		}
@@ -72,7 +72,7 @@
 		is := is.New(t)
 		s := &outage{begin: time.Now()}
 		var lists atomic.Int64
-		r := platform.New(s, func([]fleet.Instance) { lists.Add(1) }, 1, slog.New(slog.DiscardHandler), tally.NoopScope)
+		r := instancelist.New(s, func([]fleet.Instance) { lists.Add(1) }, 1, slog.New(slog.DiscardHandler), tally.NoopScope)
 		ctx, stop := context.WithCancel(t.Context())
 		go r.Run(ctx)
 		time.Sleep(10 * time.Minute)
