Let packets that waited, and suspended machines, blame no server

Logs of the instance that reset: within 80 ms of the thaw it had reports on 20 servers. The thawed instances had read opening packets that had waited in their sockets, sent them on, and waited for handshakes of callers that had long gone elsewhere.

--- a/cmd/balsamfork-flowd/soak_test.go
+++ b/cmd/balsamfork-flowd/soak_test.go
@@ -63,7 +63,6 @@
 	disturbed atomic.Int64
 	judging   atomic.Bool
 	counts    [platformtest.Mixed + 1]atomic.Int64
-	late      atomic.Int64
 	faults    sync.WaitGroup
 	mu        sync.Mutex
 	broken    []string
--- a/internal/flowd/flowd.go
+++ b/internal/flowd/flowd.go
@@ -64,7 +64,7 @@
 		return Error.Wrap(err)
 	}
 	d.log.Info("Instance has started.", "data_centre", d.settings.DataCentre,
-		"address", d.settings.Address.String(), "after_ms", float64(clock())/1e6)
+		"address", d.settings.Address.String(), "after_ms", float64(steady.Now())/1e6)
 	return nil
 }
 
--- a/internal/flowd/module.go
+++ b/internal/flowd/module.go
@@ -15,6 +15,7 @@
 	"go.uber.org/fx"
 
 	"balsamfork/internal/catalogue"
+	"balsamfork/internal/clock"
 	"balsamfork/internal/exchange"
 	"balsamfork/internal/flowpath"
 	"balsamfork/internal/suspicion"
@@ -43,11 +44,8 @@
 // metricsPort serves metrics, on the instance's own address.
 const metricsPort = 9464
 
-// clock returns the steady time since the start of the process, in nanoseconds. It
-// is never 0.
-func clock() int64 { return int64(time.Since(start)) + 1 }
-
-var start = time.Now()
+// steady is the clock of the process, from its start.
+var steady = clock.New()
 
 func newMetrics(lc fx.Lifecycle, s platform.Settings) (*telemetry.Metrics, tally.Scope) {
 	m := telemetry.NewMetrics(s.Instance)
@@ -97,7 +95,7 @@
 		Source:  platform.NewStore(s.Store, telemetry.Part(log, "store"), scope),
 		Mirror:  m,
 		Plan:    plan,
-		Clock:   clock,
+		Clock:   steady.Now,
 		Learned: func() { l.learned() },
 		Alone:   func() bool { return l.alone() },
 		Log:     telemetry.Part(log, "catalogue"),
@@ -117,7 +115,7 @@
 		Contact:    func(dataCentre string) { l.contact(dataCentre) },
 		Resized:    func(all, local int) { l.resized(all, local) },
 		Random:     newRandom(),
-		Clock:      clock,
+		Clock:      steady.Now,
 		Log:        telemetry.Part(log, "exchange"),
 		Scope:      scope,
 	})
@@ -141,7 +139,7 @@
 		Missed:      func(r suspicion.Report) { l.missed(r) },
 		Answered:    func(r suspicion.Report) { l.refute(r) },
 		Unreachable: func(dataCentre string) { l.seek(dataCentre) },
-		Clock:       clock,
+		Clock:       steady.Now,
 		Log:         telemetry.Part(log, "flows"),
 		Scope:       scope,
 	})
--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -27,6 +27,10 @@
 	// defaultNeighbours is how many instances are assumed to share a data centre's
 	// work until they are known: the usual number of the smaller deployments of today.
 	defaultNeighbours = 4
+	// stoodStill is a time without packets after which an instance may have been
+	// frozen, and for which it then takes no reports, as old ones may have waited. It
+	// is some ten times the usual gap on the smallest deployment.
+	stoodStill = 500 * time.Millisecond
 	// recountEvery is how often the work of backend servers is counted anew from
 	// the flows.
 	recountEvery = 250 * time.Millisecond
@@ -115,8 +119,9 @@
 	neighbours int
 	work       map[uint32]int
 	counted    int64
-	// drained is when no packet was last waiting to be read.
-	drained int64
+	// observed is when a packet was last read, drained when none was last waiting,
+	// and woke the end of the last time without packets.
+	observed, drained, woke int64
 	// began is the first look at what can be reached.
 	began int64
 }
@@ -143,11 +148,22 @@
 
 // PeerMissed takes another instance's report on an unanswered opening packet.
 func (d *Decider) PeerMissed(r suspicion.Report, now int64) suspicion.Finding {
+	if now-d.woke < int64(stoodStill) {
+		return suspicion.Finding{}
+	}
 	return d.suspicion.Missed(r, now)
 }
 
-// Drained notes that no packet was waiting to be read at a time.
-func (d *Decider) Drained(now int64) { d.drained = now }
+// Observe notes that a packet was read now, and when none was last waiting. After a
+// long gap the instance may have stood still: what it waits for, and what its peers
+// told meanwhile, is out of date.
+func (d *Decider) Observe(now, drained int64) {
+	if now-d.observed > int64(stoodStill) {
+		d.woke = now
+		d.openings = openings{}
+	}
+	d.observed, d.drained = now, drained
+}
 
 // PeerAnswered notes that a server has answered another instance.
 func (d *Decider) PeerAnswered(cookie uint32, dataCentre string, now int64) {
--- a/internal/flowpath/decider_test.go
+++ b/internal/flowpath/decider_test.go
@@ -27,10 +27,11 @@
 	unanswered []string
 	refuted    []string
 	// lagging stands for packets that wait to be read.
-	lagging bool
-	known   int64
-	since   int64
-	now     int64
+	lagging   bool
+	drainedAt int64
+	known     int64
+	since     int64
+	now       int64
 }
 
 func route(port uint16, service string) catalogue.Route {
@@ -54,6 +55,10 @@
 func newWorld(n int, change func(*catalogue.Server)) *world {
 	w := &world{mirror: catalogue.NewMirror(), known: start, since: start, now: start}
 	w.Decider = NewDecider("a", WarmupLimits{Factor: 1.5, Slack: 5}, w)
+	w.Observe(w.now-1000*ms, w.now-1000*ms)
+	for at := w.now - 1000*ms; at <= w.now; at += 100 * ms {
+		w.Observe(at, at)
+	}
 	records := []catalogue.Record{{
 		ID: catalogue.ID{Kind: catalogue.KindConfiguration}, Revision: 1,
 		Configuration: &catalogue.Configuration{
@@ -83,8 +88,9 @@
 		p.Arrived = w.now
 	}
 	if !w.lagging {
-		w.Drained(w.now)
+		w.drainedAt = w.now
 	}
+	w.Observe(w.now, w.drainedAt)
 	return w.Decide(&p, Knowledge{Snapshot: w.mirror.Snapshot(), Known: w.known, Since: w.since}, w.now)
 }
 
@@ -114,6 +120,13 @@
 	is.Equal(got.Backend.Name, v.Backend.Name)
 }
 
+// settle lets the instance run until it may reset flows.
+func (w *world) settle() {
+	for end := w.now + int64(settledFor) + 1; w.now <= end; w.now += 100 * ms {
+		w.Observe(w.now, w.now)
+	}
+}
+
 func TestNoRouteIsRefusedOnlyOnRecentKnowledge(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(2, nil)
@@ -213,7 +226,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			w := newWorld(1, func(s *catalogue.Server) { s.DataCentre = c.dataCentre })
-			w.now += int64(settledFor) + 1
+			w.settle()
 			b := w.open(1, 0).Backend
 			w.send(1, b.Cookie, 1, 0)
 			for range 3 {
@@ -234,7 +247,7 @@
 func TestPeersRefute(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(1, nil)
-	w.now += int64(settledFor) + 1
+	w.settle()
 	b := w.open(1, 0).Backend
 	w.send(1, b.Cookie, 1, 0)
 	for source := range uint64(20) {
@@ -315,6 +328,43 @@
 	is.Equal(w.refuted[len(w.refuted)-1], silent.Name)
 }
 
+// TestThawedInstanceIgnoresOldReports holds for deploy/days/instances-lost on
+// vitols-lb: 40% of the instances were frozen for 5 s; as they woke, each had reports
+// of all the others waiting and reset flows of servers that lived.
+func TestThawedInstanceIgnoresOldReports(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, nil)
+	b := w.open(1, 0).Backend
+	w.send(1, b.Cookie, 1, 0)
+	w.now += 5000 * ms
+	is.Equal(w.send(1, b.Cookie, 1, 0).Action, Forward)
+	for source := range uint64(6) {
+		w.PeerMissed(suspicion.Report{Server: b.Cookie, DataCentre: "a", Source: source}, w.now)
+	}
+	is.True(!w.Suspected(b, w.now))
+	w.serve(10, 600*ms, "")
+	for source := range uint64(6) {
+		w.PeerMissed(suspicion.Report{Server: b.Cookie, DataCentre: "a", Source: source}, w.now)
+	}
+	is.Equal(w.send(1, b.Cookie, 1, 100).Action, Forward) // it is too early to reset anything
+}
+
+// TestStaleOpeningPacketsBlameNobody holds for the instances that were frozen there:
+// opening packets had waited in their sockets, and the callers had long gone on.
+func TestStaleOpeningPacketsBlameNobody(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(5, nil)
+	w.lagging = true
+	w.now += 5000 * ms
+	for port := uint16(1); port < 40; port++ {
+		w.now += ms / 4
+		w.open(port, 0)
+	}
+	w.lagging = false
+	w.serve(1000, 1000*ms, "")
+	is.Equal(len(w.unanswered), 0)
+}
+
 // TestInstanceThatStoodStill answers a freeze, or a processor that is too slow for
 // the packets, as after a total loss on the smallest machines: the handshakes that came meanwhile
 // wait to be read, and no server is to blame.
--- a/internal/flowpath/follow.go
+++ b/internal/flowpath/follow.go
@@ -27,7 +27,7 @@
 		return Verdict{Action: Reset, Reason: ServerGone, Backend: backend}
 	}
 	d.note(p, e, hash, backend, now)
-	if now-k.Since > int64(settledFor) && d.dead(backend, now) {
+	if now-max(k.Since, d.woke) > int64(settledFor) && d.dead(backend, now) {
 		return Verdict{Action: Reset, Reason: ServerDead, Backend: backend}
 	}
 	return Verdict{Action: Forward, Reason: reason, Backend: backend}
--- a/internal/flowpath/open.go
+++ b/internal/flowpath/open.go
@@ -88,7 +88,9 @@
 	v.Backend = choice.Backend
 	e.State, e.Cookie, e.Sent, e.Last = flowtable.Opening, v.Backend.Cookie, now, now
 	d.work[e.Cookie]++
-	d.openings.add(hash, now)
+	if now-d.drained <= int64(waitedAtMost) {
+		d.openings.add(hash, now)
+	}
 	d.suspicion.Tried(e.Cookie, now)
 	return v
 }
--- a/internal/flowpath/openings.go
+++ b/internal/flowpath/openings.go
@@ -6,6 +6,10 @@
 	// answerWithin is how long a handshake may take before it counts as unanswered:
 	// many times that of a calm day, and less than the caller's first copy (200 ms).
 	answerWithin = 120 * time.Millisecond
+	// waitedAtMost is how long an opening packet may have waited to be read for its
+	// caller to be still there: one that waited longer, as in an instance that was
+	// frozen, may get no handshake because its caller has gone elsewhere.
+	waitedAtMost = 50 * time.Millisecond
 	// maxOpenings bounds the handshakes that are waited for: those of answerWithin at
 	// 20,000 new flows a second over 415 instances, many times over.
 	maxOpenings = 1024
--- a/internal/flowpath/path.go
+++ b/internal/flowpath/path.go
@@ -204,7 +204,7 @@
 		}
 		now := p.Clock()
 		p.lastRead.Store(now)
-		p.decider.Drained(in.drained)
+		p.decider.Observe(now, in.drained)
 		if p.pending.Load() {
 			p.takeNews(now)
 		}
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -98,7 +98,9 @@
 		ID: catalogue.ID{Kind: catalogue.KindServer, Name: "s0"}, Revision: 1, Server: &known.Backends("desk")[0].Server,
 	}}}, now, 0)
 	m.Apply(catalogue.Delta{Complete: true, Revision: 2}, now, 0)
-	choose := func(at int64) Choice { return Selector{"a"}.Choose(m.Snapshot(), Request{Service: "desk", Hash: 1}, fakeView{}, at) }
+	choose := func(at int64) Choice {
+		return Selector{"a"}.Choose(m.Snapshot(), Request{Service: "desk", Hash: 1}, fakeView{}, at)
+	}
 	is.True(choose(now+int64(RemovedFor)).Backend != nil)
 	is.True(choose(now+int64(RemovedFor)+1).Backend == nil)
 }
