Keep copies that were read together at one server

The logs that it kept show an instance that was stopped for 1.5 s and then read an opening packet with both its copies within a millisecond; it took the copies for unanswered and sent each to another server.

Test that failed before: TestCopiesReadTogetherStayTogether.

--- a/internal/flowpath/decider_test.go
+++ b/internal/flowpath/decider_test.go
@@ -160,6 +160,22 @@
 	is.True(second.Backend.Name != first.Backend.Name)
 }
 
+// TestCopiesReadTogetherStayTogether holds for soak seed 138: an instance was stopped
+// for 1.5 s and then read an opening packet with both its copies at once; each went
+// to another server.
+func TestCopiesReadTogetherStayTogether(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(5, nil)
+	first := w.open(1, 0).Backend
+	for copies := 1; copies <= 2; copies++ {
+		w.now += ms
+		v := w.open(1, copies)
+		is.Equal(v.Reason, Repeated)
+		is.Equal(v.Backend.Name, first.Name)
+		is.True(v.Unanswered == nil)
+	}
+}
+
 // TestCopyStaysAtAServerThatAnswers answers lost packets.
 func TestCopyStaysAtAServerThatAnswers(t *testing.T) {
 	is := is.New(t)
--- a/internal/flowpath/open.go
+++ b/internal/flowpath/open.go
@@ -97,10 +97,12 @@
 
 // repeat decides about a copy of an opening packet. Its server has not answered: if
 // it gave a sign of life meanwhile, a packet was lost, otherwise another is tried.
+// Copies that were read together have waited here, and the server had no time yet.
 func (d *Decider) repeat(v Verdict, e *flowtable.Entry, hash uint64, k Knowledge, now int64) Verdict {
 	backend := k.Snapshot.ByCookie(e.Cookie)
 	alive := d.suspicion.Answers(e.Cookie) > e.Sent
-	if backend != nil && alive && usable(backend) {
+	early := now-e.Sent < int64(answerWithin)
+	if backend != nil && (alive || early) && usable(backend) {
 		v.Backend, v.Reason = backend, Repeated
 		e.Last = now
 		return v
