Test a held packet through the socket, and split the path

Change: news.go; a test of a packet that waits for a reading; Release ends while its queue is full.

Measured: go test -race of flowpath, exchange, watch, decisionlog, clock and catalogue pass.

--- a/internal/flowpath/path.go
+++ b/internal/flowpath/path.go
@@ -13,7 +13,6 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
 
-	"balsamfork/internal/catalogue"
 	"balsamfork/internal/decisionlog"
 	"balsamfork/internal/suspicion"
 )
@@ -85,17 +84,6 @@
 	arrived int64
 }
 
-// instances counts the instances, and those of the data centre.
-type instances struct{ all, local int }
-
-// news is what peers tell: a report, a server that has answered them, or a contact
-// with a data centre.
-type news struct {
-	report   suspicion.Report
-	answered bool
-	contact  string
-}
-
 // Open binds the socket.
 func Open(o Options) (*Path, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(o.Listen))
@@ -121,6 +109,9 @@
 	return p, nil
 }
 
+// Address is where packets arrive.
+func (p *Path) Address() netip.AddrPort { return p.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
 // Close ends Run and Release.
 func (p *Path) Close() error {
 	close(p.closed)
@@ -130,34 +121,6 @@
 // Quiet returns how long no packet has arrived.
 func (p *Path) Quiet() time.Duration { return time.Duration(p.Clock() - p.lastRead.Load()) }
 
-// SetInstances sets the number of instances and of those in the data centre, for
-// shares of limits and of work.
-func (p *Path) SetInstances(all, local int) {
-	p.peers.Store(&instances{all: all, local: local})
-	p.pending.Store(true)
-}
-
-// PeerMissed takes a peer's report. It does not block; news without room is dropped.
-func (p *Path) PeerMissed(r suspicion.Report) { p.tell(news{report: r}) }
-
-// PeerAnswered takes a peer's word that a server has answered it. It does not block.
-func (p *Path) PeerAnswered(r suspicion.Report) { p.tell(news{report: r, answered: true}) }
-
-// Contact notes that an instance of a data centre has answered. It does not block.
-func (p *Path) Contact(dataCentre string) {
-	p.tell(news{contact: dataCentre})
-	p.wake()
-}
-
-func (p *Path) tell(n news) {
-	select {
-	case p.news <- n:
-		p.pending.Store(true)
-	default:
-		p.metrics.newsDropped.Inc(1)
-	}
-}
-
 // wake lets Run look at what waits although no packet has come.
 func (p *Path) wake() {
 	if err := p.conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
@@ -227,8 +190,11 @@
 			return
 		case packet := <-p.held:
 			p.Refresh()
-			p.released <- packet
-			p.wake()
+			select {
+			case p.released <- packet:
+				p.wake()
+			case <-p.closed:
+			}
 		}
 	}
 }
@@ -252,78 +218,6 @@
 	}
 }
 
-func (p *Path) takeNews(now int64) {
-	p.pending.Store(false)
-	if n := p.peers.Load(); n != nil {
-		p.decider.SetInstances(n.all, n.local)
-	}
-	for {
-		select {
-		case n := <-p.news:
-			p.takeOne(n, now)
-		default:
-			return
-		}
-	}
-}
-
-func (p *Path) takeOne(n news, now int64) {
-	if n.contact != "" {
-		p.decider.Contact(n.contact, now)
-		p.Log.Info("Data centre has answered.", "data_centre", n.contact)
-		return
-	}
-	if n.answered {
-		p.decider.PeerAnswered(n.report.Server, n.report.DataCentre, now)
-		return
-	}
-	b := p.Knowledge().Snapshot.ByCookie(n.report.Server)
-	if b != nil {
-		p.found(b, p.decider.PeerMissed(n.report, now), "peers")
-	}
-}
-
-// review looks whether this instance reaches any server.
-func (p *Path) review(now int64) {
-	p.reviewed = now
-	reach := p.decider.Reach(p.Knowledge().Snapshot, now)
-	for _, dataCentre := range reach.Unseen {
-		p.Unreachable(dataCentre)
-	}
-	if p.reaches.Swap(reach.Servers) != reach.Servers {
-		p.Log.Info("Reach has changed.", "reaches_servers", reach.Servers, "unseen", reach.Unseen)
-	}
-}
-
-// Unanswered implements Observer.
-func (p *Path) Unanswered(b *catalogue.Backend, f suspicion.Finding) {
-	p.metrics.unanswered.Inc(1)
-	p.found(b, f, "own traffic")
-	p.Missed(suspicion.Report{Server: b.Cookie, DataCentre: b.DataCentre})
-}
-
-// Refuted implements Observer.
-func (p *Path) Refuted(b *catalogue.Backend, suspected bool) {
-	p.metrics.refuted.Inc(1)
-	if suspected {
-		p.Log.Info("Backend server answers again.", "server", b.Name, "data_centre", b.DataCentre)
-	}
-	p.Answered(suspicion.Report{Server: b.Cookie, DataCentre: b.DataCentre})
-}
-
-// found logs a finding and follows it up.
-func (p *Path) found(b *catalogue.Backend, f suspicion.Finding, evidence string) {
-	if f.Suspected {
-		p.metrics.suspicions.Inc(1)
-		p.Log.Warn("Backend server is suspected.", "server", b.Name, "data_centre", b.DataCentre,
-			"evidence", evidence, "accounts", f.Accounts, "silent_ms", f.Silent.Milliseconds())
-	}
-	if f.Unreachable {
-		p.Log.Warn("Data centre is unreachable.", "data_centre", b.DataCentre, "evidence", evidence)
-		p.Unreachable(b.DataCentre)
-	}
-}
-
 // handle decides about one packet, which stands behind the headroom of a buffer. A
 // packet that is decided later than on arrival is not held again.
 func (p *Path) handle(buffer []byte, arrived, now int64) {
