--- a/cmd/balsamfork-flowd/main.go
+++ b/cmd/balsamfork-flowd/main.go
@@ -34,6 +34,9 @@
 	garbageCollection = 400
 	// memoryShare is the part of the memory limit that the runtime keeps to.
 	memoryShare = 0.7
+	// settingsCheck is how often the settings file is looked at, as it may change
+	// without a signal; only the seeds can change in it.
+	settingsCheck = 5 * time.Second
 	// logTimeout bounds writing out the last lines.
 	logTimeout = 300 * time.Millisecond
 )
@@ -77,12 +80,7 @@
 		log.Error("Instance could not start.", "part", "daemon", "error", err)
 		return exitFailed
 	}
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
-		}
-		reload(daemon, log)
-	}
+	waitForEnd(daemon, log, signals)
 	if err := daemon.Stop(context.Background()); err != nil {
 		log.Error("Instance stopped, but not in order.", "part", "daemon", "error", err)
 		return exitFailed
@@ -90,6 +88,39 @@
 	return exitOK
 }
 
+// waitForEnd returns at a signal to stop. Until then it reloads the settings at
+// SIGHUP and whenever their file has changed.
+func waitForEnd(daemon *flowd.Daemon, log *slog.Logger, signals <-chan os.Signal) {
+	look := time.NewTicker(settingsCheck)
+	defer look.Stop()
+	loaded := lookedAt(log)
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return
+			}
+		case <-look.C:
+			written := lookedAt(log)
+			if written.IsZero() || written.Equal(loaded) {
+				continue
+			}
+			loaded = written
+		}
+		reload(daemon, log)
+	}
+}
+
+// lookedAt returns when the settings file was written, or the zero time if it can't
+// be looked at: the present settings stay in force.
+func lookedAt(log *slog.Logger) time.Time {
+	written, err := platform.SettingsModified()
+	if err != nil {
+		log.Warn("Settings file can't be looked at.", "part", "daemon", "error", err)
+	}
+	return written
+}
+
 // reload reads the settings again. Faulty ones leave the present ones in force.
 func reload(daemon *flowd.Daemon, log *slog.Logger) {
 	settings, err := platform.LoadSettings()
