Keep the platform's words of the soak in platform/platformtest

Cause: the soak wrote settings, entries and configurations by the platform's names, outside platform/.

Change: platformtest writes them; the soak uses its types.

--- a/cmd/balsamfork-flowd/deployment_test.go
+++ b/cmd/balsamfork-flowd/deployment_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -25,6 +24,7 @@
 	readinessPort = 8167
 	firstPort     = 7720
 	serverPort    = 8000
+	serverSlots   = 4
 )
 
 // The places of a deployment, and what is in each.
@@ -128,16 +128,7 @@
 // configure writes the next version of the configuration.
 func (d *deployment) configure() {
 	d.version += 3
-	route := func(at netip.AddrPort, service string) map[string]any {
-		return map[string]any{
-			"name": service, "host": at.Addr().String(), "prefix": fmt.Sprintf("/%d/", at.Port()), "service": service,
-		}
-	}
-	d.store.Put("op/config", map[string]any{
-		"version": d.version,
-		"routes":  []any{route(deskAt, "desk"), route(sheetsAt, "sheets")},
-		"limits":  map[string]any{"idle_timeout_ms": 15000 + d.version},
-	})
+	d.store.Configure(d.version, platformtest.Route{To: deskAt, Service: "desk"}, platformtest.Route{To: sheetsAt, Service: "sheets"})
 }
 
 // addServer starts a backend server and registers it.
@@ -145,13 +136,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.nextID++
-	s := &platformtest.Server{Number: d.nextID, Port: packetPort, Entry: platformtest.Entry{
-		Service: service, Zone: centre(c), Slots: 4, State: "ready", Born: time.Now().UnixMilli(),
-		Address: netip.AddrPortFrom(d.address(10+c, int(d.nextID)), serverPort).String(),
-	}}
+	address := netip.AddrPortFrom(d.address(10+c, int(d.nextID)), serverPort)
+	s := &platformtest.Server{
+		Number: d.nextID, Port: packetPort, Entry: platformtest.NewEntry(service, centre(c), address, serverSlots),
+	}
 	d.must(s.Start())
 	d.servers = append(d.servers, s)
-	d.store.Put(s.Key(), s.Entry)
+	d.store.Register(s)
 }
 
 // live returns the servers that have not been dropped.
@@ -164,7 +155,7 @@
 // drop stops a server and removes its entry.
 func (d *deployment) drop(s *platformtest.Server) {
 	s.Stop()
-	d.store.Remove(s.Key())
+	d.store.Deregister(s)
 }
 
 func (d *deployment) newInstance(c, n int, store string) *instance {
@@ -173,21 +164,15 @@
 	i := &instance{name: fmt.Sprintf("edge-%s-%d", centre(c), n+1), dataCentre: centre(c), address: d.address(1+c, n), proxy: proxy}
 	dir := d.t.TempDir()
 	i.settings, i.log = filepath.Join(dir, "node.json"), filepath.Join(dir, "log")
-	at := func(port int) string { return fmt.Sprintf("%v:%d", i.address, port) }
-	settings, err := json.Marshal(map[string]any{
-		"node_name": i.name, "zone": i.dataCentre, "ip": i.address.String(),
-		"listen":              map[string]any{"datagram_addr": at(packetPort), "ready_addr": at(readinessPort)},
-		"internal_port_range": []int{firstPort, firstPort + 15},
-		"seeds":               []string{netip.AddrPortFrom(d.address(1, 0), 8166).String(), netip.AddrPortFrom(d.address(2, 1), 8166).String()},
-		"limits":              map[string]any{"memory_mb": 206},
-		"bounds": map[string]any{
-			"grace_s": 6, "config_apply_ms": 3000, "drain_ms": 3000, "max_flow_s": 60, "warmup_burst_factor": 1.5, "warmup_slack": 5,
-		},
-		"forwarding_mode": "echo",
-		"platform":        map[string]any{"address": proxy.Address(), "forwarding_mode": "kv"},
-	})
+	settings := platformtest.Settings{
+		Name: i.name, DataCentre: i.dataCentre, Address: i.address,
+		Packets: packetPort, Readiness: readinessPort, Internal: firstPort,
+		Seeds: []netip.Addr{d.address(1, 0), d.address(2, 1)}, Store: proxy.Address(),
+		Grace: grace, DrainWithin: drainWithin, ApplyWithin: drainWithin,
+	}
+	encoded, err := settings.Encode()
 	d.must(err)
-	d.must(os.WriteFile(i.settings, settings, 0o600))
+	d.must(os.WriteFile(i.settings, encoded, 0o600))
 	return i
 }
 
@@ -196,7 +181,7 @@
 	out, err := os.OpenFile(i.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	d.must(err)
 	i.process = exec.Command(os.Args[0])
-	i.process.Env = append(os.Environ(), asInstance+"=1", "BALSAMFORK_NODE_FILE="+i.settings)
+	i.process.Env = append(os.Environ(), asInstance+"=1", platformtest.SettingsVariable+"="+i.settings)
 	i.process.Stdout, i.process.Stderr = out, out
 	d.must(i.process.Start())
 	_ = out.Close()
@@ -228,7 +213,7 @@
 	client := &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	misses := 0
 	for {
-		response, err := client.Get(fmt.Sprintf("http://%v:%d/readyz", i.address, readinessPort))
+		response, err := client.Get(fmt.Sprintf("http://%v:%d%s", i.address, readinessPort, platformtest.ReadinessPath))
 		if err == nil {
 			_ = response.Body.Close()
 		}
--- a/cmd/balsamfork-flowd/soak_test.go
+++ b/cmd/balsamfork-flowd/soak_test.go
@@ -306,8 +306,8 @@
 	s.deployment.mu.Lock()
 	defer s.deployment.mu.Unlock()
 	for n, server := range s.servers {
-		if server.Entry.Service == "desk" && server.Entry.State == "ready" {
-			server.Entry.State = "draining"
+		if server.Entry.Service == "desk" && !server.Entry.Leaving() {
+			server.Entry.Leave()
 			s.servers = append(s.servers[:n:n], append(s.servers[n+1:], server)...)
 			return server, int(server.Entry.Zone[0] - 'a')
 		}
@@ -323,7 +323,7 @@
 	}
 	s.addServer("desk", c)
 	time.Sleep(time.Second)
-	s.store.Put(server.Key(), server.Entry)
+	s.store.Register(server)
 	noticed := time.Now()
 	time.Sleep(drainWithin + time.Second)
 	if noticed.Add(-steady).UnixNano() > s.disturbed.Load() {
@@ -352,8 +352,4 @@
 	s.configure()
 }
 
-func (s *soaked) foreignEntries(time.Duration) {
-	s.store.Put("servers/i-f0", `{"service":"desk"}`)
-	s.store.Put("servers/odd", "no entry")
-	s.store.Put("status/other", "{}")
-}
+func (s *soaked) foreignEntries(time.Duration) { s.store.PutForeign() }
