Test that decisions write their inputs, and size the soak

Cause: no test held the log lines to the inputs of a decision; the soak had nine processes at most.

Change: a test over all reasons, and of a suspected server's line; soak.each, EACH for make soak.

Measured: the tests pass.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 FUZZTIME ?= 10s
 SEED ?= 0
 SEEDS ?= 1
+EACH ?= 3
 
 .PHONY: demo test lint unit bench fuzz soak capacity build
 
@@ -37,9 +38,10 @@
 	  done; \
 	done
 
-# Real processes under faults; SEED=0 runs the seeds of CI.
+# Real processes under faults, EACH instances in each of 3 data centres; SEED=0 runs
+# the seeds of CI.
 soak:
-	$(GO) test -run '^TestSoak$$' -v -timeout 60m ./cmd/balsamfork-flowd -args -soak.seed $(SEED) -soak.seeds $(SEEDS)
+	$(GO) test -run '^TestSoak$$' -v -timeout 60m ./cmd/balsamfork-flowd -args -soak.seed $(SEED) -soak.seeds $(SEEDS) -soak.each $(EACH)
 
 capacity:
 	$(GO) test -run '^TestCapacity' -v ./internal/capacity -args -print
--- a/cmd/balsamfork-flowd/deployment_test.go
+++ b/cmd/balsamfork-flowd/deployment_test.go
@@ -30,7 +30,6 @@
 // The places of a deployment, and what is in each.
 const (
 	dataCentres  = 3
-	perCentre    = 3
 	serversEach  = 4
 	callersEach  = 3
 	probeEvery   = 500 * time.Millisecond
@@ -70,9 +69,9 @@
 	return netip.AddrFrom4([4]byte{127, d.network, byte(kind), byte(n + 1)})
 }
 
-// newDeployment starts a platform and its instances. Deployments with different
-// networks can run at the same time.
-func newDeployment(t testing.TB, network byte) *deployment {
+// newDeployment starts a platform and some instances in each data centre.
+// Deployments with different networks can run at the same time.
+func newDeployment(t testing.TB, network byte, each int) *deployment {
 	d := &deployment{t: t, network: network, store: platformtest.NewStore(), nextID: 0xa0, done: make(chan struct{})}
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	d.must(err)
@@ -86,7 +85,7 @@
 		d.addServer("sheets", c)
 	}
 	for c := range dataCentres {
-		for n := range perCentre {
+		for n := range each {
 			d.instances = append(d.instances, d.newInstance(c, n, listener.Addr().String()))
 		}
 	}
--- a/cmd/balsamfork-flowd/soak_test.go
+++ b/cmd/balsamfork-flowd/soak_test.go
@@ -18,6 +18,7 @@
 var (
 	soakSeed  = flag.Uint64("soak.seed", 0, "seed of the first soak; 0 means the regression seeds")
 	soakSeeds = flag.Int("soak.seeds", 1, "number of soaks, with seeds that follow on")
+	soakEach  = flag.Int("soak.each", 3, "number of instances in each data centre")
 	soakFor   = flag.Duration("soak.for", 8*time.Second, "how long each soak injects faults")
 )
 
@@ -75,7 +76,7 @@
 
 func soak(t *testing.T, seed uint64, span time.Duration) {
 	s := &soaked{
-		deployment: newDeployment(t, byte(20+seed%200)),
+		deployment: newDeployment(t, byte(20+seed%200), *soakEach),
 		random:     rand.New(rand.NewPCG(seed, 0)),
 		drained:    map[*platformtest.Server]time.Time{},
 	}
--- /dev/null
+++ b/internal/flowpath/log_test.go
@@ -0,0 +1,81 @@
+package flowpath
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"balsamfork/internal/decisionlog"
+	"balsamfork/internal/selection"
+	"balsamfork/internal/suspicion"
+)
+
+// line is what a decision's line holds.
+type line struct {
+	Flow, To, Action, Reason, Service, Tier, Server, Unanswered string
+
+	Copy, Version, Revision *int
+	AgeMS                   *int `json:"age_ms"`
+	Cookie                  uint32
+	Load                    *float64
+}
+
+// TestEachDecisionWritesItsInputs writes a line for every reason and looks for what
+// the decision was based on.
+func TestEachDecisionWritesItsInputs(t *testing.T) {
+	w := newWorld(2, nil)
+	backend := w.open(1, 0).Backend
+	for reason := range Reason(len(reasonNames)) {
+		if reason == Known {
+			continue // packets of known flows write nothing
+		}
+		t.Run(reason.String(), func(t *testing.T) {
+			is := is.New(t)
+			var out bytes.Buffer
+			log := slog.New(slog.NewJSONHandler(&out, nil))
+			p := &Path{decider: w.Decider, record: decisionlog.NewRecorder(log)}
+			v := Verdict{Reason: reason, Service: "desk", Tier: selection.Remote, Backend: backend, Unanswered: backend}
+			packet := Packet{Flow: flow(7), Copy: 1, Cookie: 9}
+			p.log(&packet, &v, Knowledge{Snapshot: w.mirror.Snapshot(), Known: w.now - 30*ms}, w.now)
+			var got line
+			is.NoErr(json.Unmarshal(out.Bytes(), &got))
+			is.Equal(got.Flow, "100.64.0.7:7")
+			is.Equal(got.To, "198.18.0.1:443")
+			is.Equal(got.Reason, reason.String())
+			is.Equal(got.Action, "forward")
+			is.Equal(*got.Copy, 1)
+			is.Equal(*got.Revision, 100)
+			is.Equal(*got.AgeMS, 30)
+			is.Equal(*got.Version, 1)
+			is.Equal(got.Service, "desk")
+			is.Equal(got.Tier, "remote")
+			is.Equal(got.Server, backend.Name)
+			is.Equal(got.Unanswered, backend.Name)
+			is.Equal(got.Cookie, uint32(9))
+			is.True(got.Load != nil)
+		})
+	}
+}
+
+// TestBeliefsWriteTheirInputs looks for the line of a server that is suspected.
+func TestBeliefsWriteTheirInputs(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, nil)
+	var out bytes.Buffer
+	p := &Path{Options: Options{Log: slog.New(slog.NewJSONHandler(&out, nil))}, metrics: newMetrics(tally.NoopScope)}
+	p.found(w.mirror.Snapshot().Backends("desk")[0], suspicion.Finding{Suspected: true, Accounts: 2}, "peers")
+	var got struct {
+		Server, Evidence string
+		DataCentre       string `json:"data_centre"`
+		Accounts         int
+	}
+	is.NoErr(json.Unmarshal(out.Bytes(), &got))
+	is.Equal(got.Server, "s0")
+	is.Equal(got.DataCentre, "a")
+	is.Equal(got.Evidence, "peers")
+	is.Equal(got.Accounts, 2)
+}
