Forget servers that are gone, and drop what nothing uses

Cause: reading the change as a newcomer: what is held of suspected and cold servers was never dropped; settings and entries carried fields that nothing uses; a copy of an opening packet that comes after its flow has opened was placed anew.

Change: they are dropped each minute once the catalogue has forgotten the server; the fields are gone; such a copy goes to the flow's server.

--- a/internal/catalogue/record.go
+++ b/internal/catalogue/record.go
@@ -56,8 +56,6 @@
 	// Warmup is how much longer the server stays cold, counted from the moment
 	// that the record was read.
 	Warmup time.Duration `json:"warmup,omitempty"`
-	// Started is the start of the server's process, in Unix milliseconds.
-	Started int64 `json:"started,omitempty"`
 }
 
 // Destination is the address and port to which callers send.
@@ -87,16 +85,13 @@
 	// WarmupRate is what a cold server bears, in requests a second; 0 means that
 	// no rate is stated.
 	WarmupRate float64 `json:"warmupRate"`
-	// MaxFlows is how many flows a server holds.
-	MaxFlows int `json:"maxFlows"`
 }
 
 // Configuration is one version of what the operator has declared.
 type Configuration struct {
-	Version     int64         `json:"version"`
-	Routes      []Route       `json:"routes"`
-	Services    []Service     `json:"services"`
-	IdleTimeout time.Duration `json:"idleTimeout"`
+	Version  int64     `json:"version"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
 }
 
 // Delta holds the changes that lead to a revision.
--- a/internal/flowpath/cold.go
+++ b/internal/flowpath/cold.go
@@ -46,3 +46,12 @@
 	c.next[b.Cookie] = now + int64(float64(time.Second)/share)
 	return true
 }
+
+// forget drops the servers that keep reports false for.
+func (c *coldBudget) forget(keep func(cookie uint32) bool) {
+	for cookie := range c.next {
+		if !keep(cookie) {
+			delete(c.next, cookie)
+		}
+	}
+}
--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -165,6 +165,13 @@
 	d.observed, d.drained = now, drained
 }
 
+// Forget drops what is held of servers that the catalogue no longer has.
+func (d *Decider) Forget(snap *catalogue.Snapshot) {
+	keep := func(cookie uint32) bool { return snap.ByCookie(cookie) != nil }
+	d.suspicion.Forget(keep)
+	d.cold.forget(keep)
+}
+
 // PeerAnswered notes that a server has answered another instance.
 func (d *Decider) PeerAnswered(cookie uint32, dataCentre string, now int64) {
 	d.suspicion.Answered(cookie, dataCentre, now)
--- a/internal/flowpath/decider_test.go
+++ b/internal/flowpath/decider_test.go
@@ -176,6 +176,22 @@
 	}
 }
 
+// TestCopyOfAnOpenFlowStaysAtItsServer holds for a copy that the network delayed.
+func TestCopyOfAnOpenFlowStaysAtItsServer(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(8, nil)
+	b := w.open(1, 0).Backend
+	w.send(1, b.Cookie, 1, 0)
+	for port := uint16(100); port < 120; port++ {
+		w.open(port, 0) // loads change what would be chosen now
+	}
+	w.now += 210 * ms
+	v := w.open(1, 1)
+	is.Equal(v.Reason, Repeated)
+	is.Equal(v.Backend.Name, b.Name)
+	is.Equal(w.send(1, b.Cookie, 1, 100).Reason, Known)
+}
+
 // TestCopyStaysAtAServerThatAnswers answers lost packets.
 func TestCopyStaysAtAServerThatAnswers(t *testing.T) {
 	is := is.New(t)
@@ -600,6 +616,21 @@
 	is.True(local <= 4*share) // a load of six times the share
 }
 
+// TestServersThatAreGoneAreForgotten holds for servers that are replaced all the time.
+func TestServersThatAreGoneAreForgotten(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2, func(s *catalogue.Server) { s.Warmup = time.Minute })
+	b := w.open(1, 0).Backend
+	w.PeerMissed(suspicion.Report{Server: b.Cookie, DataCentre: "a"}, w.now)
+	w.PeerMissed(suspicion.Report{Server: b.Cookie, DataCentre: "a"}, w.now)
+	w.Forget(w.mirror.Snapshot())
+	is.True(w.Suspected(b, w.now))
+	is.Equal(len(w.cold.next), 1)
+	w.Forget(catalogue.NewMirror().Snapshot())
+	is.True(!w.Suspected(b, w.now))
+	is.Equal(len(w.cold.next), 0)
+}
+
 func TestHandshakeTableIsBounded(t *testing.T) {
 	is := is.New(t)
 	table := flowtable.New()
--- a/internal/flowpath/news.go
+++ b/internal/flowpath/news.go
@@ -78,6 +78,10 @@
 // review looks whether this instance reaches any server.
 func (p *Path) review(now int64) {
 	p.reviewed = now
+	if now-p.forgot > int64(forgetEvery) {
+		p.decider.Forget(p.Knowledge().Snapshot)
+		p.forgot = now
+	}
 	reach := p.decider.Reach(p.Knowledge().Snapshot, now)
 	for _, dataCentre := range reach.Unseen {
 		p.Unreachable(dataCentre)
--- a/internal/flowpath/open.go
+++ b/internal/flowpath/open.go
@@ -44,6 +44,10 @@
 	if entry != nil && entry.State == flowtable.Opening {
 		return d.repeat(v, entry, hash, k, now)
 	}
+	if backend := d.lateCopy(p, entry, k, now); backend != nil {
+		v.Backend, v.Reason = backend, Repeated
+		return v
+	}
 	if entry == nil {
 		entry = d.flows.Add(hash, now)
 	} else {
@@ -65,6 +69,15 @@
 	return float64(table.Mix(hash)>>32) < share*(1<<32)
 }
 
+// lateCopy returns the server of a flow that has opened meanwhile, for a copy of its
+// opening packet that was under way; nil for any other packet.
+func (d *Decider) lateCopy(p *Packet, e *flowtable.Entry, k Knowledge, now int64) *catalogue.Backend {
+	if e == nil || p.Copy == 0 || now-e.Sent > int64(flowtable.OpeningFor) {
+		return nil
+	}
+	return k.Snapshot.ByCookie(e.Cookie)
+}
+
 // restart replaces the entry of a flow whose addresses are used again.
 func (d *Decider) restart(old *flowtable.Entry, hash uint64, now int64) *flowtable.Entry {
 	d.flows.Remove(old)
--- a/internal/flowpath/path.go
+++ b/internal/flowpath/path.go
@@ -30,6 +30,8 @@
 	maxNews = 256
 	// reviewEvery is how often the instance looks whether it reaches any server.
 	reviewEvery = 250 * time.Millisecond
+	// forgetEvery is how often what is held of servers that are gone is dropped.
+	forgetEvery = time.Minute
 )
 
 // Options is what a path is built from.
@@ -72,6 +74,7 @@
 	news     chan news
 	pending  atomic.Bool
 	reviewed int64
+	forgot   int64
 	reaches  atomic.Bool
 	peers    atomic.Pointer[instances]
 	lastRead atomic.Int64
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -11,9 +11,9 @@
 	// 20,000 new flows a second over 415 instances, for the 60 s that a flow lasts.
 	sets = 2048
 	ways = 4
-	// openingFor is how long a flow may wait for its handshake: the caller gives
+	// OpeningFor is how long a flow may wait for its handshake: the caller gives
 	// up 1.4 s after its first packet.
-	openingFor = 1500 * time.Millisecond
+	OpeningFor = 1500 * time.Millisecond
 	// busyFor is how long a request counts as unanswered.
 	busyFor = 3 * time.Second
 )
@@ -90,7 +90,7 @@
 func (t *Table) Work(now int64, count func(cookie uint32)) {
 	for i := range t.entries {
 		e := &t.entries[i]
-		waits := e.State == Opening && now-e.Sent < int64(openingFor)
+		waits := e.State == Opening && now-e.Sent < int64(OpeningFor)
 		works := e.Busy && now-e.Last < int64(busyFor)
 		if waits || works {
 			count(e.Cookie)
