--- a/internal/flowpath/decider_test.go
+++ b/internal/flowpath/decider_test.go
@@ -441,6 +441,24 @@
 	is.True(w.reaches())
 }
 
+// TestDataInFlightIsNoProofOfReach holds for fresh-52e7 of vitols-lb: a data centre was
+// evacuated and cut off, and servers beyond the cut still sent answers to its callers
+// directly; each acknowledgement of these made the servers look reachable again.
+func TestDataInFlightIsNoProofOfReach(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(6, func(s *catalogue.Server) { s.DataCentre = "b" })
+	w.Contact("b", w.now)
+	download := w.open(1, 0).Backend
+	w.send(1, download.Cookie, 1, 100)
+	for port := uint16(10); port < 200 && w.reaches(); port++ {
+		w.now += 10 * ms
+		w.open(port, 0)
+	}
+	is.True(!w.reaches())
+	w.send(1, download.Cookie, 2, 0) // more of the download has arrived
+	is.True(!w.reaches())
+}
+
 // TestStartBehindACut answers an instance that is restarted in such a data centre:
 // it is not ready before another one has answered, or for long enough.
 func TestStartBehindACut(t *testing.T) {
