Only handshakes end a suspicion

Cause: servers answer callers directly, so behind a cut callers still receive data. Its acknowledgements counted as answers, ended suspicions and made the data centre reachable again; instances flapped between ready and not ready.

Change: a report has a kind. A handshake ends a suspicion and an unreachable data centre. Data only shows that a server lives: it keeps the server, here and at the peers, from being found dead, and data that callers repeat no longer counts against it. One message and one callback take the place of two.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -58,10 +58,8 @@
 	Mirror     *catalogue.Mirror
 	Catalogue  Catalogue
 	Reader     Reader
-	// Missed takes a peer's report on a server that did not answer it, and Answered
-	// one on a server that did. They must not block.
-	Missed   func(suspicion.Report)
-	Answered func(suspicion.Report)
+	// Reported takes a peer's report on a backend server. It must not block.
+	Reported func(suspicion.Report)
 	// Contact is told of an answer from a data centre that was sought. It must not
 	// block.
 	Contact func(dataCentre string)
@@ -157,14 +155,9 @@
 	e.sendAll(m, e.peers.remote())
 }
 
-// ReportAnswered tells the instances of the data centre that a server has answered.
-func (e *Exchange) ReportAnswered(r suspicion.Report) {
-	e.sendAll(message{From: e.peers.self, Answered: &r}, e.peers.local())
-}
-
-// ReportMissed tells the instances of the data centre that a server did not answer.
-func (e *Exchange) ReportMissed(r suspicion.Report) {
-	e.sendAll(message{From: e.peers.self, Missed: &r}, e.peers.local())
+// Report tells the instances of the data centre what was seen of a backend server.
+func (e *Exchange) Report(r suspicion.Report) {
+	e.sendAll(message{From: e.peers.self, Report: &r}, e.peers.local())
 }
 
 // Alone reports whether no other instance of the data centre is known.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -88,12 +88,11 @@
 		Mirror:     i.mirror,
 		Catalogue:  i,
 		Reader:     i,
-		Missed: func(r suspicion.Report) {
+		Reported: func(r suspicion.Report) {
 			i.mu.Lock()
 			defer i.mu.Unlock()
 			i.reports = append(i.reports, r)
 		},
-		Answered: func(suspicion.Report) {},
 		Contact: func(dataCentre string) {
 			i.mu.Lock()
 			defer i.mu.Unlock()
@@ -184,7 +183,7 @@
 	port := freePort(t)
 	a, b, other := start(t, port, 21, "a", address(22)), start(t, port, 22, "a", address(21)), start(t, port, 23, "b", address(21))
 	eventually(t, "instances don't know one another", func() bool { return a.peers.size() == 3 && b.peers.size() == 3 })
-	a.ReportMissed(suspicion.Report{Server: 5, DataCentre: "a"})
+	a.Report(suspicion.Report{Kind: suspicion.NoAnswer, Server: 5, DataCentre: "a"})
 	eventually(t, "the report was not taken", func() bool { return b.taken() == 1 })
 	is.True(b.reports[0].Source != 0)
 	is.Equal(b.reports[0].Server, uint32(5))
@@ -231,7 +230,7 @@
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		i := &instance{mirror: catalogue.NewMirror()}
 		e := &Exchange{Options: Options{
-			Mirror: i.mirror, Catalogue: i, Reader: i, Clock: clock, Missed: func(suspicion.Report) {}, Answered: func(suspicion.Report) {}, Resized: func(int, int) {},
+			Mirror: i.mirror, Catalogue: i, Reader: i, Clock: clock, Reported: func(suspicion.Report) {}, Resized: func(int, int) {},
 			Log: slog.New(slog.DiscardHandler),
 		}, peers: newPeers(Peer{Address: address(1)}, rand.New(rand.NewPCG(1, 1)))}
 		e.metrics.size = tally.NoopScope.Gauge("instances")
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -39,10 +39,8 @@
 	Hello bool `json:"hello,omitempty"`
 	// Peers is a sample of those that the sender knows.
 	Peers []Peer `json:"peers,omitempty"`
-	// Missed is a report on a server that did not answer, Answered one on a server
-	// that did although others reported it.
-	Missed   *suspicion.Report `json:"missed,omitempty"`
-	Answered *suspicion.Report `json:"answered,omitempty"`
+	// Report is what the sender has seen of a backend server.
+	Report *suspicion.Report `json:"report,omitempty"`
 }
 
 // methodSince asks for the changes after a revision.
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -38,9 +38,9 @@
 func (e *Exchange) take(m *message) {
 	now := e.Clock()
 	e.meet(m, now)
-	if m.Missed != nil {
-		m.Missed.Source = sourceOf(m.From.Address)
-		e.Missed(*m.Missed)
+	if m.Report != nil {
+		m.Report.Source = sourceOf(m.From.Address)
+		e.Reported(*m.Report)
 		return
 	}
 	if m.Pong {
@@ -57,10 +57,6 @@
 	if m.Regular && m.From.Address.Less(e.peers.self.Address) {
 		e.Reader.Yield()
 	}
-	if m.Answered != nil {
-		e.Answered(*m.Answered)
-		return
-	}
 	if m.Revision == 0 {
 		return
 	}
--- a/internal/flowd/module.go
+++ b/internal/flowd/module.go
@@ -78,11 +78,9 @@
 type links struct {
 	learned func()
 	alone   func() bool
-	missed  func(suspicion.Report)
 	seek    func(dataCentre string)
+	report  func(suspicion.Report)
 	peer    func(suspicion.Report)
-	refute  func(suspicion.Report)
-	answers func(suspicion.Report)
 	contact func(dataCentre string)
 	resized func(all, local int)
 	reaches func() bool
@@ -110,8 +108,7 @@
 		Mirror:     m,
 		Catalogue:  w,
 		Reader:     plan,
-		Missed:     func(r suspicion.Report) { l.peer(r) },
-		Answered:   func(r suspicion.Report) { l.answers(r) },
+		Reported:   func(r suspicion.Report) { l.peer(r) },
 		Contact:    func(dataCentre string) { l.contact(dataCentre) },
 		Resized:    func(all, local int) { l.resized(all, local) },
 		Random:     newRandom(),
@@ -136,8 +133,7 @@
 			return flowpath.Knowledge{Snapshot: m.Snapshot(), Known: known, Since: since}
 		},
 		Refresh:     func() { w.Refresh(context.Background()) },
-		Missed:      func(r suspicion.Report) { l.missed(r) },
-		Answered:    func(r suspicion.Report) { l.refute(r) },
+		Report:      func(r suspicion.Report) { l.report(r) },
 		Unreachable: func(dataCentre string) { l.seek(dataCentre) },
 		Clock:       steady.Now,
 		Log:         telemetry.Part(log, "flows"),
@@ -159,11 +155,9 @@
 		e.Announce()
 	}
 	l.alone = e.Alone
-	l.missed = e.ReportMissed
+	l.report = e.Report
 	l.seek = e.Seek
-	l.peer = p.PeerMissed
-	l.refute = e.ReportAnswered
-	l.answers = p.PeerAnswered
+	l.peer = p.PeerReport
 	l.contact = p.Contact
 	l.resized = p.SetInstances
 	l.reaches = p.Reaches
--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -94,9 +94,9 @@
 type Observer interface {
 	// Unanswered tells of a server whose handshake did not come, and what follows.
 	Unanswered(b *catalogue.Backend, f suspicion.Finding)
-	// Refuted tells of a server that has answered although there were accounts
-	// against it, and whether it was suspected.
-	Refuted(b *catalogue.Backend, suspected bool)
+	// Refuted tells of a server that has shown life although there were accounts
+	// against it, how, and whether that ends a suspicion.
+	Refuted(b *catalogue.Backend, by suspicion.Kind, ended bool)
 }
 
 // Knowledge is the catalogue and how well it is known.
@@ -146,12 +146,19 @@
 	d.neighbours = max(1, local)
 }
 
-// PeerMissed takes another instance's report on an unanswered opening packet.
-func (d *Decider) PeerMissed(r suspicion.Report, now int64) suspicion.Finding {
-	if now-d.woke < int64(stoodStill) {
-		return suspicion.Finding{}
+// PeerReport takes another instance's report on a server.
+func (d *Decider) PeerReport(r suspicion.Report, now int64) suspicion.Finding {
+	switch r.Kind {
+	case suspicion.Handshake:
+		d.suspicion.Answered(r.Server, r.DataCentre, now)
+	case suspicion.Data:
+		d.suspicion.Alive(r.Server, r.DataCentre, now)
+	case suspicion.NoAnswer:
+		if now-d.woke >= int64(stoodStill) {
+			return d.suspicion.Missed(r, now)
+		}
 	}
-	return d.suspicion.Missed(r, now)
+	return suspicion.Finding{}
 }
 
 // Observe notes that a packet was read now, and when none was last waiting. After a
@@ -172,11 +179,6 @@
 	d.cold.forget(keep)
 }
 
-// PeerAnswered notes that a server has answered another instance.
-func (d *Decider) PeerAnswered(cookie uint32, dataCentre string, now int64) {
-	d.suspicion.Answered(cookie, dataCentre, now)
-}
-
 // Contact notes that an instance of a data centre has answered this one.
 func (d *Decider) Contact(dataCentre string, now int64) { d.suspicion.Contact(dataCentre, now) }
 
--- a/internal/flowpath/decider_test.go
+++ b/internal/flowpath/decider_test.go
@@ -26,6 +26,7 @@
 	// unanswered holds the names of the servers that the decider has told of.
 	unanswered []string
 	refuted    []string
+	signs      []suspicion.Kind
 	// lagging stands for packets that wait to be read.
 	lagging   bool
 	drainedAt int64
@@ -76,7 +77,10 @@
 	w.unanswered = append(w.unanswered, b.Name)
 }
 
-func (w *world) Refuted(b *catalogue.Backend, _ bool) { w.refuted = append(w.refuted, b.Name) }
+func (w *world) Refuted(b *catalogue.Backend, by suspicion.Kind, _ bool) {
+	w.refuted = append(w.refuted, b.Name)
+	w.signs = append(w.signs, by)
+}
 
 func (w *world) apply(records ...catalogue.Record) {
 	before := w.mirror.Snapshot().Revision
@@ -377,8 +381,8 @@
 	is := is.New(t)
 	w := newWorld(2, func(s *catalogue.Server) { s.Warmup = time.Minute })
 	b := w.open(1, 0).Backend
-	w.PeerMissed(suspicion.Report{Server: b.Cookie, DataCentre: "a"}, w.now)
-	w.PeerMissed(suspicion.Report{Server: b.Cookie, DataCentre: "a"}, w.now)
+	w.peerMissed(b, 0)
+	w.peerMissed(b, 0)
 	w.Forget(w.mirror.Snapshot())
 	is.True(w.Suspected(b, w.now))
 	is.Equal(len(w.cold.next), 1)
--- a/internal/flowpath/follow.go
+++ b/internal/flowpath/follow.go
@@ -5,6 +5,7 @@
 	"balsamfork/internal/cookie"
 	"balsamfork/internal/flowtable"
 	"balsamfork/internal/selection"
+	"balsamfork/internal/suspicion"
 )
 
 // follow decides about a packet of a flow that its caller takes for open.
@@ -69,7 +70,7 @@
 		// passed through another instance before; a bare one is only sent as data
 		// arrives.
 		if p.Data == 0 && !p.Finish {
-			d.answered(b, now)
+			d.sentData(b, now)
 		}
 	}
 	e.Last = now
@@ -86,15 +87,22 @@
 }
 
 // repeated takes data that a caller has sent again. An answer may take longer than
-// that, so it counts only against a server that no longer accepts flows either.
+// that, so it counts only against a server that no longer accepts flows either and
+// sends nothing to others.
 func (d *Decider) repeated(b *catalogue.Backend, now int64) {
-	if d.suspicion.Suspected(b.Cookie, now) {
+	if d.suspicion.Silent(b.Cookie, now) {
 		d.unanswered(b, now)
 	}
 }
 
 func (d *Decider) answered(b *catalogue.Backend, now int64) {
 	if r := d.suspicion.Answered(b.Cookie, b.DataCentre, now); r.Refutes {
-		d.observer.Refuted(b, r.Ended)
+		d.observer.Refuted(b, suspicion.Handshake, r.Ended)
+	}
+}
+
+func (d *Decider) sentData(b *catalogue.Backend, now int64) {
+	if d.suspicion.Alive(b.Cookie, b.DataCentre, now) {
+		d.observer.Refuted(b, suspicion.Data, false)
 	}
 }
--- a/internal/flowpath/news.go
+++ b/internal/flowpath/news.go
@@ -8,12 +8,10 @@
 // instances counts the instances, and those of the data centre.
 type instances struct{ all, local int }
 
-// news is what peers tell: a report, a server that has answered them, or a contact
-// with a data centre.
+// news is what peers tell: a report on a server, or a contact with a data centre.
 type news struct {
-	report   suspicion.Report
-	answered bool
-	contact  string
+	report  suspicion.Report
+	contact string
 }
 
 // SetInstances sets the number of instances and of those in the data centre, for
@@ -23,11 +21,8 @@
 	p.pending.Store(true)
 }
 
-// PeerMissed takes a peer's report. It does not block; news without room is dropped.
-func (p *Path) PeerMissed(r suspicion.Report) { p.tell(news{report: r}) }
-
-// PeerAnswered takes a peer's word that a server has answered it. It does not block.
-func (p *Path) PeerAnswered(r suspicion.Report) { p.tell(news{report: r, answered: true}) }
+// PeerReport takes a peer's report. It does not block; news without room is dropped.
+func (p *Path) PeerReport(r suspicion.Report) { p.tell(news{report: r}) }
 
 // Contact notes that an instance of a data centre has answered. It does not block.
 func (p *Path) Contact(dataCentre string) {
@@ -65,13 +60,9 @@
 		p.Log.Info("Data centre has answered.", "data_centre", n.contact)
 		return
 	}
-	if n.answered {
-		p.decider.PeerAnswered(n.report.Server, n.report.DataCentre, now)
-		return
-	}
 	b := p.Knowledge().Snapshot.ByCookie(n.report.Server)
 	if b != nil {
-		p.found(b, p.decider.PeerMissed(n.report, now), "peers")
+		p.found(b, p.decider.PeerReport(n.report, now), "peers")
 	}
 }
 
@@ -95,16 +86,16 @@
 func (p *Path) Unanswered(b *catalogue.Backend, f suspicion.Finding) {
 	p.metrics.unanswered.Inc(1)
 	p.found(b, f, "own traffic")
-	p.Missed(suspicion.Report{Server: b.Cookie, DataCentre: b.DataCentre})
+	p.Report(suspicion.Report{Kind: suspicion.NoAnswer, Server: b.Cookie, DataCentre: b.DataCentre})
 }
 
 // Refuted implements Observer.
-func (p *Path) Refuted(b *catalogue.Backend, suspected bool) {
+func (p *Path) Refuted(b *catalogue.Backend, by suspicion.Kind, ended bool) {
 	p.metrics.refuted.Inc(1)
-	if suspected {
+	if ended {
 		p.Log.Info("Backend server answers again.", "server", b.Name, "data_centre", b.DataCentre)
 	}
-	p.Answered(suspicion.Report{Server: b.Cookie, DataCentre: b.DataCentre})
+	p.Report(suspicion.Report{Kind: by, Server: b.Cookie, DataCentre: b.DataCentre})
 }
 
 // found logs a finding and follows it up.
--- a/internal/flowpath/open.go
+++ b/internal/flowpath/open.go
@@ -28,7 +28,7 @@
 	if b == nil {
 		return
 	}
-	f := d.suspicion.Missed(suspicion.Report{Server: b.Cookie, DataCentre: b.DataCentre}, now)
+	f := d.suspicion.Missed(suspicion.Report{Kind: suspicion.NoAnswer, Server: b.Cookie, DataCentre: b.DataCentre}, now)
 	d.observer.Unanswered(b, f)
 }
 
@@ -109,7 +109,7 @@
 }
 
 // repeat decides about a copy of an opening packet. Its server has not answered: if
-// it gave a sign of life meanwhile, a packet was lost, otherwise another is tried.
+// it answered others meanwhile, a packet was lost, otherwise another is tried.
 // Copies that were read together have waited here, and the server had no time yet.
 func (d *Decider) repeat(v Verdict, e *flowtable.Entry, hash uint64, k Knowledge, now int64) Verdict {
 	backend := k.Snapshot.ByCookie(e.Cookie)
--- a/internal/flowpath/path.go
+++ b/internal/flowpath/path.go
@@ -46,11 +46,9 @@
 	Knowledge func() Knowledge
 	// Refresh asks for the catalogue to be read, and returns when this is done.
 	Refresh func()
-	// Missed tells the peers that a server did not answer. It must not block.
-	Missed func(suspicion.Report)
-	// Answered tells the peers that a server with accounts against it has answered.
-	// It must not block.
-	Answered func(suspicion.Report)
+	// Report tells the peers of the data centre what was seen of a server. It must not
+	// block.
+	Report func(suspicion.Report)
 	// Unreachable asks for a contact with a data centre whose servers don't answer;
 	// Contact is to be called once there is one. It must not block.
 	Unreachable func(dataCentre string)
--- a/internal/flowpath/path_test.go
+++ b/internal/flowpath/path_test.go
@@ -76,8 +76,7 @@
 			return flowpath.Knowledge{Snapshot: mirror.Snapshot(), Known: known.Load(), Since: known.Load()}
 		},
 		Refresh:     read,
-		Missed:      func(suspicion.Report) {},
-		Answered:    func(suspicion.Report) {},
+		Report:      func(suspicion.Report) {},
 		Unreachable: func(string) {},
 		Clock:       steady.Now,
 		Log:         slog.New(slog.DiscardHandler),
--- a/internal/flowpath/silence_test.go
+++ b/internal/flowpath/silence_test.go
@@ -17,13 +17,18 @@
 	silent := w.open(1, 0).Backend
 	w.serve(10, 130*ms, silent.Name)
 	is.Equal(w.unanswered, []string{silent.Name}) // one account
-	r := suspicion.Report{Server: silent.Cookie, DataCentre: silent.DataCentre, Source: 42}
-	is.True(w.PeerMissed(r, w.now).Suspected) // and a peer's
+	is.True(w.peerMissed(silent, 42).Suspected)   // and a peer's
 	for port := uint16(1000); port < 1200; port++ {
 		is.True(w.open(port, 0).Backend.Name != silent.Name)
 	}
 }
 
+// peerMissed takes an account of an instance against a server.
+func (w *world) peerMissed(b *catalogue.Backend, source uint64) suspicion.Finding {
+	r := suspicion.Report{Kind: suspicion.NoAnswer, Source: source, Server: b.Cookie, DataCentre: b.DataCentre}
+	return w.PeerReport(r, w.now)
+}
+
 // serve opens flows for a time; all servers but one answer at once.
 func (w *world) serve(port uint16, span int64, silent string) {
 	for end := w.now + span; w.now < end; port++ {
@@ -55,9 +60,9 @@
 			w.send(1, b.Cookie, 1, 0)
 			for range 3 {
 				w.now += 50 * ms
-				w.PeerMissed(suspicion.Report{Server: b.Cookie, DataCentre: c.dataCentre}, w.now)
+				w.peerMissed(b, 0)
 			}
-			w.PeerMissed(suspicion.Report{Server: b.Cookie, DataCentre: c.dataCentre, Source: c.source}, w.now)
+			w.peerMissed(b, c.source)
 			is.Equal(w.send(1, b.Cookie, 1, 100).Action, c.want)
 			is.Equal(w.send(1, b.Cookie, 2, 100).Action, c.want) // an acknowledgement of before, sent again
 			is.Equal(w.send(1, b.Cookie, 3, 0).Action, Forward)  // an answer clears it
@@ -69,19 +74,29 @@
 // 33699674635 and scale-1 with seed 157742876114: accounts of 40 instances came
 // together against servers that answered all others.
 func TestPeersRefute(t *testing.T) {
-	is := is.New(t)
-	w := newWorld(1, nil)
-	w.settle()
-	b := w.open(1, 0).Backend
-	w.send(1, b.Cookie, 1, 0)
-	for source := range uint64(20) {
-		w.now += 20 * ms
-		w.PeerMissed(suspicion.Report{Server: b.Cookie, DataCentre: "a", Source: source}, w.now)
-		if source%3 == 2 {
-			w.PeerAnswered(b.Cookie, "a", w.now+ms)
-		}
-		w.now += 2 * ms
-		is.Equal(w.send(1, b.Cookie, 1, 100).Action, Forward)
+	for _, c := range []struct {
+		name string
+		sign suspicion.Kind
+	}{
+		{"by a handshake", suspicion.Handshake},
+		{"by data", suspicion.Data},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(1, nil)
+			w.settle()
+			b := w.open(1, 0).Backend
+			w.send(1, b.Cookie, 1, 0)
+			for source := range uint64(20) {
+				w.now += 20 * ms
+				w.peerMissed(b, source)
+				if source%3 == 2 {
+					w.PeerReport(suspicion.Report{Kind: c.sign, Server: b.Cookie, DataCentre: "a"}, w.now+ms)
+				}
+				w.now += 2 * ms
+				is.Equal(w.send(1, b.Cookie, 1, 100).Action, Forward)
+			}
+		})
 	}
 }
 
@@ -92,7 +107,7 @@
 	b := w.open(1, 0).Backend
 	w.send(1, b.Cookie, 1, 0)
 	for source := range uint64(4) {
-		w.PeerMissed(suspicion.Report{Server: b.Cookie, DataCentre: "a", Source: source}, w.now)
+		w.peerMissed(b, source)
 	}
 	is.Equal(w.send(1, b.Cookie, 1, 100).Action, Forward)
 }
@@ -108,7 +123,7 @@
 	w.send(1, b.Cookie, 1, 100)
 	is.Equal(len(w.unanswered), 0)
 	for range 2 {
-		w.PeerMissed(suspicion.Report{Server: b.Cookie, DataCentre: "a", Source: 7}, w.now)
+		w.peerMissed(b, 7)
 	}
 	w.now += 50 * ms
 	w.send(1, b.Cookie, 1, 100)
@@ -163,12 +178,12 @@
 	w.now += 5000 * ms
 	is.Equal(w.send(1, b.Cookie, 1, 0).Action, Forward)
 	for source := range uint64(6) {
-		w.PeerMissed(suspicion.Report{Server: b.Cookie, DataCentre: "a", Source: source}, w.now)
+		w.peerMissed(b, source)
 	}
 	is.True(!w.Suspected(b, w.now))
 	w.serve(10, 600*ms, "")
 	for source := range uint64(6) {
-		w.PeerMissed(suspicion.Report{Server: b.Cookie, DataCentre: "a", Source: source}, w.now)
+		w.peerMissed(b, source)
 	}
 	is.Equal(w.send(1, b.Cookie, 1, 100).Action, Forward) // it is too early to reset anything
 }
@@ -248,6 +263,7 @@
 	}
 	is.True(!w.reaches())
 	w.send(1, download.Cookie, 2, 0) // more of the download has arrived
+	is.Equal(w.signs, []suspicion.Kind{suspicion.Data})
 	is.True(!w.reaches())
 }
 
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -1,10 +1,16 @@
 // Package suspicion finds backend servers and data centres that don't answer, from
 // the traffic itself: the handshake of an opening packet that was sent there does
 // not come. One packet may be lost, and one instance may be at fault itself, so a
-// server is suspected on two accounts, of this instance or of its peers, since its
-// last sign of life, which other instances may have seen. When a suspicion ends, the server gets single flows as trials
-// until one is answered (a circuit breaker's half-open state). The package does no
-// I/O and reads no clock; it belongs to one goroutine.
+// server is suspected on two accounts, of this instance or of its peers, since the
+// last handshake, which other instances may have seen. When a suspicion ends, the
+// server gets single flows as trials until one is answered (a circuit breaker's
+// half-open state).
+//
+// Servers answer callers directly, so a caller may still receive data of a server
+// that the instances can't reach. Data shows that a server lives, only a handshake
+// that it can be reached.
+//
+// The package does no I/O and reads no clock; it belongs to one goroutine.
 package suspicion
 
 import "time"
@@ -36,8 +42,23 @@
 	unreachableFor = 12 * time.Second
 )
 
-// Report is one account of an unanswered opening packet.
+// Kind is what a report tells of a server.
+type Kind string
+
+// The kinds of reports.
+const (
+	// NoAnswer is an account of an opening packet that was not answered.
+	NoAnswer Kind = "no_answer"
+	// Handshake tells that a server has answered an opening packet although there
+	// were accounts against it.
+	Handshake Kind = "handshake"
+	// Data tells that a caller has received data from such a server.
+	Data Kind = "data"
+)
+
+// Report is what an instance has seen of a server.
 type Report struct {
+	Kind Kind
 	// Source identifies the instance that saw it; 0 is this one.
 	Source uint64
 	// Server is the cookie of the server, DataCentre where it is.
@@ -51,7 +72,7 @@
 	// data centre has become unreachable.
 	Suspected   bool
 	Unreachable bool
-	// Accounts is how many accounts there are since the server's last sign of life,
+	// Accounts is how many accounts there are since the server's last handshake,
 	// and Silent how long ago that was; 0 if there was none.
 	Accounts int
 	Silent   time.Duration
@@ -65,9 +86,11 @@
 type server struct {
 	dataCentre string
 	// accounts holds the last accounts, the newest first; those not later than
-	// answered don't count.
+	// answered, the last handshake, don't count. Those not later than alive, the last
+	// sign of life of any kind, don't show that the server is dead.
 	accounts [deadAccounts]account
 	answered int64
+	alive    int64
 	// since and until bound the last suspicion; term is its length. It is doubtful
 	// from its beginning until the server answers.
 	since    int64
@@ -99,7 +122,7 @@
 	s := t.server(r.Server, r.DataCentre)
 	copy(s.accounts[1:], s.accounts[:])
 	s.accounts[0] = account{source: r.Source, at: now}
-	f := Finding{Accounts: s.count(now, deadWithin)}
+	f := Finding{Accounts: s.count(s.answered, now, deadWithin)}
 	if s.answered != 0 {
 		f.Silent = time.Duration(now - s.answered)
 	}
@@ -114,14 +137,14 @@
 
 // convicted reports whether the accounts make the server suspected.
 func (s *server) convicted(now int64) bool {
-	return s.doubtful || s.count(now, evidenceFor) >= needed
+	return s.doubtful || s.count(s.answered, now, evidenceFor) >= needed
 }
 
-// count returns the number of accounts in a span until now since the last answer.
-func (s *server) count(now int64, span time.Duration) int {
+// count returns the number of accounts in a span until now and after a time.
+func (s *server) count(after, now int64, span time.Duration) int {
 	n := 0
 	for _, a := range s.accounts {
-		if a.at > s.answered && now-a.at <= int64(span) {
+		if a.at > after && now-a.at <= int64(span) {
 			n++
 		}
 	}
@@ -135,7 +158,7 @@
 		return false
 	}
 	newest := s.accounts[0]
-	if s.count(newest.at, deadWithin) < deadAccounts {
+	if s.count(s.alive, newest.at, deadWithin) < deadAccounts {
 		return false
 	}
 	for _, a := range s.accounts[1:] {
@@ -175,22 +198,31 @@
 	return true
 }
 
-// Refutation is what a sign of life does to the accounts before it.
+// Refutation is what a handshake does to the accounts before it.
 type Refutation struct {
 	// Refutes says that there were any, Ended that the server was suspected.
 	Refutes, Ended bool
 }
 
-// Answered notes a sign of life of a server.
+// Answered notes that a server has answered an opening packet.
 func (t *Table) Answered(id uint32, where string, now int64) Refutation {
 	s := t.server(id, where)
-	r := Refutation{Refutes: s.doubtful || s.count(now, deadWithin) > 0, Ended: s.doubtful}
-	s.answered, s.doubtful, s.until = now, false, min(s.until, now)
+	r := Refutation{Refutes: s.doubtful || s.count(s.answered, now, deadWithin) > 0, Ended: s.doubtful}
+	s.answered, s.alive, s.doubtful, s.until = now, now, false, min(s.until, now)
 	d := t.dataCentre(where)
 	d.answered, d.until = now, min(d.until, now)
 	return r
 }
 
+// Alive notes that a caller has received data from a server, and reports whether
+// there were accounts by which it might have been dead.
+func (t *Table) Alive(id uint32, where string, now int64) (refutes bool) {
+	s := t.server(id, where)
+	refutes = s.count(s.alive, now, deadWithin) > 0
+	s.alive = now
+	return refutes
+}
+
 // Contact notes that an instance of a data centre has answered this one.
 func (t *Table) Contact(where string, now int64) {
 	d := t.dataCentre(where)
@@ -204,7 +236,7 @@
 	}
 }
 
-// Answers returns when a server last gave a sign of life, 0 if never.
+// Answers returns when a server last answered an opening packet, 0 if never.
 func (t *Table) Answers(id uint32) int64 {
 	if s := t.servers[id]; s != nil {
 		return s.answered
@@ -221,7 +253,12 @@
 	return s.until > now || now-s.tried < int64(trialEvery)
 }
 
-// Seen reports whether a data centre has ever shown a sign of life.
+// Silent reports whether a server is suspected and has shown no life since.
+func (t *Table) Silent(id uint32, now int64) bool {
+	return t.Suspected(id, now) && t.servers[id].alive < t.servers[id].since
+}
+
+// Seen reports whether a data centre has ever answered.
 func (t *Table) Seen(where string) bool {
 	d := t.dataCentres[where]
 	return d != nil && (d.answered != 0 || d.contacted != 0)
--- a/internal/suspicion/suspicion_test.go
+++ b/internal/suspicion/suspicion_test.go
@@ -142,3 +142,28 @@
 		})
 	}
 }
+
+// TestDataShowsLifeButNotReach answers a cut: servers beyond it send data to callers
+// directly while opening packets don't reach them.
+func TestDataShowsLifeButNotReach(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	at := 1000 * ms
+	for server := uint32(1); server <= 2; server++ {
+		for source := range uint64(deadAccounts) {
+			s.Missed(Report{Server: server, DataCentre: "b", Source: source}, at)
+		}
+	}
+	is.True(s.Dead(1))
+	is.True(s.Silent(1, at))
+	is.True(s.Alive(1, "b", at+ms))
+	is.True(!s.Alive(1, "b", at+2*ms)) // nothing is left to refute
+	is.True(!s.Dead(1))
+	is.True(s.Dead(2))
+	is.True(s.Suspected(1, at+3*ms))
+	is.True(!s.Silent(1, at+3*ms))
+	is.True(s.Unreachable("b", at+3*ms))
+	is.Equal(s.Answers(1), int64(0))
+	is.Equal(s.Answered(1, "b", at+4*ms), Refutation{Refutes: true, Ended: true})
+	is.True(!s.Unreachable("b", at+5*ms))
+}
