One client of the store, by the platform's protocol

Cause: the product kept its own configuration in a key-value store of a protocol that this repository had made up, with a client, a stand-in and leases of its own, beside the client of the platform's store. The platform's store has all that is needed, so this was needless.

Change: platform.Store also reads, swaps and polls single keys (store.Service). storeclient keeps what is the product's: limits, repeats, the circuit. One stand-in, platformtest.Store, serves both, with the faults of both. Leases are gone: nothing used them.

Ruled out: serving the product's own packets by the new packet path as well. Its callers give back no cookie, so changes need records; the pages leave that interface as it is (docs/DESIGN.md).

--- a/internal/app/parts.go
+++ b/internal/app/parts.go
@@ -29,6 +29,7 @@
 	"balsamfork/internal/settings"
 	"balsamfork/internal/storeclient"
 	"balsamfork/internal/telemetry"
+	"balsamfork/platform"
 )
 
 // Module provides every part of an instance and connects them.
@@ -109,11 +110,11 @@
 
 func newStoreClient(s *settings.Valid, log *slog.Logger, scope tally.Scope) *storeclient.Client {
 	return storeclient.New(storeclient.Options{
-		URL:    s.StoreURL,
-		Fleet:  initialFleet,
-		Random: random(),
-		Scope:  scope,
-		Log:    log,
+		Service: platform.NewStore(platform.StoreOptions{URL: s.StoreURL, Log: log, Scope: scope}),
+		Fleet:   initialFleet,
+		Random:  random(),
+		Scope:   scope,
+		Log:     log,
 	})
 }
 
--- a/internal/cli/access.go
+++ b/internal/cli/access.go
@@ -3,18 +3,15 @@
 import (
 	"flag"
 	"io"
-	"log/slog"
-	"math/rand/v2"
 	"net/netip"
 	"os"
 	"os/user"
 	"strings"
 
-	"github.com/uber-go/tally/v4"
-
 	"balsamfork/internal/confstore"
 	"balsamfork/internal/keys"
 	"balsamfork/internal/storeclient"
+	"balsamfork/platform"
 )
 
 // The environment variables that stand in for flags.
@@ -50,11 +47,8 @@
 		return nil, usageError.New("-store is missing")
 	}
 	return confstore.New(storeclient.New(storeclient.Options{
-		URL:    s.url,
-		Fleet:  1,
-		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Scope:  tally.NoopScope,
-		Log:    slog.New(slog.DiscardHandler),
+		Service: platform.NewStore(platform.StoreOptions{URL: s.url}),
+		Fleet:   1,
 	})), nil
 }
 
--- a/internal/demo/platform.go
+++ b/internal/demo/platform.go
@@ -4,19 +4,17 @@
 	"context"
 	crand "crypto/rand"
 	"encoding/json"
-	"log/slog"
 	"math/rand/v2"
 	"net/netip"
 	"time"
 
-	"github.com/uber-go/tally/v4"
-
 	"balsamfork/client"
 	"balsamfork/internal/config"
 	"balsamfork/internal/confstore"
 	"balsamfork/internal/standin/worker"
 	"balsamfork/internal/store"
 	"balsamfork/internal/storeclient"
+	"balsamfork/platform"
 )
 
 const (
@@ -51,11 +49,9 @@
 		o.hashKey[i] = byte(random.Uint32())
 	}
 	o.repository = confstore.New(storeclient.New(storeclient.Options{
-		URL:    storeURL,
-		Fleet:  1,
-		Random: random,
-		Scope:  tally.NoopScope,
-		Log:    slog.New(slog.DiscardHandler),
+		Service: platform.NewStore(platform.StoreOptions{URL: storeURL}),
+		Fleet:   1,
+		Random:  random,
 	}))
 	return o
 }
--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -15,7 +15,7 @@
 	"balsamfork/internal/standin/backend"
 	"balsamfork/internal/standin/caller"
 	"balsamfork/internal/standin/fabric"
-	"balsamfork/internal/standin/store"
+	"balsamfork/platform/platformtest"
 )
 
 const (
@@ -40,7 +40,7 @@
 	platform   Platform
 	deployment Deployment
 
-	store    *store.Server
+	store    *platformtest.Store
 	web      *http.Server
 	storeURL string
 	operator Operator
@@ -78,7 +78,7 @@
 		platform:   p,
 		deployment: o.Deployment,
 		choices:    choose(o.Seed, o.Deployment),
-		store:      store.New(),
+		store:      platformtest.NewStore(),
 		fabric:     fabric.New(o.Seed),
 		ledger:     newLedger(),
 		started:    make(map[string]int),
--- a/internal/flowd/module.go
+++ b/internal/flowd/module.go
@@ -90,7 +90,7 @@
 
 func newWatcher(s platform.Settings, m *catalogue.Mirror, plan *watch.Plan, l *links, log *slog.Logger, scope tally.Scope) *watch.Watcher {
 	return watch.New(watch.Options{
-		Source:  platform.NewStore(s.Store, telemetry.Part(log, "store"), scope),
+		Source:  platform.NewStore(platform.StoreOptions{URL: "http://" + s.Store.String(), Log: telemetry.Part(log, "store"), Scope: scope}),
 		Mirror:  m,
 		Plan:    plan,
 		Clock:   steady.Now,
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -22,26 +22,18 @@
 	TooLarge    = errs.Class("store: value too large")
 )
 
-// Revision numbers the writes of one key, from 1. Zero means that the key has
-// no value.
+// Revision numbers the writes of the service. That of a key is the last write to it;
+// zero means that the key has no value.
 type Revision uint64
 
 // Value is what a key held at one revision.
 type Value struct {
-	Revision Revision `json:"revision"`
-	Data     []byte   `json:"data"`
+	Revision Revision
+	Data     []byte
 }
 
-// Lease is the right of one holder to act, until Expires. Fence grows with each
-// grant, so that a write can be refused from a holder that was paused.
-type Lease struct {
-	Holder  string    `json:"holder"`
-	Fence   uint64    `json:"fence"`
-	Expires time.Time `json:"expires"`
-}
-
-// Store is the platform's key-value service. All methods may be called from
-// several goroutines and end early when the context does.
+// Store is the platform's key-value service as the product uses it. All methods may
+// be called from several goroutines and end early when the context does.
 type Store interface {
 	// Get returns the value of a key, or NotFound.
 	Get(ctx context.Context, key string) (Value, error)
@@ -51,7 +43,14 @@
 	// Watch waits for a value newer than after and returns it. Now and then it looks
 	// whether the value is older, in a store that lost data, and returns that.
 	Watch(ctx context.Context, key string, after Revision) (Value, error)
-	// Lease takes or renews a lease for holder, or returns Conflict while another
-	// holds it.
-	Lease(ctx context.Context, key, holder string, ttl time.Duration) (Lease, error)
+}
+
+// Service makes single calls of the key-value service. Each makes one attempt; errors
+// are of the classes above.
+type Service interface {
+	Get(ctx context.Context, key string) (Value, error)
+	CompareAndSwap(ctx context.Context, key string, old Revision, data []byte) (Revision, error)
+	// Poll waits for some time for a write of a key after a revision. It returns its
+	// value, or the zero value, and the revision up to which it has looked.
+	Poll(ctx context.Context, key string, after Revision, wait time.Duration) (Value, Revision, error)
 }
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -2,31 +2,24 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"net/http"
-	"net/url"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/sony/gobreaker/v2"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 
 	"balsamfork/internal/store"
 )
 
 const (
-	// callTimeout bounds one call other than a watch.
-	callTimeout = 2 * time.Second
-	// watchWait is how long one poll of a watch waits at the service, and
-	// watchSlack what it may take beyond that.
-	watchWait  = 25 * time.Second
-	watchSlack = 5 * time.Second
+	// watchWait is how long one poll of a watch waits at the service, which allows
+	// 30 s.
+	watchWait = 25 * time.Second
 	// readAttempts bounds how often a read is tried.
 	readAttempts = 3
 	// firstRetry and lastRetry bound the pause before a read is tried again.
@@ -41,10 +34,8 @@
 
 // Options is what a client is built from.
 type Options struct {
-	// URL is the base of the service, such as http://127.0.0.1:2379.
-	URL string
-	// Transport carries the calls; nil means http.DefaultTransport.
-	Transport http.RoundTripper
+	// Service makes the calls.
+	Service store.Service
 	// Fleet is the number of instances that share the service's rates.
 	Fleet int
 	// Random draws the jitter.
@@ -53,25 +44,19 @@
 	Log    *slog.Logger
 }
 
-// Client is a store.Store over the network.
+// Client is a store.Store on top of single calls.
 type Client struct {
-	base    string
-	http    *http.Client
+	service store.Service
 	limits  *limits
 	breaker *gobreaker.CircuitBreaker[any]
 	log     *slog.Logger
-	metrics metrics
+	// heldBack counts the calls that were not made because the circuit is open.
+	heldBack tally.Counter
 
 	mu     sync.Mutex
 	random *rand.Rand
 }
 
-type metrics struct {
-	calls    tally.Counter
-	failures tally.Counter
-	refused  tally.Counter
-}
-
 var _ store.Store = (*Client)(nil)
 
 // New returns a client. It makes no call yet.
@@ -86,16 +71,11 @@
 		o.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	c := &Client{
-		base:   strings.TrimSuffix(o.URL, "/"),
-		http:   &http.Client{Transport: o.Transport},
-		limits: newLimits(o.Fleet),
-		random: o.Random,
-		log:    o.Log.With("part", "store"),
-		metrics: metrics{
-			calls:    o.Scope.Counter("store_calls"),
-			failures: o.Scope.Counter("store_failures"),
-			refused:  o.Scope.Counter("store_calls_held_back"),
-		},
+		service:  o.Service,
+		limits:   newLimits(o.Fleet),
+		random:   o.Random,
+		log:      o.Log.With("part", "store"),
+		heldBack: o.Scope.Counter("store_calls_held_back"),
 	}
 	c.breaker = gobreaker.NewCircuitBreaker[any](gobreaker.Settings{
 		Name:          "store",
@@ -130,8 +110,7 @@
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = firstRetry, lastRetry
 	value, err := backoff.Retry(ctx, func() (store.Value, error) {
-		var value store.Value
-		err := c.guarded(ctx, call{method: http.MethodGet, path: "keys/" + key, into: &value})
+		value, err := guarded(ctx, c, c.limits.reads, func() (store.Value, error) { return c.service.Get(ctx, key) })
 		if err != nil && !store.Unavailable.Has(err) {
 			return value, backoff.Permanent(err)
 		}
@@ -149,37 +128,45 @@
 	if len(data) > store.MaxValue {
 		return 0, store.TooLarge.New("%s: %d bytes", key, len(data))
 	}
-	var value store.Value
-	query := url.Values{"revision": {fmt.Sprint(uint64(old))}}
-	err := c.guarded(ctx, call{method: http.MethodPut, path: "keys/" + key, query: query, body: data, into: &value})
-	return value.Revision, err
+	if err := c.spread(ctx); err != nil {
+		return 0, store.Unavailable.Wrap(err)
+	}
+	return guarded(ctx, c, c.limits.writes, func() (store.Revision, error) {
+		return c.service.CompareAndSwap(ctx, key, old, data)
+	})
 }
 
 // Watch implements store.Store by long polls.
 func (c *Client) Watch(ctx context.Context, key string, after store.Revision) (store.Value, error) {
-	query := url.Values{"after": {fmt.Sprint(uint64(after))}, "wait": {watchWait.String()}}
+	looked := after
 	for {
-		if c.breaker.State() == gobreaker.StateOpen {
-			c.metrics.refused.Inc(1)
-			return store.Value{}, store.Unavailable.New("%s: the circuit is open", key)
-		}
-		if err := c.await(ctx, false); err != nil {
-			return store.Value{}, err
-		}
-		var value store.Value
-		err := c.do(ctx, watchWait+watchSlack, call{method: http.MethodGet, path: "watch/" + key, query: query, into: &value})
-		if ctx.Err() != nil {
-			return store.Value{}, store.Unavailable.Wrap(ctx.Err())
-		}
-		// The outcome counts for the circuit, but a poll does not hold it half open.
-		_, _ = c.breaker.Execute(func() (any, error) { return nil, err })
+		value, until, err := c.poll(ctx, key, looked)
 		if err != nil || value.Revision > after {
 			return value, err
 		}
 		if value, gone := c.wentBack(ctx, key, after); gone {
 			return value, nil
 		}
+		looked = until
+	}
+}
+
+// poll makes one long poll. Its outcome counts for the circuit, but a poll does not
+// hold it half open.
+func (c *Client) poll(ctx context.Context, key string, after store.Revision) (store.Value, store.Revision, error) {
+	if c.breaker.State() == gobreaker.StateOpen {
+		c.heldBack.Inc(1)
+		return store.Value{}, 0, store.Unavailable.New("%s: the circuit is open", key)
 	}
+	if err := c.limits.reads.Wait(ctx); err != nil {
+		return store.Value{}, 0, store.Unavailable.Wrap(err)
+	}
+	value, until, err := c.service.Poll(ctx, key, after, watchWait)
+	if ctx.Err() != nil {
+		return store.Value{}, 0, store.Unavailable.Wrap(ctx.Err())
+	}
+	_, _ = c.breaker.Execute(func() (any, error) { return nil, err })
+	return value, until, err
 }
 
 // wentBack returns the value of a key that is at a revision before the one that
@@ -192,45 +179,22 @@
 	return value, err == nil && value.Revision < seen
 }
 
-// Lease implements store.Store.
-func (c *Client) Lease(ctx context.Context, key, holder string, ttl time.Duration) (store.Lease, error) {
-	body, err := json.Marshal(map[string]any{"holder": holder, "ttlMillis": ttl.Milliseconds()})
-	if err != nil {
-		return store.Lease{}, store.Unavailable.Wrap(err)
-	}
-	var lease store.Lease
-	err = c.guarded(ctx, call{method: http.MethodPost, path: "leases/" + key, body: body, into: &lease})
-	return lease, err
-}
-
-// guarded makes one call within the limits and through the circuit.
-func (c *Client) guarded(ctx context.Context, k call) error {
-	if err := c.await(ctx, k.isWrite()); err != nil {
-		return err
+// guarded makes one call within a limit and through the circuit.
+func guarded[T any](ctx context.Context, c *Client, limit *rate.Limiter, attempt func() (T, error)) (T, error) {
+	var result T
+	if err := limit.Wait(ctx); err != nil {
+		return result, store.Unavailable.Wrap(err)
 	}
 	_, err := c.breaker.Execute(func() (any, error) {
-		return nil, c.do(ctx, callTimeout, k)
+		var err error
+		result, err = attempt()
+		return nil, err
 	})
 	if errors.Is(err, gobreaker.ErrOpenState) || errors.Is(err, gobreaker.ErrTooManyRequests) {
-		c.metrics.refused.Inc(1)
-		return store.Unavailable.New("%s: the circuit is open", k.path)
-	}
-	return err
-}
-
-// await waits until the limits allow a call.
-func (c *Client) await(ctx context.Context, isWrite bool) error {
-	limiter := c.limits.reads
-	if isWrite {
-		limiter = c.limits.writes
-		if err := c.spread(ctx); err != nil {
-			return store.Unavailable.Wrap(err)
-		}
-	}
-	if err := limiter.Wait(ctx); err != nil {
-		return store.Unavailable.Wrap(err)
+		c.heldBack.Inc(1)
+		return result, store.Unavailable.New("the circuit is open")
 	}
-	return nil
+	return result, err
 }
 
 // spread waits for a random part of the time over which writes are spread.
--- a/internal/storeclient/doc.go
+++ b/internal/storeclient/doc.go
@@ -1,4 +1,4 @@
-// Package storeclient speaks to the platform's key-value service over HTTP. It
-// bounds its calls so that a whole fleet stays under half the service's rates,
-// and stops calling for a while when the service is in trouble.
+// Package storeclient guards the calls of the platform's key-value service: it bounds
+// them so that a whole fleet stays under half the service's rates, repeats reads, and
+// stops calling for a while when the service is in trouble.
 package storeclient
--- a/internal/storeclient/limits.go
+++ b/internal/storeclient/limits.go
@@ -7,8 +7,8 @@
 	"golang.org/x/time/rate"
 )
 
-// The calls that a whole fleet may make, in calls a second: half of what the
-// service takes.
+// The calls that a whole fleet may make, in calls a second: half of the reads and less
+// than half of the writes that the platform's smaller stores take (2,000 and 400).
 const (
 	fleetReads  = 1000
 	fleetWrites = 150
