Find servers that accept flows and answer no request

Cause: a server that hangs or resets on requests answers handshakes, so it got its share of new flows for as long as its entry said that it was well.

Change: suspicion keeps two circuits for a server. The queue that waits for handshakes serves requests as well. Logs say what was missing and which sign ended a suspicion.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -183,7 +183,7 @@
 	port := freePort(t)
 	a, b, other := start(t, port, 21, "a", address(22)), start(t, port, 22, "a", address(21)), start(t, port, 23, "b", address(21))
 	eventually(t, "instances don't know one another", func() bool { return a.peers.size() == 3 && b.peers.size() == 3 })
-	a.Report(suspicion.Report{Kind: suspicion.NoAnswer, Server: 5, DataCentre: "a"})
+	a.Report(suspicion.Report{Kind: suspicion.NoHandshake, Server: 5, DataCentre: "a"})
 	eventually(t, "the report was not taken", func() bool { return b.taken() == 1 })
 	is.True(b.reports[0].Source != 0)
 	is.Equal(b.reports[0].Server, uint32(5))
--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -92,8 +92,8 @@
 
 // Observer is told what the traffic shows of servers.
 type Observer interface {
-	// Unanswered tells of a server whose handshake did not come, and what follows.
-	Unanswered(b *catalogue.Backend, f suspicion.Finding)
+	// Missed tells of an account against a server, and what follows.
+	Missed(b *catalogue.Backend, kind suspicion.Kind, f suspicion.Finding)
 	// Refuted tells of a server that has shown life although there were accounts
 	// against it, how, and whether that ends a suspicion.
 	Refuted(b *catalogue.Backend, by suspicion.Kind, ended bool)
@@ -112,7 +112,8 @@
 	selector  selection.Selector
 	observer  Observer
 	flows     *flowtable.Table
-	openings  openings
+	openings  waits
+	requests  waits
 	suspicion *suspicion.Table
 	cold      *coldBudget
 	// neighbours is the number of instances in the data centre.
@@ -132,6 +133,8 @@
 		observer:   observer,
 		selector:   selection.Selector{DataCentre: dataCentre},
 		flows:      flowtable.New(),
+		openings:   waits{within: handshakeWithin},
+		requests:   waits{within: dataWithin},
 		suspicion:  suspicion.New(),
 		cold:       newColdBudget(limits),
 		neighbours: defaultNeighbours,
@@ -153,7 +156,7 @@
 		d.suspicion.Answered(r.Server, r.DataCentre, now)
 	case suspicion.Data:
 		d.suspicion.Alive(r.Server, r.DataCentre, now)
-	case suspicion.NoAnswer:
+	case suspicion.NoHandshake, suspicion.NoData:
 		if now-d.woke >= int64(stoodStill) {
 			return d.suspicion.Missed(r, now)
 		}
@@ -167,7 +170,8 @@
 func (d *Decider) Observe(now, drained int64) {
 	if now-d.observed > int64(stoodStill) {
 		d.woke = now
-		d.openings = openings{}
+		d.openings.clear()
+		d.requests.clear()
 	}
 	d.observed, d.drained = now, drained
 }
@@ -188,6 +192,7 @@
 		d.recount(now)
 	}
 	d.checkOpenings(k.Snapshot, now)
+	d.checkRequests(k.Snapshot, now)
 	switch p.Kind {
 	case Opening:
 		return d.open(p, k, now)
--- a/internal/flowpath/decider_test.go
+++ b/internal/flowpath/decider_test.go
@@ -25,6 +25,7 @@
 	mirror *catalogue.Mirror
 	// unanswered holds the names of the servers that the decider has told of.
 	unanswered []string
+	stalled    []string
 	refuted    []string
 	signs      []suspicion.Kind
 	// lagging stands for packets that wait to be read.
@@ -73,7 +74,11 @@
 	return w
 }
 
-func (w *world) Unanswered(b *catalogue.Backend, _ suspicion.Finding) {
+func (w *world) Missed(b *catalogue.Backend, kind suspicion.Kind, _ suspicion.Finding) {
+	if kind == suspicion.NoData {
+		w.stalled = append(w.stalled, b.Name)
+		return
+	}
 	w.unanswered = append(w.unanswered, b.Name)
 }
 
--- a/internal/flowpath/follow.go
+++ b/internal/flowpath/follow.go
@@ -66,12 +66,7 @@
 	}
 	if p.Acknowledged != e.Acknowledged {
 		e.Acknowledged, e.Busy = p.Acknowledged, false
-		// Data and ends are sent again and may carry an old acknowledgement that
-		// passed through another instance before; a bare one is only sent as data
-		// arrives.
-		if p.Data == 0 && !p.Finish {
-			d.sentData(b, now)
-		}
+		d.served(p, b, now)
 	}
 	e.Last = now
 	switch {
@@ -79,10 +74,22 @@
 		d.flows.Remove(e)
 	case p.Finish:
 		e.State, e.Busy = flowtable.Closing, false
-	case p.Data > 0 && e.Busy && p.Sequence == e.Sequence:
+	case p.Data > 0 && e.Busy && int32(p.Sequence-e.Sequence) <= 0:
 		d.repeated(b, now)
 	case p.Data > 0:
-		e.Busy, e.Sequence = true, p.Sequence
+		d.ask(e, hash, now)
+		e.Sequence = p.Sequence
+	}
+}
+
+// ask notes that a request is under way, and waits for data in return.
+func (d *Decider) ask(e *flowtable.Entry, hash uint64, now int64) {
+	if e.Busy {
+		return
+	}
+	e.Busy, e.Asked = true, now
+	if d.reading(now) {
+		d.requests.add(hash, now)
 	}
 }
 
@@ -91,7 +98,7 @@
 // sends nothing to others.
 func (d *Decider) repeated(b *catalogue.Backend, now int64) {
 	if d.suspicion.Silent(b.Cookie, now) {
-		d.unanswered(b, now)
+		d.missed(b, suspicion.NoHandshake, now)
 	}
 }
 
@@ -101,8 +108,17 @@
 	}
 }
 
-func (d *Decider) sentData(b *catalogue.Backend, now int64) {
-	if d.suspicion.Alive(b.Cookie, b.DataCentre, now) {
-		d.observer.Refuted(b, suspicion.Data, false)
+// served takes an acknowledgement that has moved. Data and ends are sent again and may
+// carry an old one that passed through another instance before; a bare one is only
+// sent as data arrives.
+func (d *Decider) served(p *Packet, b *catalogue.Backend, now int64) {
+	var r suspicion.Refutation
+	if p.Data == 0 && !p.Finish {
+		r = d.suspicion.Alive(b.Cookie, b.DataCentre, now)
+	} else {
+		r = d.suspicion.Served(b.Cookie, b.DataCentre, now)
+	}
+	if r.Refutes {
+		d.observer.Refuted(b, suspicion.Data, r.Ended)
 	}
 }
--- a/internal/flowpath/log_test.go
+++ b/internal/flowpath/log_test.go
@@ -67,15 +67,16 @@
 	w := newWorld(1, nil)
 	var out bytes.Buffer
 	p := &Path{Options: Options{Log: slog.New(slog.NewJSONHandler(&out, nil))}, metrics: newMetrics(tally.NoopScope)}
-	p.found(w.mirror.Snapshot().Backends("desk")[0], suspicion.Finding{Suspected: true, Accounts: 2}, "peers")
+	p.found(w.mirror.Snapshot().Backends("desk")[0], suspicion.NoData, suspicion.Finding{Suspected: true, Accounts: 2}, "peers")
 	var got struct {
-		Server, Evidence string
-		DataCentre       string `json:"data_centre"`
-		Accounts         int
+		Server, Evidence, Missing string
+		DataCentre                string `json:"data_centre"`
+		Accounts                  int
 	}
 	is.NoErr(json.Unmarshal(out.Bytes(), &got))
 	is.Equal(got.Server, "s0")
 	is.Equal(got.DataCentre, "a")
 	is.Equal(got.Evidence, "peers")
+	is.Equal(got.Missing, "no_data")
 	is.Equal(got.Accounts, 2)
 }
--- a/internal/flowpath/metrics.go
+++ b/internal/flowpath/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"balsamfork/internal/suspicion"
 )
 
 // sampleEvery is the share of packets whose handling is timed.
@@ -21,6 +23,7 @@
 	holdsDropped tally.Counter
 	newsDropped  tally.Counter
 	unanswered   tally.Counter
+	stalled      tally.Counter
 	refuted      tally.Counter
 	suspicions   tally.Counter
 	age          tally.Gauge
@@ -50,6 +53,7 @@
 		holdsDropped: scope.Counter("holds_dropped"),
 		newsDropped:  scope.Counter("news_dropped"),
 		unanswered:   scope.Counter("openings_unanswered"),
+		stalled:      scope.Counter("requests_stalled"),
 		refuted:      scope.Counter("suspicions_refuted"),
 		suspicions:   scope.Counter("suspicions"),
 		age:          scope.Gauge("catalogue_age_seconds"),
@@ -77,5 +81,13 @@
 	}
 }
 
+// missed returns the counter of a kind of accounts.
+func (m *metrics) missed(kind suspicion.Kind) tally.Counter {
+	if kind == suspicion.NoData {
+		return m.stalled
+	}
+	return m.unanswered
+}
+
 // sample reports whether the packet that was counted last is one to measure.
 func (m *metrics) sample() bool { return m.seen%sampleEvery == 0 }
--- a/internal/flowpath/news.go
+++ b/internal/flowpath/news.go
@@ -62,7 +62,7 @@
 	}
 	b := p.Knowledge().Snapshot.ByCookie(n.report.Server)
 	if b != nil {
-		p.found(b, p.decider.PeerReport(n.report, now), "peers")
+		p.found(b, n.report.Kind, p.decider.PeerReport(n.report, now), "peers")
 	}
 }
 
@@ -82,28 +82,28 @@
 	}
 }
 
-// Unanswered implements Observer.
-func (p *Path) Unanswered(b *catalogue.Backend, f suspicion.Finding) {
-	p.metrics.unanswered.Inc(1)
-	p.found(b, f, "own traffic")
-	p.Report(suspicion.Report{Kind: suspicion.NoAnswer, Server: b.Cookie, DataCentre: b.DataCentre})
+// Missed implements Observer.
+func (p *Path) Missed(b *catalogue.Backend, kind suspicion.Kind, f suspicion.Finding) {
+	p.metrics.missed(kind).Inc(1)
+	p.found(b, kind, f, "own traffic")
+	p.Report(suspicion.Report{Kind: kind, Server: b.Cookie, DataCentre: b.DataCentre})
 }
 
 // Refuted implements Observer.
 func (p *Path) Refuted(b *catalogue.Backend, by suspicion.Kind, ended bool) {
 	p.metrics.refuted.Inc(1)
 	if ended {
-		p.Log.Info("Backend server answers again.", "server", b.Name, "data_centre", b.DataCentre)
+		p.Log.Info("Backend server answers again.", "server", b.Name, "data_centre", b.DataCentre, "sign", by)
 	}
 	p.Report(suspicion.Report{Kind: by, Server: b.Cookie, DataCentre: b.DataCentre})
 }
 
 // found logs a finding and follows it up.
-func (p *Path) found(b *catalogue.Backend, f suspicion.Finding, evidence string) {
+func (p *Path) found(b *catalogue.Backend, kind suspicion.Kind, f suspicion.Finding, evidence string) {
 	if f.Suspected {
 		p.metrics.suspicions.Inc(1)
 		p.Log.Warn("Backend server is suspected.", "server", b.Name, "data_centre", b.DataCentre,
-			"evidence", evidence, "accounts", f.Accounts, "silent_ms", f.Silent.Milliseconds())
+			"missing", kind, "evidence", evidence, "accounts", f.Accounts, "silent_ms", f.Silent.Milliseconds())
 	}
 	if f.Unreachable {
 		p.Log.Warn("Data centre is unreachable.", "data_centre", b.DataCentre, "evidence", evidence)
--- a/internal/flowpath/open.go
+++ b/internal/flowpath/open.go
@@ -19,17 +19,37 @@
 		}
 		e := d.flows.Find(o.flow)
 		if e != nil && e.State == flowtable.Opening && e.Sent == o.sent {
-			d.unanswered(snap.ByCookie(e.Cookie), now)
+			d.missed(snap.ByCookie(e.Cookie), suspicion.NoHandshake, now)
 		}
 	}
 }
 
-func (d *Decider) unanswered(b *catalogue.Backend, now int64) {
+// checkRequests looks for requests whose servers should have sent data. One that has
+// sent data to others meanwhile is only slow.
+func (d *Decider) checkRequests(snap *catalogue.Snapshot, now int64) {
+	for {
+		r, overdue := d.requests.overdue(d.drained)
+		if !overdue {
+			return
+		}
+		e := d.flows.Find(r.flow)
+		if e != nil && e.Busy && e.Asked == r.sent && d.suspicion.LastData(e.Cookie) < r.sent {
+			d.missed(snap.ByCookie(e.Cookie), suspicion.NoData, now)
+		}
+	}
+}
+
+// reading reports whether packets are read as they come, so that what is sent now can
+// be expected to be answered in time.
+func (d *Decider) reading(now int64) bool { return now-d.drained <= int64(waitedAtMost) }
+
+// missed takes an account of this instance against a server, if that is still there.
+func (d *Decider) missed(b *catalogue.Backend, kind suspicion.Kind, now int64) {
 	if b == nil {
 		return
 	}
-	f := d.suspicion.Missed(suspicion.Report{Kind: suspicion.NoAnswer, Server: b.Cookie, DataCentre: b.DataCentre}, now)
-	d.observer.Unanswered(b, f)
+	f := d.suspicion.Missed(suspicion.Report{Kind: kind, Server: b.Cookie, DataCentre: b.DataCentre}, now)
+	d.observer.Missed(b, kind, f)
 }
 
 // open decides about an opening packet.
@@ -101,7 +121,7 @@
 	v.Backend = choice.Backend
 	e.State, e.Cookie, e.Sent, e.Last = flowtable.Opening, v.Backend.Cookie, now, now
 	d.work[e.Cookie]++
-	if now-d.drained <= int64(waitedAtMost) {
+	if d.reading(now) {
 		d.openings.add(hash, now)
 	}
 	d.suspicion.Tried(e.Cookie, now)
@@ -113,8 +133,8 @@
 // Copies that were read together have waited here, and the server had no time yet.
 func (d *Decider) repeat(v Verdict, e *flowtable.Entry, hash uint64, k Knowledge, now int64) Verdict {
 	backend := k.Snapshot.ByCookie(e.Cookie)
-	alive := d.suspicion.Answers(e.Cookie) > e.Sent
-	early := now-e.Sent < int64(answerWithin)
+	alive := d.suspicion.LastHandshake(e.Cookie) > e.Sent
+	early := now-e.Sent < int64(handshakeWithin)
 	if backend != nil && (alive || early) && usable(backend) {
 		v.Backend, v.Reason = backend, Repeated
 		e.Last = now
--- a/internal/flowpath/reach.go
+++ b/internal/flowpath/reach.go
@@ -27,7 +27,7 @@
 	var r Reach
 	suspected := false
 	for _, service := range snap.ServiceNames() {
-		switch d.selector.Best(snap, service, d, now) {
+		switch d.selector.Best(snap, service, reachable{d}, now) {
 		case selection.Local, selection.Cold:
 			return Reach{Servers: true}
 		case selection.Remote:
@@ -44,6 +44,15 @@
 	return r
 }
 
+// reachable sees servers as a Decider does, but for those that answer opening packets
+// and no requests: another instance would reach no better ones.
+type reachable struct{ *Decider }
+
+// Suspected implements selection.View.
+func (r reachable) Suspected(b *catalogue.Backend, now int64) bool {
+	return r.suspicion.Unanswering(b.Cookie, now) || r.suspicion.Unreachable(b.DataCentre, now)
+}
+
 // unseen returns the data centres of a service's servers if none of them has been
 // heard of since the start.
 func (d *Decider) unseen(snap *catalogue.Snapshot, service string, now int64) []string {
--- a/internal/flowpath/silence_test.go
+++ b/internal/flowpath/silence_test.go
@@ -25,7 +25,7 @@
 
 // peerMissed takes an account of an instance against a server.
 func (w *world) peerMissed(b *catalogue.Backend, source uint64) suspicion.Finding {
-	r := suspicion.Report{Kind: suspicion.NoAnswer, Source: source, Server: b.Cookie, DataCentre: b.DataCentre}
+	r := suspicion.Report{Kind: suspicion.NoHandshake, Source: source, Server: b.Cookie, DataCentre: b.DataCentre}
 	return w.PeerReport(r, w.now)
 }
 
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -37,8 +37,9 @@
 	Cookie uint32
 	// Tried is the cookie of the server that did not answer the opening packet.
 	Tried uint32
-	// Sent is when the opening packet last went out, Last when a packet last came.
-	Sent, Last int64
+	// Sent is when the opening packet last went out, Asked when the first data of the
+	// request under way did, Last when a packet last came.
+	Sent, Asked, Last int64
 	// Acknowledged is the caller's last acknowledgement, Sequence the position of
 	// its last data.
 	Acknowledged, Sequence uint32
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -1,14 +1,15 @@
 // Package suspicion finds backend servers and data centres that don't answer, from
 // the traffic itself: the handshake of an opening packet that was sent there does
-// not come. One packet may be lost, and one instance may be at fault itself, so a
-// server is suspected on two accounts, of this instance or of its peers, since the
-// last handshake, which other instances may have seen. When a suspicion ends, the
-// server gets single flows as trials until one is answered (a circuit breaker's
-// half-open state).
+// not come, or a request gets no data in return. One packet may be lost, and one
+// instance may be at fault itself, so a server is suspected on two accounts, of this
+// instance or of its peers, since the last sign to the contrary, which other
+// instances may have seen. When a suspicion ends, the server gets single flows as
+// trials until one is answered (a circuit breaker's half-open state).
 //
 // Servers answer callers directly, so a caller may still receive data of a server
-// that the instances can't reach. Data shows that a server lives, only a handshake
-// that it can be reached.
+// that the instances can't reach, and a server that accepts flows may answer no
+// request. Hence a handshake shows that a server can be reached, and data that it
+// works; neither stands for the other, but both show that it lives.
 //
 // The package does no I/O and reads no clock; it belongs to one goroutine.
 package suspicion
@@ -45,10 +46,12 @@
 // Kind is what a report tells of a server.
 type Kind string
 
-// The kinds of reports.
+// The kinds of reports: accounts against a server, and signs to the contrary.
 const (
-	// NoAnswer is an account of an opening packet that was not answered.
-	NoAnswer Kind = "no_answer"
+	// NoHandshake is an account of an opening packet that was not answered.
+	NoHandshake Kind = "no_handshake"
+	// NoData is an account of a request that got no data in return.
+	NoData Kind = "no_data"
 	// Handshake tells that a server has answered an opening packet although there
 	// were accounts against it.
 	Handshake Kind = "handshake"
@@ -66,38 +69,27 @@
 	DataCentre string
 }
 
-// Finding is what a report leads to.
+// Finding is what an account leads to.
 type Finding struct {
 	// Suspected says that the server has become suspected, Unreachable that its
 	// data centre has become unreachable.
 	Suspected   bool
 	Unreachable bool
-	// Accounts is how many accounts there are since the server's last handshake,
+	// Accounts is how many accounts there are since the last sign to the contrary,
 	// and Silent how long ago that was; 0 if there was none.
 	Accounts int
 	Silent   time.Duration
 }
 
-type account struct {
-	source uint64
-	at     int64
-}
-
 type server struct {
 	dataCentre string
-	// accounts holds the last accounts, the newest first; those not later than
-	// answered, the last handshake, don't count. Those not later than alive, the last
-	// sign of life of any kind, don't show that the server is dead.
-	accounts [deadAccounts]account
-	answered int64
-	alive    int64
-	// since and until bound the last suspicion; term is its length. It is doubtful
-	// from its beginning until the server answers.
-	since    int64
-	until    int64
-	term     time.Duration
-	doubtful bool
-	tried    int64
+	// handshakes has the accounts of opening packets, and is cleared by handshakes;
+	// requests has those of requests, and is cleared by data.
+	handshakes circuit
+	requests   circuit
+	// alive is the last sign of life of either kind, tried when a flow was last sent.
+	alive int64
+	tried int64
 }
 
 type dataCentre struct {
@@ -117,51 +109,32 @@
 	return &Table{servers: map[uint32]*server{}, dataCentres: map[string]*dataCentre{}}
 }
 
-// Missed takes a report.
+// Missed takes an account.
 func (t *Table) Missed(r Report, now int64) Finding {
 	s := t.server(r.Server, r.DataCentre)
-	copy(s.accounts[1:], s.accounts[:])
-	s.accounts[0] = account{source: r.Source, at: now}
-	f := Finding{Accounts: s.count(s.answered, now, deadWithin)}
-	if s.answered != 0 {
-		f.Silent = time.Duration(now - s.answered)
+	c := &s.handshakes
+	if r.Kind == NoData {
+		c = &s.requests
 	}
-	if s.until > now || !s.convicted(now) {
-		return f
+	f := Finding{Suspected: c.miss(r.Source, now), Accounts: c.count(c.cleared, now, deadWithin)}
+	if c.cleared != 0 {
+		f.Silent = time.Duration(now - c.cleared)
 	}
-	s.suspect(now)
-	f.Suspected = true
-	f.Unreachable = t.judge(r.DataCentre, now)
+	f.Unreachable = f.Suspected && r.Kind == NoHandshake && t.judge(r.DataCentre, now)
 	return f
 }
 
-// convicted reports whether the accounts make the server suspected.
-func (s *server) convicted(now int64) bool {
-	return s.doubtful || s.count(s.answered, now, evidenceFor) >= needed
-}
-
-// count returns the number of accounts in a span until now and after a time.
-func (s *server) count(after, now int64, span time.Duration) int {
-	n := 0
-	for _, a := range s.accounts {
-		if a.at > after && now-a.at <= int64(span) {
-			n++
-		}
-	}
-	return n
-}
-
 // Dead reports whether a server is certain not to answer any instance.
 func (t *Table) Dead(id uint32) bool {
 	s := t.servers[id]
-	if s == nil || !s.doubtful {
+	if s == nil || !s.handshakes.doubtful {
 		return false
 	}
-	newest := s.accounts[0]
-	if s.count(s.alive, newest.at, deadWithin) < deadAccounts {
+	newest := s.handshakes.accounts[0]
+	if s.handshakes.count(s.alive, newest.at, deadWithin) < deadAccounts {
 		return false
 	}
-	for _, a := range s.accounts[1:] {
+	for _, a := range s.handshakes.accounts[1:] {
 		if a.source != newest.source {
 			return true
 		}
@@ -169,16 +142,6 @@
 	return false
 }
 
-func (s *server) suspect(now int64) {
-	if s.doubtful {
-		s.term = min(2*s.term, lastTerm)
-	} else {
-		s.term = firstTerm
-	}
-	s.doubtful = true
-	s.since, s.until = now, now+int64(s.term)
-}
-
 // judge reports whether a data centre has become unreachable.
 func (t *Table) judge(where string, now int64) bool {
 	d := t.dataCentre(where)
@@ -187,7 +150,8 @@
 	}
 	silent := 0
 	for _, s := range t.servers {
-		if s.dataCentre == where && s.until > now && s.since > max(d.answered, d.contacted) {
+		c := &s.handshakes
+		if s.dataCentre == where && c.until > now && c.since > max(d.answered, d.contacted) {
 			silent++
 		}
 	}
@@ -198,7 +162,7 @@
 	return true
 }
 
-// Refutation is what a handshake does to the accounts before it.
+// Refutation is what a sign to the contrary does to the accounts before it.
 type Refutation struct {
 	// Refutes says that there were any, Ended that the server was suspected.
 	Refutes, Ended bool
@@ -207,20 +171,26 @@
 // Answered notes that a server has answered an opening packet.
 func (t *Table) Answered(id uint32, where string, now int64) Refutation {
 	s := t.server(id, where)
-	r := Refutation{Refutes: s.doubtful || s.count(s.answered, now, deadWithin) > 0, Ended: s.doubtful}
-	s.answered, s.alive, s.doubtful, s.until = now, now, false, min(s.until, now)
+	r := s.handshakes.clear(now)
+	s.alive = now
 	d := t.dataCentre(where)
 	d.answered, d.until = now, min(d.until, now)
 	return r
 }
 
-// Alive notes that a caller has received data from a server, and reports whether
-// there were accounts by which it might have been dead.
-func (t *Table) Alive(id uint32, where string, now int64) (refutes bool) {
+// Served notes that a caller may have received data from a server: its
+// acknowledgement has moved here, but other instances may have seen that before.
+func (t *Table) Served(id uint32, where string, now int64) Refutation {
+	return t.server(id, where).requests.clear(now)
+}
+
+// Alive notes that a caller has received data from a server just now.
+func (t *Table) Alive(id uint32, where string, now int64) Refutation {
 	s := t.server(id, where)
-	refutes = s.count(s.alive, now, deadWithin) > 0
+	r := s.requests.clear(now)
+	r.Refutes = r.Refutes || s.handshakes.count(s.alive, now, deadWithin) > 0
 	s.alive = now
-	return refutes
+	return r
 }
 
 // Contact notes that an instance of a data centre has answered this one.
@@ -236,10 +206,18 @@
 	}
 }
 
-// Answers returns when a server last answered an opening packet, 0 if never.
-func (t *Table) Answers(id uint32) int64 {
+// LastHandshake returns when a server last answered an opening packet, 0 if never.
+func (t *Table) LastHandshake(id uint32) int64 {
+	if s := t.servers[id]; s != nil {
+		return s.handshakes.cleared
+	}
+	return 0
+}
+
+// LastData returns when a server last sent data, 0 if never.
+func (t *Table) LastData(id uint32) int64 {
 	if s := t.servers[id]; s != nil {
-		return s.answered
+		return s.requests.cleared
 	}
 	return 0
 }
@@ -247,15 +225,20 @@
 // Suspected reports whether a server is to get no new flow now.
 func (t *Table) Suspected(id uint32, now int64) bool {
 	s := t.servers[id]
-	if s == nil || !s.doubtful {
-		return false
-	}
-	return s.until > now || now-s.tried < int64(trialEvery)
+	return s != nil && (s.handshakes.refuses(s.tried, now) || s.requests.refuses(s.tried, now))
+}
+
+// Unanswering reports whether a server is to get no new flow now because it does not
+// answer opening packets.
+func (t *Table) Unanswering(id uint32, now int64) bool {
+	s := t.servers[id]
+	return s != nil && s.handshakes.refuses(s.tried, now)
 }
 
-// Silent reports whether a server is suspected and has shown no life since.
+// Silent reports whether a server does not answer opening packets and has shown no
+// life since this is known.
 func (t *Table) Silent(id uint32, now int64) bool {
-	return t.Suspected(id, now) && t.servers[id].alive < t.servers[id].since
+	return t.Unanswering(id, now) && t.servers[id].alive < t.servers[id].handshakes.since
 }
 
 // Seen reports whether a data centre has ever answered.
--- a/internal/suspicion/suspicion_test.go
+++ b/internal/suspicion/suspicion_test.go
@@ -12,7 +12,7 @@
 func TestOneUnansweredPacketIsNoSuspicion(t *testing.T) {
 	is := is.New(t)
 	s := New()
-	is.True(!s.Missed(Report{Server: 1, DataCentre: "a"}, 100*ms).Suspected)
+	is.True(!s.Missed(Report{Kind: NoHandshake, Server: 1, DataCentre: "a"}, 100*ms).Suspected)
 	is.True(!s.Suspected(1, 101*ms))
 }
 
@@ -25,11 +25,11 @@
 		answered  int64
 		suspected bool
 	}{
-		{"own, twice", Report{Server: 1}, Report{Server: 1}, 200 * ms, 0, true},
-		{"own and a peer's", Report{Server: 1}, Report{Server: 1, Source: 9}, 50 * ms, 0, true},
-		{"of two servers", Report{Server: 1}, Report{Server: 2}, 50 * ms, 0, false},
-		{"too far apart", Report{Server: 1}, Report{Server: 1}, 1600 * ms, 0, false},
-		{"a sign of life between", Report{Server: 1}, Report{Server: 1}, 200 * ms, 100 * ms, false},
+		{"own, twice", Report{Kind: NoHandshake, Server: 1}, Report{Kind: NoHandshake, Server: 1}, 200 * ms, 0, true},
+		{"own and a peer's", Report{Kind: NoHandshake, Server: 1}, Report{Kind: NoHandshake, Server: 1, Source: 9}, 50 * ms, 0, true},
+		{"of two servers", Report{Kind: NoHandshake, Server: 1}, Report{Kind: NoHandshake, Server: 2}, 50 * ms, 0, false},
+		{"too far apart", Report{Kind: NoHandshake, Server: 1}, Report{Kind: NoHandshake, Server: 1}, 1600 * ms, 0, false},
+		{"a sign of life between", Report{Kind: NoHandshake, Server: 1}, Report{Kind: NoHandshake, Server: 1}, 200 * ms, 100 * ms, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -51,9 +51,9 @@
 	is := is.New(t)
 	s := New()
 	at := 1000 * ms
-	s.Missed(Report{Server: 1}, at)
+	s.Missed(Report{Kind: NoHandshake, Server: 1}, at)
 	for _, term := range []time.Duration{firstTerm, 2 * firstTerm, 4 * firstTerm, lastTerm} {
-		is.True(s.Missed(Report{Server: 1}, at).Suspected)
+		is.True(s.Missed(Report{Kind: NoHandshake, Server: 1}, at).Suspected)
 		is.True(s.Suspected(1, at+int64(term)-1))
 		at += int64(term)
 		is.True(!s.Suspected(1, at)) // one trial
@@ -62,14 +62,14 @@
 	}
 	is.Equal(s.Answered(1, "", at+ms), Refutation{Refutes: true, Ended: true})
 	is.True(!s.Suspected(1, at+2*ms))
-	is.True(!s.Missed(Report{Server: 1}, at+3*ms).Suspected) // it starts anew
+	is.True(!s.Missed(Report{Kind: NoHandshake, Server: 1}, at+3*ms).Suspected) // it starts anew
 }
 
 func TestSignOfLifeEndsASuspicion(t *testing.T) {
 	is := is.New(t)
 	s := New()
-	s.Missed(Report{Server: 1}, 1000*ms)
-	s.Missed(Report{Server: 1}, 1000*ms)
+	s.Missed(Report{Kind: NoHandshake, Server: 1}, 1000*ms)
+	s.Missed(Report{Kind: NoHandshake, Server: 1}, 1000*ms)
 	is.Equal(s.Answered(1, "a", 1100*ms), Refutation{Refutes: true, Ended: true})
 	is.Equal(s.Answered(1, "a", 1100*ms), Refutation{})
 	is.True(!s.Suspected(1, 1101*ms))
@@ -84,8 +84,8 @@
 	s.Answered(1, "b", at)
 	s.Answered(2, "b", at)
 	for server := uint32(1); server <= 2; server++ {
-		s.Missed(Report{Server: server, DataCentre: "b"}, at+ms)
-		f := s.Missed(Report{Server: server, DataCentre: "b"}, at+2*ms)
+		s.Missed(Report{Kind: NoHandshake, Server: server, DataCentre: "b"}, at+ms)
+		f := s.Missed(Report{Kind: NoHandshake, Server: server, DataCentre: "b"}, at+2*ms)
 		is.Equal(f, Finding{Suspected: true, Unreachable: server == 2, Accounts: 2, Silent: 2 * time.Millisecond})
 	}
 	s.Answered(7, "a", at+3*ms)
@@ -102,8 +102,8 @@
 	s := New()
 	at := 1000 * ms
 	for server := range uint32(2) {
-		s.Missed(Report{Server: server, DataCentre: "b"}, at)
-		s.Missed(Report{Server: server, DataCentre: "b"}, at)
+		s.Missed(Report{Kind: NoHandshake, Server: server, DataCentre: "b"}, at)
+		s.Missed(Report{Kind: NoHandshake, Server: server, DataCentre: "b"}, at)
 	}
 	is.True(s.Unreachable("b", at+ms))
 	s.Answered(3, "b", at+2*ms)
@@ -130,7 +130,7 @@
 			s := New()
 			at := 1000 * ms
 			for i, source := range c.sources {
-				s.Missed(Report{Server: 1, Source: source}, at)
+				s.Missed(Report{Kind: NoHandshake, Server: 1, Source: source}, at)
 				if i == c.answered {
 					s.Answered(1, "", at+ms)
 				}
@@ -151,19 +151,39 @@
 	at := 1000 * ms
 	for server := uint32(1); server <= 2; server++ {
 		for source := range uint64(deadAccounts) {
-			s.Missed(Report{Server: server, DataCentre: "b", Source: source}, at)
+			s.Missed(Report{Kind: NoHandshake, Server: server, DataCentre: "b", Source: source}, at)
 		}
 	}
 	is.True(s.Dead(1))
 	is.True(s.Silent(1, at))
-	is.True(s.Alive(1, "b", at+ms))
-	is.True(!s.Alive(1, "b", at+2*ms)) // nothing is left to refute
+	is.Equal(s.Alive(1, "b", at+ms), Refutation{Refutes: true})
+	is.Equal(s.Alive(1, "b", at+2*ms), Refutation{}) // nothing is left to refute
 	is.True(!s.Dead(1))
 	is.True(s.Dead(2))
 	is.True(s.Suspected(1, at+3*ms))
 	is.True(!s.Silent(1, at+3*ms))
 	is.True(s.Unreachable("b", at+3*ms))
-	is.Equal(s.Answers(1), int64(0))
+	is.Equal(s.LastHandshake(1), int64(0))
 	is.Equal(s.Answered(1, "b", at+4*ms), Refutation{Refutes: true, Ended: true})
 	is.True(!s.Unreachable("b", at+5*ms))
 }
+
+// TestServerThatAcceptsFlowsOnly answers a server that answers opening packets and no
+// request: handshakes end no such suspicion, data does.
+func TestServerThatAcceptsFlowsOnly(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	at := 1000 * ms
+	is.True(!s.Missed(Report{Kind: NoData, Server: 1, DataCentre: "a"}, at).Suspected)
+	is.Equal(s.Missed(Report{Kind: NoData, Server: 1, DataCentre: "a", Source: 5}, at+ms), Finding{Suspected: true, Accounts: 2})
+	is.Equal(s.Answered(1, "a", at+2*ms), Refutation{})
+	is.True(s.Suspected(1, at+3*ms))
+	is.True(!s.Unanswering(1, at+3*ms))
+	for source := range uint64(10) {
+		s.Missed(Report{Kind: NoData, Server: 1, DataCentre: "a", Source: source}, at+4*ms)
+	}
+	is.True(!s.Dead(1))
+	is.True(!s.Unreachable("a", at+5*ms))
+	is.Equal(s.Served(1, "a", at+6*ms), Refutation{Refutes: true, Ended: true})
+	is.True(!s.Suspected(1, at+7*ms))
+}
