--- a/cmd/balsamfork-flowd/deployment_test.go
+++ b/cmd/balsamfork-flowd/deployment_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -35,6 +36,8 @@
 	probeEvery   = 500 * time.Millisecond
 	probeTimeout = 400 * time.Millisecond
 	missesToGo   = 2
+	// lossShare is the part of the callers' packets that a lossy link loses.
+	lossShare = 0.05
 )
 
 // instance is one process.
@@ -60,7 +63,12 @@
 	servers   []*platformtest.Server
 	nextID    uint64
 	version   int
-	done      chan struct{}
+	// cut holds pairs of data centres, that of instances and that of servers, between
+	// which packets are lost.
+	cut [dataCentres][dataCentres]atomic.Bool
+	// lossy says that a part of the callers' packets is lost.
+	lossy atomic.Bool
+	done  chan struct{}
 }
 
 func centre(n int) string { return string(rune('a' + n)) }
@@ -80,9 +88,9 @@
 	d.configure()
 	for c := range dataCentres {
 		for range serversEach {
-			d.addServer("desk", c)
+			d.addServer("desk", c, 0)
 		}
-		d.addServer("sheets", c)
+		d.addServer("sheets", c, 0)
 	}
 	for c := range dataCentres {
 		for n := range each {
@@ -130,20 +138,28 @@
 	d.store.Configure(d.version, platformtest.Route{To: deskAt, Service: "desk"}, platformtest.Route{To: sheetsAt, Service: "sheets"})
 }
 
-// addServer starts a backend server and registers it.
-func (d *deployment) addServer(service string, c int) {
+// addServer starts a backend server, which is cold for a time, and registers it.
+func (d *deployment) addServer(service string, c int, warmup time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.nextID++
 	address := netip.AddrPortFrom(d.address(10+c, int(d.nextID)), serverPort)
 	s := &platformtest.Server{
 		Number: d.nextID, Port: packetPort, Entry: platformtest.NewEntry(service, centre(c), address, serverSlots),
+		Deaf: func(from netip.Addr) bool { return d.isCut(from, c) },
 	}
+	s.Entry.WarmupMS = int(warmup.Milliseconds())
 	d.must(s.Start())
 	d.servers = append(d.servers, s)
 	d.store.Register(s)
 }
 
+// isCut reports whether packets of an instance don't reach the servers of a data centre.
+func (d *deployment) isCut(from netip.Addr, c int) bool {
+	own := int(from.As4()[2]) - 1
+	return own >= 0 && own < dataCentres && d.cut[own][c].Load()
+}
+
 // live returns the servers that have not been dropped.
 func (d *deployment) live() []*platformtest.Server {
 	d.mu.Lock()
@@ -244,6 +260,9 @@
 				elsewhere = append(elsewhere, i)
 			}
 		}
+		if d.lossy.Load() && rand.Float64() < lossShare {
+			return netip.AddrPort{}, false
+		}
 		chosen := ready
 		switch {
 		case len(ready) == 0 && len(elsewhere) > 0:
--- a/cmd/balsamfork-flowd/soak_test.go
+++ b/cmd/balsamfork-flowd/soak_test.go
@@ -41,6 +41,8 @@
 	// covers this machine's own delays.
 	drainWithin = 3 * time.Second
 	slack       = 300 * time.Millisecond
+	// coldFor is how long a server that comes back stays cold.
+	coldFor = 2 * time.Second
 	// pause is the mean time between faults and between a flow's requests.
 	pause = 400 * time.Millisecond
 )
@@ -72,6 +74,8 @@
 	mu        sync.Mutex
 	broken    []string
 	drained   map[*platformtest.Server]time.Time
+	// sheets holds the servers of the sheets that were replaced.
+	sheets []*platformtest.Server
 }
 
 func soak(t *testing.T, seed uint64, span time.Duration) {
@@ -106,6 +110,7 @@
 	close(stop)
 	traffic.Wait()
 	s.checkDrains()
+	s.checkWarmUps()
 	s.report(seed)
 	s.close()
 }
@@ -209,7 +214,7 @@
 func (s *soaked) inject(span time.Duration) {
 	kinds := []func(time.Duration){
 		s.kill, s.terminate, s.freeze, s.reload, s.cutFromStore, s.storeTrouble, s.compact, s.storeTrouble,
-		s.replaceServer, s.crashServer, s.configureAgain, s.foreignEntries,
+		s.replaceServer, s.crashServer, s.configureAgain, s.foreignEntries, s.cutDataCentres, s.lose, s.coldReturn,
 	}
 	for end := time.Now().Add(span); time.Now().Before(end); {
 		kind := kinds[s.random.IntN(len(kinds))]
@@ -322,7 +327,7 @@
 	if server == nil {
 		return
 	}
-	s.addServer("desk", c)
+	s.addServer("desk", c, 0)
 	time.Sleep(time.Second)
 	s.store.Register(server)
 	noticed := time.Now()
@@ -344,7 +349,67 @@
 	server.Dark()
 	time.Sleep(3600 * time.Millisecond)
 	s.drop(server)
-	s.addServer("desk", c)
+	s.addServer("desk", c, 0)
+}
+
+// cutDataCentres loses all packets from the instances of a data centre to the servers
+// of another one; answers still reach callers directly.
+func (s *soaked) cutDataCentres(length time.Duration) {
+	from := rand.IntN(dataCentres)
+	to := (from + 1 + rand.IntN(dataCentres-1)) % dataCentres
+	s.disturb()
+	s.cut[from][to].Store(true)
+	time.Sleep(length)
+	s.cut[from][to].Store(false)
+	s.disturb()
+}
+
+// lose lets the links of callers lose packets.
+func (s *soaked) lose(length time.Duration) {
+	s.disturb()
+	s.lossy.Store(true)
+	time.Sleep(length)
+	s.lossy.Store(false)
+	s.disturb()
+}
+
+// coldReturn replaces all servers of the sheets at once by cold ones.
+func (s *soaked) coldReturn(time.Duration) {
+	s.disturb()
+	for _, server := range s.takeSheets() {
+		s.drop(server)
+	}
+	for c := range dataCentres {
+		s.addServer("sheets", c, coldFor)
+	}
+	time.Sleep(coldFor)
+	s.disturb()
+}
+
+// takeSheets takes the servers of the sheets out of the deployment.
+func (s *soaked) takeSheets() []*platformtest.Server {
+	s.deployment.mu.Lock()
+	defer s.deployment.mu.Unlock()
+	var taken, left []*platformtest.Server
+	for _, server := range s.servers {
+		if server.Entry.Service == "sheets" {
+			taken = append(taken, server)
+		} else {
+			left = append(left, server)
+		}
+	}
+	s.servers = left
+	s.sheets = append(s.sheets, taken...)
+	return taken
+}
+
+// checkWarmUps looks for cold servers that got too much.
+func (s *soaked) checkWarmUps() {
+	for _, server := range append(s.live(), s.sheets...) {
+		if peak := server.ColdPeak(); peak > platformtest.ColdLimit {
+			s.fail("%s got %d requests in a second while it was cold", server.Key(), peak)
+		}
+	}
 }
 
 func (s *soaked) configureAgain(time.Duration) {
