Keep the limit of cold servers with many instances, and at a start

Cause: each instance sent its first flow to a cold server at once and only then waited for its share. With 150 instances that is 150 flows in one second, whatever the limit. And an instance that had just started knew few others for some tenths of a second, and took a large share.

Change: the first flow of a server waits for a random part of the span. For 2 s after its start an instance takes the fleet to be of the planned size. A change of the number of instances applies to what is left of a span.

Ruled out: a span that is computed anew when the number becomes known (tried; the number of flows jumped over the limit at that moment).

--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -1,6 +1,7 @@
 package flowpath
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"balsamfork/internal/catalogue"
@@ -123,12 +124,13 @@
 	// observed is when a packet was last read, drained when none was last waiting,
 	// and woke the end of the last time without packets.
 	observed, drained, woke int64
-	// began is the first look at what can be reached.
+	// began is the first look at what can be reached, soon after the start.
 	began int64
 }
 
-// NewDecider returns a decider for an instance of a data centre.
-func NewDecider(dataCentre string, limits WarmupLimits, observer Observer) *Decider {
+// NewDecider returns a decider for an instance of a data centre. Random must differ
+// between instances.
+func NewDecider(dataCentre string, limits WarmupLimits, random *rand.Rand, observer Observer) *Decider {
 	return &Decider{
 		observer:   observer,
 		selector:   selection.Selector{DataCentre: dataCentre},
@@ -136,7 +138,7 @@
 		openings:   waits{within: handshakeWithin},
 		requests:   waits{within: dataWithin},
 		suspicion:  suspicion.New(),
-		cold:       newColdBudget(limits),
+		cold:       newColdBudget(limits, random),
 		neighbours: defaultNeighbours,
 		work:       map[uint32]int{},
 	}
@@ -219,4 +221,6 @@
 }
 
 // AdmitCold implements selection.View.
-func (d *Decider) AdmitCold(b *catalogue.Backend, now int64) bool { return d.cold.admit(b, now) }
+func (d *Decider) AdmitCold(b *catalogue.Backend, now int64) bool {
+	return d.cold.admit(b, now-d.began < int64(youngFor), now)
+}
--- a/internal/flowpath/path.go
+++ b/internal/flowpath/path.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -103,7 +104,7 @@
 		news:     make(chan news, maxNews),
 		closed:   make(chan struct{}),
 	}
-	p.decider = NewDecider(o.DataCentre, o.Limits, p)
+	p.decider = NewDecider(o.DataCentre, o.Limits, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), p)
 	if err := conn.SetReadBuffer(socketBuffer); err != nil {
 		o.Log.Warn("Read buffer of the packet socket was not set.", "error", err)
 	}
