Count only requests whose answers would be seen here

Cause: after all power was lost, instances start one after the other, and the fabric takes flows from one to the next. Requests passed one instance and the acknowledgements of their answers another, so 500 healthy requests counted as unanswered within a second, and some 90 servers were suspected.

Tests: TestFlowsOnTheirWayAccuseNobody failed before.

--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -220,7 +220,10 @@
 	return float64(d.work[b.Cookie]) / float64(b.Slots)
 }
 
+// young reports whether the instance has just started.
+func (d *Decider) young(now int64) bool { return now-d.began < int64(youngFor) }
+
 // AdmitCold implements selection.View.
 func (d *Decider) AdmitCold(b *catalogue.Backend, now int64) bool {
-	return d.cold.admit(b, now-d.began < int64(youngFor), now)
+	return d.cold.admit(b, d.young(now), now)
 }
--- a/internal/flowpath/follow.go
+++ b/internal/flowpath/follow.go
@@ -60,7 +60,7 @@
 		e.State, e.Cookie, e.Acknowledged = flowtable.Open, b.Cookie, p.Acknowledged
 	}
 	if e.State == flowtable.Opening {
-		e.State, e.Cookie = flowtable.Open, b.Cookie
+		e.State, e.Cookie, e.Here = flowtable.Open, b.Cookie, true
 		e.Acknowledged = p.Acknowledged
 		d.answered(b, now)
 	}
@@ -82,13 +82,15 @@
 	}
 }
 
-// ask notes that a request is under way, and waits for data in return.
+// ask notes that a request is under way, and waits for data in return if the caller's
+// acknowledgements will pass here: while instances start, the fabric takes flows from
+// one to another.
 func (d *Decider) ask(e *flowtable.Entry, hash uint64, now int64) {
 	if e.Busy {
 		return
 	}
 	e.Busy, e.Asked = true, now
-	if d.reading(now) {
+	if e.Here && !d.young(now) && d.reading(now) {
 		d.requests.add(hash, now)
 	}
 }
--- a/internal/flowpath/stall_test.go
+++ b/internal/flowpath/stall_test.go
@@ -48,6 +48,30 @@
 	is.Equal(w.signs, []suspicion.Kind{suspicion.Data})
 }
 
+// TestFlowsOnTheirWayAccuseNobody holds for inc-18c4 of vitols-lb-grown: all power was
+// lost, and while instances started one after the other, the fabric took flows from one
+// to the next; acknowledgements passed elsewhere.
+func TestFlowsOnTheirWayAccuseNobody(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2, nil)
+	b := w.mirror.Snapshot().Backends("desk")[0]
+	for port := uint16(1); port < 20; port++ {
+		w.send(port, b.Cookie, 1, 100) // opened through another instance
+	}
+	w.read(2 * int64(dataWithin))
+	w.ask(100)
+	is.Equal(len(w.stalled), 0)
+
+	w = newWorld(2, nil)
+	w.reaches() // the start
+	for port := uint16(1); port < 20; port++ {
+		w.ask(port)
+	}
+	w.read(2 * int64(dataWithin))
+	w.ask(100)
+	is.Equal(len(w.stalled), 0)
+}
+
 // TestAllServersHang holds for a service whose servers all hang: flows still go to
 // them, and the instance stays ready, as another one would reach no better servers.
 func TestAllServersHang(t *testing.T) {
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -43,6 +43,8 @@
 	// Acknowledged is the caller's last acknowledgement, Sequence the position of
 	// its last data.
 	Acknowledged, Sequence uint32
+	// Here says that the flow opened through this instance.
+	Here bool
 	// Busy says that a request has gone out since the last acknowledgement moved.
 	Busy bool
 }
