--- a/internal/catalogue/mirror.go
+++ b/internal/catalogue/mirror.go
@@ -9,7 +9,7 @@
 )
 
 // Retention is how long removed records are kept. It covers the longest flow of
-// the pages' bounds (max_flow_s, 60 s) with a margin.
+// the platform (60 s) with a margin.
 const Retention = 90 * time.Second
 
 // entry is the newest record of an entity and what the mirror knows beside it.
--- a/internal/exchange/seek.go
+++ b/internal/exchange/seek.go
@@ -8,7 +8,7 @@
 const (
 	// seekEvery is how often a data centre that is sought is written to.
 	seekEvery = 400 * time.Millisecond
-	// seekFor is how long it is sought; it covers the longest cut of the pages.
+	// seekFor is how long it is sought; it covers the longest cut between data centres that is planned for.
 	seekFor = 30 * time.Second
 	// seekPeers is how many instances are written to at a time, as one may be gone.
 	seekPeers = 2
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -8,7 +8,7 @@
 
 const (
 	// before and after bound what is shown around the decisions about a flow: the
-	// longest flow of the pages lasts 60 s.
+	// longest flow of the platform lasts 60 s.
 	before = 60 * time.Second
 	after  = 10 * time.Second
 	// gapWithin is how near to a decision a note about lines that were left out
--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -19,7 +19,7 @@
 	// lapsed while the store was away.
 	settledFor = 3 * time.Second
 	// unseenFor is how long after its start an instance waits for data centres that
-	// it depends on to answer. It covers the usual cut of the pages.
+	// it depends on to answer. It covers the usual cut between data centres.
 	unseenFor = 6 * time.Second
 	// spillAt is the work for each slot of the own data centre's servers beyond which
 	// flows go to others: at 2 a request waits for one other. Flows that cross data
--- a/internal/flowpath/silence_test.go
+++ b/internal/flowpath/silence_test.go
@@ -9,7 +9,7 @@
 	"balsamfork/internal/suspicion"
 )
 
-// TestSilentServerGetsNoNewFlows answers a server that falls silent, as the pages'
+// TestSilentServerGetsNoNewFlows answers a server that falls silent, as the bench's
 // replace_with_reuse (dark): after two unanswered packets no new flow goes there.
 func TestSilentServerGetsNoNewFlows(t *testing.T) {
 	is := is.New(t)
--- a/internal/flowpath/stall_test.go
+++ b/internal/flowpath/stall_test.go
@@ -24,7 +24,7 @@
 }
 
 // TestServerThatHangs answers servers that accept flows and answer no request, as the
-// pages' srv_lying_health (hang) and srv_grey (mute): after two requests without data
+// bench's srv_lying_health (hang) and srv_grey (mute): after two requests without data
 // no new flow goes there.
 func TestServerThatHangs(t *testing.T) {
 	is := is.New(t)
--- a/internal/flowpath/waits.go
+++ b/internal/flowpath/waits.go
@@ -7,7 +7,7 @@
 	// many times that of a calm day, and less than the caller's first copy (200 ms).
 	handshakeWithin = 120 * time.Millisecond
 	// dataWithin is how long a request may get no data before it counts against its
-	// server: work takes up to 0.4 s on the pages, after a full queue of some 0.3 s.
+	// server: a request of today takes up to 0.4 s of work, after a full queue of some 0.3 s.
 	dataWithin = 800 * time.Millisecond
 	// waitedAtMost is how long an opening packet may have waited to be read for its
 	// caller to be still there: one that waited longer, as in an instance that was
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -39,7 +39,7 @@
 	// servers has answered since, make it unreachable.
 	silentServers = 2
 	// unreachableFor is how long a data centre counts as unreachable without a
-	// contact: cuts of the pages last some 6 s, and contact is sought meanwhile.
+	// contact: cuts between data centres last some 6 s, and contact is sought meanwhile.
 	unreachableFor = 12 * time.Second
 )
 
--- a/internal/watch/plan.go
+++ b/internal/watch/plan.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// Period is how often a regular reader reads: six readings within the shortest
-	// bound of the pages for a change to be in force (3 s).
+	// Period is how often a regular reader reads: six readings within the
+	// platform's shortest bound for a change to be in force (3 s).
 	Period = 500 * time.Millisecond
 	// shortestWait and longestWait bound the patience of all others: one lost digest
 	// wakes none of them, and one takes over in time for that bound.
