Mend two tests that could not fail, and state units

Cause: TestSlowRequestAccusesNobody stood still for longer than an instance may, which clears what is waited for, and TestLateReaderAccusesNobody never let packets be read again. Both passed without the conditions that they hold.

Change: the instance reads its packets in both.

Measured: with the condition on the server's data taken out, the first fails; with that on reading in time, the second; before, neither did. No program changes but in comments.

--- a/internal/exchange/kept.go
+++ b/internal/exchange/kept.go
@@ -31,8 +31,9 @@
 	answers map[uint64]given
 }
 
-// answer returns a kept answer that leads to the present revision, or encodes one.
-// Others wait meanwhile, since they mostly want the same.
+// answer returns a kept answer that leads to the present revision, or encodes one;
+// its errors are those of encode, and now is in nanoseconds. Others wait meanwhile,
+// since they mostly want the same.
 func (k *kept) answer(since, until uint64, now int64, encode func(since uint64) ([]byte, int64, error)) (given, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/flowpath/cold.go
+++ b/internal/flowpath/cold.go
@@ -9,7 +9,7 @@
 )
 
 // WarmupLimits bounds what a cold server may get in a second, over all instances:
-// its stated rate times Factor, plus Slack in requests.
+// its stated rate in requests a second times Factor, plus Slack in requests.
 type WarmupLimits struct {
 	Factor, Slack float64
 }
--- a/internal/flowpath/stall_test.go
+++ b/internal/flowpath/stall_test.go
@@ -93,10 +93,10 @@
 	w := newWorld(1, nil)
 	slow := w.ask(1)
 	w.ask(2)
-	w.now += 300 * ms
-	w.send(2, slow.Cookie, 2, 0)
-	w.now += 600 * ms
+	w.read(300 * ms)
 	w.send(2, slow.Cookie, 2, 0)
+	w.read(2 * int64(dataWithin))
+	w.ask(3)
 	is.Equal(len(w.stalled), 0)
 }
 
@@ -118,12 +118,14 @@
 func TestLateReaderAccusesNobody(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(1, nil)
-	w.ask(1)
 	w.lagging = true
+	w.now += 100 * ms
 	for port := uint16(2); port < 30; port++ {
-		w.now += 100 * ms
 		w.ask(port)
 	}
+	w.lagging = false
+	w.read(2 * int64(dataWithin))
+	w.ask(100)
 	is.Equal(len(w.stalled), 0)
 }
 
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -11,7 +11,8 @@
 // request. Hence a handshake shows that a server can be reached, and data that it
 // works; neither stands for the other, but both show that it lives.
 //
-// The package does no I/O and reads no clock; it belongs to one goroutine.
+// The package does no I/O and reads no clock; it belongs to one goroutine. Times are in
+// nanoseconds of a steady clock.
 package suspicion
 
 import "time"
