Keep requests of an instance that others do not know yet; refuse truly

A started instance serves before all others have it as alive. Its requests ran, but the answers went nowhere, or were abandoned after 250 ms and never run, and the caller was told after 4.0 s. Only the requests of dead instances are given up now.

Cause of the untrue refusal: a repeatable request that was forwarded and got no result was refused, although the copy may have run. It is unknown now, unless the call was certainly not sent (peer.NotSent). A cancelled request is told so.

Also: a connection returned to the pool of another address if its backend server had moved meanwhile, and pools of removed servers stayed; pools are closed now. An admitting instance that others do not know yet gave itself the grants that its predecessor needed, so that requests queued there were refused; it gives up grants that it does not use. A claim that fails tells the verdicts of the pair in the result's detail.

--- a/internal/admission/system.go
+++ b/internal/admission/system.go
@@ -169,6 +169,9 @@
 		if i >= len(r.PairDigests) || r.PairDigests[i] != p.Digest() {
 			continue
 		}
+		if r.Holder != s.self {
+			s.yieldUnusedGrant(now, n)
+		}
 		in, complete := s.grantCoverage.covers(now, n)
 		if in && s.grants.HandleGrantRequest(now, r.Holder, n, r.SentAt) {
 			granted = append(granted, Grant{Server: n, Complete: complete})
@@ -177,6 +180,20 @@
 	return granted
 }
 
+// yieldUnusedGrant gives up the grant of a backend server that this instance has given to
+// itself, unless it holds the lease. The admitting instance that has not learnt of this
+// one yet can thus renew its lease until it hands over.
+func (s *System) yieldUnusedGrant(now int64, n config.Number) {
+	sv := s.servers[n]
+	if sv == nil || sv.leaseHeld(now) || len(sv.running) > 0 {
+		return
+	}
+	if g := sv.receivedGrant(s.self.ID); g != nil {
+		*g = receivedGrant{}
+		s.grants.Release(s.self, n, now)
+	}
+}
+
 // AwaitingContact reports whether this instance still waits for contact with every
 // instance of the data centre that counts as a member. It can't know all earlier grants
 // before.
--- a/internal/atmostonce/claims.go
+++ b/internal/atmostonce/claims.go
@@ -52,6 +52,21 @@
 	PairMismatch
 )
 
+// String returns the verdict in words; the zero value means that there is none.
+func (v Verdict) String() string {
+	switch v {
+	case Granted:
+		return "granted"
+	case Denied:
+		return "denied"
+	case CannotTell:
+		return "cannot tell"
+	case PairMismatch:
+		return "pair mismatch"
+	}
+	return "no answer"
+}
+
 type claim struct {
 	claimant Claimant
 	created  int64
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -95,6 +95,13 @@
 	return Instance{}, false
 }
 
+// IsDead reports whether the table has the instance as dead. One that is joining or not
+// in the table may be serving already, since each instance learns of it at its own time.
+func (v *View) IsDead(id ID) bool {
+	i, found := v.Get(id)
+	return found && i.State == Dead
+}
+
 // UsableIDs returns the IDs of the usable instances, sorted.
 func (v *View) UsableIDs() []ID {
 	var ids []ID
--- a/internal/keyowner/claim.go
+++ b/internal/keyowner/claim.go
@@ -1,6 +1,8 @@
 package keyowner
 
 import (
+	"strings"
+
 	"balsamfork/internal/atmostonce"
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/pair"
@@ -69,13 +71,16 @@
 	if j == nil || j.stage != claiming || j.claimant != asked.Claimant || j.pairDigest != asked.PairDigest {
 		return
 	}
-	if v == atmostonce.PairMismatch {
-		return
-	}
 	for i := range j.claimReplies {
-		if reply := &j.claimReplies[i]; reply.member == from && reply.verdict == 0 {
-			reply.verdict, reply.heldBy = v, holder
+		reply := &j.claimReplies[i]
+		if reply.member != from || reply.verdict != 0 {
+			continue
+		}
+		if v == atmostonce.PairMismatch {
+			reply.mismatched = true
+			return
 		}
+		reply.verdict, reply.heldBy = v, holder
 	}
 	s.evaluateClaim(now, j)
 }
@@ -115,13 +120,28 @@
 // member has granted the claim, the pair can never grant another claim of the key:
 // the request cannot run elsewhere, so its result is Refused. Otherwise it is Unknown.
 func (s *System) failClaim(now int64, j *job, why request.Reason) {
+	res := request.UnknownResult(why)
 	for _, reply := range j.claimReplies {
 		if reply.verdict == atmostonce.Granted {
-			s.finish(now, j, request.RefusedResult(why))
-			return
+			res = request.RefusedResult(why)
+		}
+	}
+	res.Detail = j.describeClaim()
+	s.finish(now, j, res)
+}
+
+// describeClaim returns the verdicts of the members of the pair, for the result of a
+// claim that failed.
+func (j *job) describeClaim() string {
+	var verdicts []string
+	for _, reply := range j.claimReplies {
+		v := reply.verdict
+		if v == 0 && reply.mismatched {
+			v = atmostonce.PairMismatch
 		}
+		verdicts = append(verdicts, string(reply.member)+" "+v.String())
 	}
-	s.finish(now, j, request.UnknownResult(why))
+	return "claim: " + strings.Join(verdicts, ", ")
 }
 
 // HandleJoinResult handles the answer to a Join effect: the result from the instance
--- a/internal/keyowner/types.go
+++ b/internal/keyowner/types.go
@@ -140,9 +140,11 @@
 }
 
 // claimReply is the answer of one member of the pair to the claim; its verdict is zero
-// until the member answers.
+// until the member answers other than PairMismatch.
 type claimReply struct {
 	member  fleet.ID
 	verdict atmostonce.Verdict
 	heldBy  atmostonce.Claimant
+	// mismatched is set if the member has answered PairMismatch.
+	mismatched bool
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -118,7 +118,7 @@
 			is.Equal(got, echoReply{From: "alpha", Params: "hello"})
 			is.True(a.Call(t.Context(), "beta", "absent", nil, nil) != nil)
 			_, err = callEcho(a, "gamma", "hello")
-			is.True(peer.Unreachable.Has(err))
+			is.True(peer.Unreachable.Has(err) && peer.NotSent.Has(err))
 
 			c, err := link.Dial(t.Context(), a.Addr(), keysOf(ann))
 			is.NoErr(err)
--- a/internal/link/peers.go
+++ b/internal/link/peers.go
@@ -62,13 +62,13 @@
 func (p *peers) get(ctx context.Context, id fleet.ID) (*jsonrpc2.Conn, error) {
 	addr, ok := p.resolve(id)
 	if !ok {
-		return nil, peer.Unreachable.New("instance %q has no known address", id)
+		return nil, peer.NewNotSent("instance %q has no known address", id)
 	}
 	e := p.entry(id)
 	select {
 	case e.lock <- struct{}{}:
 	case <-ctx.Done():
-		return nil, peer.Unreachable.New("instance %q: %v", id, ctx.Err())
+		return nil, peer.NewNotSent("instance %q: %v", id, ctx.Err())
 	}
 	defer func() { <-e.lock }()
 	e.used = time.Now()
@@ -80,14 +80,14 @@
 
 func (p *peers) dial(ctx context.Context, id fleet.ID, addr netip.AddrPort, e *peerConn) (*jsonrpc2.Conn, error) {
 	if p.inBackoff(e) && e.addr == addr {
-		return nil, peer.Unreachable.New("instance %q at %s: redialling is delayed by backoff", id, addr)
+		return nil, peer.NewNotSent("instance %q at %s: redialling is delayed by backoff", id, addr)
 	}
 	e.closeConn()
 	e.addr = addr
 	conn, err := dial(ctx, addr, string(id), p.self, p.keys, p.traffic)
 	if err != nil {
 		p.extendBackoff(e)
-		return nil, peer.Unreachable.New("instance %q at %s: %v", id, addr, err)
+		return nil, peer.NewNotSent("instance %q at %s: %v", id, addr, err)
 	}
 	e.conn = conn
 	p.resetBackoff(id)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -15,6 +15,15 @@
 // response. The instance may have executed it.
 var Unreachable = errs.Class("peer: unreachable")
 
+// NotSent is the class of errors for a call that was certainly not sent, so that the
+// instance has not executed it. Such an error is also of class Unreachable.
+var NotSent = errs.Class("not sent")
+
+// NewNotSent returns an error of the classes NotSent and Unreachable.
+func NewNotSent(format string, args ...any) error {
+	return Unreachable.Wrap(NotSent.New(format, args...))
+}
+
 // Handler handles the calls of one method. Its error is returned to the caller as a
 // JSON-RPC error.
 type Handler func(ctx context.Context, from fleet.ID, params json.RawMessage) (any, error)
@@ -22,10 +31,11 @@
 // Caller calls methods of other instances.
 type Caller interface {
 	// Call calls a method of an instance and decodes the response into result,
-	// which may be nil. It returns Unreachable, or the error in the response.
+	// which may be nil. It returns Unreachable, also as NotSent, or the error in the
+	// response.
 	Call(ctx context.Context, to fleet.ID, method string, params, result any) error
-	// Notify sends a notification, which has no response. It returns Unreachable
-	// if the message could not be sent.
+	// Notify sends a notification, which has no response. It returns Unreachable, also
+	// as NotSent, if the message could not be sent.
 	Notify(ctx context.Context, to fleet.ID, method string, params any) error
 }
 
--- a/internal/requestpath/callers.go
+++ b/internal/requestpath/callers.go
@@ -11,6 +11,7 @@
 
 	"balsamfork/internal/fleet"
 	"balsamfork/internal/pair"
+	"balsamfork/internal/peer"
 	"balsamfork/internal/request"
 )
 
@@ -214,23 +215,41 @@
 		r.Key.Home = p.opts.DataCentre
 	}
 	last := noOwnerResult(r, request.Unreachable)
+	mayHaveRun := false
 	for skip := range maxOwnerCandidates {
 		owner, found := p.ownerOf(&r.Key, skip)
 		if !found {
 			break
 		}
-		res, final := p.forward(ctx, owner, r)
-		if final {
-			return res
+		f := p.forward(ctx, owner, r)
+		mayHaveRun = mayHaveRun || f.mayHaveRun
+		last = f.result
+		if f.final {
+			break
 		}
-		last = res
 		if ctx.Err() != nil {
-			return noOwnerResult(r, request.DeadlinePassed)
+			last = noOwnerResult(r, contextReason(ctx))
+			break
 		}
 	}
+	if mayHaveRun && r.Repeatable && last.Status == request.Refused {
+		// The refusal covers the last copy only. A request that is not repeatable is
+		// refused for all copies, since its key is claimed.
+		last.Status = request.Unknown
+	}
 	return last
 }
 
+// forwarded is the outcome of forwarding one copy of a request.
+type forwarded struct {
+	result request.Result
+	// final is unset if the request may be forwarded to another instance as well: the
+	// claim on the key decides which of them runs it.
+	final bool
+	// mayHaveRun is set if the instance may have run the copy, but gave no result.
+	mayHaveRun bool
+}
+
 // tryBeginRequest counts a request of a caller as in progress, or returns the
 // reason why it is rejected.
 func (p *Path) tryBeginRequest(r *request.Request) request.Reason {
@@ -268,10 +287,8 @@
 	return p.members.First(pair.KeyOf(k.ID), k.Home, "", skip)
 }
 
-// forward sends a request to the owner of its key. It returns false if the request
-// may be forwarded to another instance as well: the claim on the key decides which
-// of them runs it.
-func (p *Path) forward(ctx context.Context, owner fleet.ID, r *request.Request) (request.Result, bool) {
+// forward sends a request to the owner of its key.
+func (p *Path) forward(ctx context.Context, owner fleet.ID, r *request.Request) forwarded {
 	if owner == p.self.ID {
 		return p.forwardLocal(ctx, r)
 	}
@@ -281,21 +298,21 @@
 	defer p.untrackCall(id)
 	res, err := p.runRemote(ctx, owner, r, false)
 	if err == nil {
-		return res, res.Reason != request.Stopping
+		return forwarded{result: res, final: res.Reason != request.Stopping}
 	}
-	return noOwnerResult(r, request.Unreachable), false
+	return forwarded{result: noOwnerResult(r, request.Unreachable), mayHaveRun: !peer.NotSent.Has(err)}
 }
 
-func (p *Path) forwardLocal(ctx context.Context, r *request.Request) (request.Result, bool) {
+func (p *Path) forwardLocal(ctx context.Context, r *request.Request) forwarded {
 	w, ch := p.runOwned(r)
 	select {
 	case res := <-ch:
-		return res, res.Reason != request.Stopping
+		return forwarded{result: res, final: res.Reason != request.Stopping}
 	case <-ctx.Done():
 		p.abandonWaiter(w, context.Cause(ctx) == errCancelled)
-		return request.UnknownResult(contextReason(ctx)), true
+		return forwarded{result: request.UnknownResult(contextReason(ctx)), final: true}
 	case <-p.ctx.Done():
-		return request.UnknownResult(request.Stopping), true
+		return forwarded{result: request.UnknownResult(request.Stopping), final: true}
 	}
 }
 
--- a/internal/requestpath/decode_test.go
+++ b/internal/requestpath/decode_test.go
@@ -65,7 +65,7 @@
 		defer conn.Close()
 		a := admission.Attempt{Deadline: time.Now().Add(time.Second).UnixNano(), Request: &request.Request{Method: "m"}}
 		a.ID.Owner.ID, a.ID.Seq = "i", 1
-		r := s.exchange(ctx, conn, a, time.Second)
+		r := s.exchange(ctx, &serverConn{Conn: conn, pool: &pool{}}, a, time.Second)
 		if err := r.Result.Validate(); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/requestpath/effects.go
+++ b/internal/requestpath/effects.go
@@ -76,7 +76,7 @@
 
 // call starts a goroutine for a function that waits for another instance, and
 // returns the ID of the call. The function's context ends after the timeout, or once
-// the instance is unreachable or known to have terminated. The caller holds mu.
+// the instance is dead or known to have terminated. The caller holds mu.
 func (p *Path) call(to fleet.ID, timeout time.Duration, f func(context.Context)) uint64 {
 	ctx, cancel := context.WithTimeout(p.ctx, timeout)
 	p.seq++
--- a/internal/requestpath/path_test.go
+++ b/internal/requestpath/path_test.go
@@ -78,8 +78,8 @@
 	s.paths = append(s.paths, p)
 }
 
-// join starts one more instance. The others learn of it 500 ms later.
-func (s *testFleet) join(incarnation uint64) {
+// startJoining starts one more instance, of which the others do not learn.
+func (s *testFleet) startJoining(incarnation uint64) {
 	v := *s.view
 	v.Epoch++
 	v.Self = fleet.ID(fmt.Sprint("i", len(s.paths)))
@@ -87,6 +87,11 @@
 	s.view = &v
 	s.add(len(s.paths), incarnation)
 	s.start(len(s.paths))
+}
+
+// join starts one more instance. The others learn of it 500 ms later.
+func (s *testFleet) join(incarnation uint64) {
+	s.startJoining(incarnation)
 	time.Sleep(500 * time.Millisecond)
 	for _, p := range s.paths[:len(s.paths)-1] {
 		p.SetView(s.view)
--- a/internal/requestpath/servers.go
+++ b/internal/requestpath/servers.go
@@ -37,10 +37,18 @@
 	cancel   map[admission.AttemptID]context.CancelFunc
 }
 
-// pool holds the address of one backend server and the idle connections to it.
+// pool holds the address of one backend server and the idle connections to it. It is
+// closed once the server has another address or is removed.
 type pool struct {
 	address netip.AddrPort
-	idle    []*jsonrpc2.Conn
+	idle    []*serverConn
+	closed  bool
+}
+
+// serverConn is a connection to a backend server and the pool that it belongs to.
+type serverConn struct {
+	*jsonrpc2.Conn
+	pool *pool
 }
 
 func newServerPools(ctx context.Context, dial dialFunc, c clock, log *slog.Logger, m metrics) *serverPools {
@@ -51,18 +59,37 @@
 	}
 }
 
-// setAddress sets the address of a backend server. If the address changes, the idle
-// connections to the old one are closed.
+// setAddress sets the address of a backend server. If the address changes, the
+// connections to the old one are closed, those in use when they are returned.
 func (s *serverPools) setAddress(n config.Number, address netip.AddrPort) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if old := s.byNumber[n]; old != nil && old.address == address {
 		return
 	}
-	s.closeIdleLocked(s.byNumber[n])
+	s.closePoolLocked(s.byNumber[n])
 	s.byNumber[n] = &pool{address: address}
 }
 
+// retain closes the pools of all backend servers except the given ones.
+func (s *serverPools) retain(servers map[config.Number]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for n, p := range s.byNumber {
+		if !servers[n] {
+			s.closePoolLocked(p)
+			delete(s.byNumber, n)
+		}
+	}
+}
+
+func (s *serverPools) closePoolLocked(p *pool) {
+	s.closeIdleLocked(p)
+	if p != nil {
+		p.closed = true
+	}
+}
+
 // closeIdle closes the idle connections to a backend server that this instance does
 // not admit to.
 func (s *serverPools) closeIdle(n config.Number) {
@@ -85,12 +112,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.byNumber {
-		s.closeIdleLocked(p)
+		s.closePoolLocked(p)
 	}
 }
 
 // get returns an idle connection to a backend server, or dials a new one.
-func (s *serverPools) get(ctx context.Context, n config.Number) (*jsonrpc2.Conn, error) {
+func (s *serverPools) get(ctx context.Context, n config.Number) (*serverConn, error) {
 	s.mu.Lock()
 	p := s.byNumber[n]
 	if p == nil {
@@ -100,7 +127,7 @@
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if isOpen(c) {
+		if c.isOpen() {
 			s.mu.Unlock()
 			return c, nil
 		}
@@ -111,10 +138,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(s.ctx, nc, discardHandler{}, s.log, jsonrpc2.OnRecv(s.countLate)), nil
+	conn := newConn(s.ctx, nc, discardHandler{}, s.log, jsonrpc2.OnRecv(s.countLate))
+	return &serverConn{Conn: conn, pool: p}, nil
 }
 
-func isOpen(c *jsonrpc2.Conn) bool {
+func (c *serverConn) isOpen() bool {
 	select {
 	case <-c.DisconnectNotify():
 		return false
@@ -130,11 +158,12 @@
 	}
 }
 
-func (s *serverPools) put(n config.Number, c *jsonrpc2.Conn) {
+// put returns a connection to its pool, or closes it if the pool is closed.
+func (s *serverPools) put(c *serverConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p := s.byNumber[n]; p != nil && isOpen(c) && s.ctx.Err() == nil {
-		p.idle = append(p.idle, c)
+	if !c.pool.closed && c.isOpen() && s.ctx.Err() == nil {
+		c.pool.idle = append(c.pool.idle, c)
 		return
 	}
 	c.Close()
@@ -181,7 +210,7 @@
 	return s.exchange(runCtx, conn, a, margin)
 }
 
-func (s *serverPools) exchange(runCtx context.Context, conn *jsonrpc2.Conn, a admission.Attempt, margin time.Duration) admission.Run {
+func (s *serverPools) exchange(runCtx context.Context, conn *serverConn, a admission.Attempt, margin time.Duration) admission.Run {
 	name := attemptName(a.ID)
 	id := jsonrpc2.ID{Str: name, IsString: true}
 	params := ServerParams{Attempt: name, Key: a.Request.Key.ID, Deadline: a.Deadline / int64(time.Millisecond), Params: a.Request.Params}
@@ -202,7 +231,7 @@
 
 // parseAnswer returns how a run ended, by the response to it or the error of the
 // call.
-func (s *serverPools) parseAnswer(conn *jsonrpc2.Conn, a admission.Attempt, name string, raw json.RawMessage, err error) admission.Run {
+func (s *serverPools) parseAnswer(conn *serverConn, a admission.Attempt, name string, raw json.RawMessage, err error) admission.Run {
 	var fault *jsonrpc2.Error
 	if errors.As(err, &fault) {
 		return s.fault(conn, a, name, fault)
@@ -215,7 +244,7 @@
 		s.m.answersDropped.Inc(1)
 		return s.brokenConnection(conn)
 	}
-	s.put(a.Server, conn)
+	s.put(conn)
 	if r.Value == nil {
 		r.Value = json.RawMessage("null")
 	}
@@ -223,13 +252,13 @@
 }
 
 // fault returns how a run ended, by the error response to it.
-func (s *serverPools) fault(conn *jsonrpc2.Conn, a admission.Attempt, name string, e *jsonrpc2.Error) admission.Run {
+func (s *serverPools) fault(conn *serverConn, a admission.Attempt, name string, e *jsonrpc2.Error) admission.Run {
 	var d ServerFault
 	if e.Data == nil || json.Unmarshal(*e.Data, &d) != nil || d.Attempt != name {
 		s.m.answersDropped.Inc(1)
 		return s.brokenConnection(conn)
 	}
-	s.put(a.Server, conn)
+	s.put(conn)
 	switch e.Code {
 	case CodeNotRun:
 		return admission.Run{Result: request.RefusedResult(request.Overloaded), Shed: true, Ended: true}
@@ -251,7 +280,7 @@
 // brokenConnection closes a connection whose response is missing, truncated or of
 // another attempt, and returns a Run with an Unknown result: the request may still be
 // running.
-func (s *serverPools) brokenConnection(conn *jsonrpc2.Conn) admission.Run {
+func (s *serverPools) brokenConnection(conn *serverConn) admission.Run {
 	s.m.brokenConnection.Inc(1)
 	conn.Close()
 	return admission.Run{Result: request.UnknownResult(request.AnswerLost)}
--- a/internal/requestpath/tables.go
+++ b/internal/requestpath/tables.go
@@ -1,6 +1,8 @@
 package requestpath
 
 import (
+	"time"
+
 	"balsamfork/internal/admission"
 	"balsamfork/internal/config"
 	"balsamfork/internal/fleet"
@@ -53,28 +55,27 @@
 	now := p.clock.now()
 	p.members.Update(now, v)
 	if self, found := v.Get(p.self.ID); found && self.State == fleet.Leaving {
-		// From now on the other instances exclude this one when they choose the pair
-		// of a new key.
-		p.claims.SetLeaving(now)
+		// The other instances exclude this one from the pairs of keys that are created
+		// later.
+		p.claims.SetLeaving(int64(self.LeavesAt) * int64(time.Millisecond))
 	}
 	for _, c := range p.calls {
-		if in, found := v.Get(c.to); !found || !in.Reachable() {
+		if v.IsDead(c.to) {
 			c.cancel()
 		}
 	}
-	p.abandonUnreachable(v)
+	p.abandonDead(v)
 	p.rebuildTables()
 }
 
-// abandonUnreachable abandons the copies that were forwarded by instances that the
-// view no longer has as reachable.
-func (p *Path) abandonUnreachable(v *fleet.View) {
+// abandonDead abandons the copies that were forwarded by instances that the view has as
+// dead.
+func (p *Path) abandonDead(v *fleet.View) {
 	for w, c := range p.copyByWaiter {
-		if in, found := v.Get(c.From.ID); found && in.Reachable() {
-			continue
+		if v.IsDead(c.From.ID) {
+			p.removeCopy(w)
+			p.owner.Abandon(p.clock.now(), w)
 		}
-		p.removeCopy(w)
-		p.owner.Abandon(p.clock.now(), w)
 	}
 }
 
@@ -102,6 +103,7 @@
 		dataCentres[d.Name] = d
 	}
 	var rows []admission.Server
+	inRegion := make(map[config.Number]bool)
 	services := make(map[string][]keyowner.Candidate, len(p.cfg.Services))
 	for i := range p.cfg.Services {
 		sv := &p.cfg.Services[i]
@@ -116,6 +118,7 @@
 				rows = append(rows, row)
 			}
 			p.servers.setAddress(row.Number, sv.Servers[j].Requests)
+			inRegion[row.Number] = true
 			if admitter != p.self.ID {
 				p.servers.closeIdle(row.Number)
 			}
@@ -124,6 +127,7 @@
 			}
 		}
 	}
+	p.servers.retain(inRegion)
 	p.admitter.SetServers(now, rows)
 	p.claims.SetAwaitingContact(now, p.admitter.AwaitingContact())
 	p.owner.SetServices(services)
