Pass on the catalogue without losing removals

Cause: a mirror that had read the whole store passed on its changes as if it had seen each one. Entities that were created and removed in between were unknown to it, so a peer that still had one kept it: a removed backend server stayed in use. A complete delta that repeated an older removal of an entity also kept the receiver from removing a newer one of the same name.

Change: a mirror knows the range of revisions that it skipped. To a peer inside it it sends everything; changes that cross it carry onlyAtSince and apply only to a mirror at just that revision, so that the usual case, all at the revision before a compacted history, stays small.

--- a/internal/catalogue/mirror.go
+++ b/internal/catalogue/mirror.go
@@ -36,7 +36,25 @@
 	// droppedRevision is the revision up to which removed records may have been
 	// dropped.
 	droppedRevision uint64
-	snapshot        atomic.Pointer[Snapshot]
+	// unseen is the newest range of revisions whose changes the mirror has not seen.
+	unseen   revisionRange
+	snapshot atomic.Pointer[Snapshot]
+}
+
+// revisionRange is a range of revisions that a mirror has skipped with a complete delta.
+// Entities that were created and removed inside it are unknown to the mirror.
+type revisionRange struct {
+	// after and until are the revisions before and after the complete delta.
+	after, until uint64
+}
+
+// crossedFrom reports whether the changes after a revision cross the range.
+func (r revisionRange) crossedFrom(revision uint64) bool { return revision < r.until }
+
+// contains reports whether a revision lies inside the range, so that a mirror at that
+// revision may hold entities whose removal is unknown.
+func (r revisionRange) contains(revision uint64) bool {
+	return revision > r.after && revision < r.until
 }
 
 // NewMirror returns an empty mirror.
@@ -51,17 +69,21 @@
 
 // Apply applies a delta and returns the records that changed the mirror; age is the
 // time since the delta was read from the store. It returns false and applies nothing if
-// the delta is older than the mirror, or starts after the mirror's revision and so leaves
-// a gap.
+// the delta is older than the mirror, starts after the mirror's revision and so leaves a
+// gap, or applies only to another revision.
 func (m *Mirror) Apply(d Delta, now int64, age time.Duration) (changed []Record, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if d.Revision < m.revision || (!d.Complete && d.Since > m.revision) {
+	if d.Revision < m.revision || !d.Complete && (d.Since > m.revision || d.OnlyAtSince && d.Since != m.revision) {
 		return nil, false
 	}
 	if d.Complete {
 		d.Records = append(slices.Clone(d.Records), m.impliedRemovals(d)...)
 	}
+	if d.Revision > m.revision && (d.Complete || d.OnlyAtSince) {
+		m.droppedRevision = max(m.droppedRevision, m.unseen.until)
+		m.unseen = revisionRange{after: m.revision, until: d.Revision}
+	}
 	readAt := now - int64(age)
 	for _, r := range d.Records {
 		if r.Kind != KindOther && m.put(r, readAt) {
@@ -78,11 +100,12 @@
 }
 
 // impliedRemovals returns a removal for each entity that a complete delta does not
-// contain.
+// contain, or of which it contains only an earlier removal.
 func (m *Mirror) impliedRemovals(d Delta) []Record {
 	present := make(map[ID]bool, len(d.Records))
 	for _, r := range d.Records {
-		present[r.ID] = true
+		e := m.entries[r.ID]
+		present[r.ID] = !r.Removed || e != nil && r.Revision > e.record.Revision
 	}
 	var removals []Record
 	for id, e := range m.entries {
@@ -135,12 +158,14 @@
 }
 
 // Since returns the changes after a revision, or a complete delta if the revision is 0
-// or removals after it may have been dropped. Warm-up times are those that remain at
+// or removals after it may have been dropped or never seen. Warm-up times are those that remain at
 // asOf; the receiver counts the age of the delta from that time.
 func (m *Mirror) Since(revision uint64, asOf int64) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	d := Delta{Since: revision, Revision: m.revision, Complete: revision < m.droppedRevision || revision == 0}
+	d := Delta{Since: revision, Revision: m.revision}
+	d.Complete = revision == 0 || revision < m.droppedRevision || m.unseen.contains(revision)
+	d.OnlyAtSince = !d.Complete && m.unseen.crossedFrom(revision)
 	for _, e := range m.entries {
 		if d.Complete || e.record.Revision > revision {
 			d.Records = append(d.Records, e.asOf(asOf))
--- a/internal/catalogue/mirror_test.go
+++ b/internal/catalogue/mirror_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -153,3 +155,79 @@
 	s.addBackend(third)
 	is.True(!third.Ambiguous) // the cookie of a removed server is reused
 }
+
+// storeHistory is a store whose contents at each revision are known.
+type storeHistory struct {
+	changes  []Record            // changes[i] leads to revision i+1
+	contents []map[string]Record // contents[r] are the entities at revision r
+}
+
+func (s *storeHistory) revision() uint64 { return uint64(len(s.changes)) }
+
+func (s *storeHistory) change(name string, remove bool) {
+	revision := s.revision() + 1
+	contents := maps.Clone(s.contents[len(s.contents)-1])
+	r := server(name, revision, nil)
+	if remove {
+		r = removal(name, revision)
+		delete(contents, name)
+	} else {
+		contents[name] = r
+	}
+	s.changes = append(s.changes, r)
+	s.contents = append(s.contents, contents)
+}
+
+// all returns everything in the store.
+func (s *storeHistory) all() Delta {
+	records := slices.Collect(maps.Values(s.contents[len(s.contents)-1]))
+	slices.SortFunc(records, byRevision)
+	return Delta{Revision: s.revision(), Complete: true, Records: records}
+}
+
+// since returns the changes after a revision.
+func (s *storeHistory) since(revision uint64) Delta {
+	return Delta{Since: revision, Revision: s.revision(), Records: s.changes[revision:]}
+}
+
+// TestMirrorsHoldTheirRevision lets mirrors read the store, as changes or as a whole,
+// and pass on what they know, late and repeatedly. At each revision a mirror holds what
+// the store held then: a mirror that has read the whole store does not know which
+// entities were created and removed before, and must not pass on its knowledge to
+// others as if it did.
+func TestMirrorsHoldTheirRevision(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &storeHistory{contents: []map[string]Record{{}}}
+		mirrors := []*Mirror{NewMirror(), NewMirror(), NewMirror()}
+		var sent []Delta
+		for range 200 {
+			m := mirrors[rapid.IntRange(0, len(mirrors)-1).Draw(t, "mirror")]
+			at := m.Snapshot().Revision
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0, 1:
+				store.change(fmt.Sprint("s", rapid.IntRange(0, 3).Draw(t, "name")), rapid.Bool().Draw(t, "remove"))
+			case 2:
+				m.Apply(store.all(), 1, 0)
+			case 3:
+				m.Apply(store.since(at), 1, 0)
+			case 4:
+				other := mirrors[rapid.IntRange(0, len(mirrors)-1).Draw(t, "asking mirror")]
+				sent = append(sent, m.Since(other.Snapshot().Revision, 1))
+			case 5:
+				if len(sent) > 0 {
+					m.Apply(sent[rapid.IntRange(0, len(sent)-1).Draw(t, "delivered")], 1, 0)
+				}
+			}
+			for i, m := range mirrors {
+				revision := m.Snapshot().Revision
+				for n := range 4 {
+					name := fmt.Sprint("s", n)
+					_, want := store.contents[revision][name]
+					if got := findPresent(m, name) != nil; got != want {
+						t.Fatalf("mirror %d at revision %d: %s present %t, in the store %t", i, revision, name, got, want)
+					}
+				}
+			}
+		}
+	})
+}
--- a/internal/catalogue/record.go
+++ b/internal/catalogue/record.go
@@ -100,7 +100,11 @@
 	// Complete is set if Records holds all records that exist at Revision.
 	Complete bool `json:"complete,omitempty"`
 	// Since is the revision after which the changes start, if not Complete.
-	Since    uint64   `json:"since"`
+	Since uint64 `json:"since"`
+	// OnlyAtSince is set if the changes apply only to a mirror at revision Since: they
+	// lack the removals of entities that were created after it.
+	OnlyAtSince bool `json:"onlyAtSince,omitempty"`
+	// Revision is the revision to which the changes lead.
 	Revision uint64   `json:"revision"`
 	Records  []Record `json:"records,omitempty"`
 }
