--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -405,3 +405,46 @@
 	is.True(!s.servers[n].leaseHeld(now))
 	is.Equal(len(s.HandleGrantRequest(now, asked)), 0)
 }
+
+// TestForeignMembershipEnds lets an instance serve a backend server of a data centre
+// without instances, then another instance take its place in the pair, and then the
+// first return: it knows all earlier grants only once it has been of the pair again for
+// as long as grants last.
+func TestForeignMembershipEnds(t *testing.T) {
+	is := is.New(t)
+	members := pair.New(pair.Timing{UnreachableRetention: time.Hour})
+	s := New(start, a, timing, members)
+	now := start
+	update := func(local fleet.State) {
+		v := &fleet.View{Self: "a", Instances: []fleet.Instance{{ID: "a", DataCentre: "d", Region: "r", State: fleet.Alive}}}
+		if local != 0 {
+			v.Instances = append(v.Instances, fleet.Instance{ID: "z", DataCentre: "e", Region: "r", State: local})
+		}
+		members.Update(now, v)
+		s.SetServers(now, nil)
+	}
+	request := func() []Grant {
+		p := members.Pair(ServerKey(1), "e", "r", now)
+		return s.HandleGrantRequest(now, GrantRequest{Holder: b, DataCentre: "e", Region: "r", Servers: []config.Number{1}, PairDigests: []uint64{p.Digest()}, SentAt: now})
+	}
+	update(0)
+	is.Equal(request(), []Grant{{Server: 1}})
+	now += int64(time.Minute)
+	is.Equal(request(), []Grant{{Server: 1, Complete: true}})
+	update(fleet.Alive)
+	is.Equal(len(request()), 0) // the instance of the server's data centre grants it now
+	now += int64(time.Minute)
+	update(fleet.Leaving)
+	is.Equal(request(), []Grant{{Server: 1}})
+	now += int64(time.Minute)
+	is.Equal(request(), []Grant{{Server: 1, Complete: true}})
+}
+
+// TestDeadlineTooFarAhead sends an attempt whose deadline is further away than a run may
+// last, as a clock that is ahead does: the reason is not that the deadline has passed.
+func TestDeadlineTooFarAhead(t *testing.T) {
+	is := is.New(t)
+	ts := newTestSystem(row(1))
+	is.Equal(ts.outcomes[ts.admit(1, timing.MaxRun+timing.Margin+time.Second)].Result, request.RefusedResult(request.Invalid))
+	is.Equal(ts.outcomes[ts.admit(1, -time.Second)].Result, request.RefusedResult(request.DeadlinePassed))
+}
--- a/internal/admission/coverage.go
+++ b/internal/admission/coverage.go
@@ -23,11 +23,18 @@
 	// centre, in nanoseconds; zero is not a member.
 	memberSince [shards]int64
 	// local holds the backend servers of the data centre, rows those passed to
-	// SetServers. foreignSince is when a grant of a server that is not in local was
-	// first requested, in nanoseconds.
-	local        map[config.Number]bool
-	rows         []Server
-	foreignSince map[config.Number]int64
+	// SetServers, foreign the memberships in pairs of other data centres' servers.
+	local   map[config.Number]bool
+	rows    []Server
+	foreign map[config.Number]foreignMembership
+}
+
+// foreignMembership is the membership of an instance in the pair of a backend server
+// whose data centre has no instances.
+type foreignMembership struct {
+	// since is when a grant of the server was first requested, in nanoseconds.
+	since              int64
+	dataCentre, region string
 }
 
 func newGrantCoverage(self fleet.ID, t Timing) *grantCoverage {
@@ -35,7 +42,7 @@
 		self:          self,
 		minMembership: int64(t.Settle + t.GrantDuration + t.MaxRun + 2*t.Margin),
 		local:         make(map[config.Number]bool),
-		foreignSince:  make(map[config.Number]int64),
+		foreign:       make(map[config.Number]foreignMembership),
 	}
 }
 
@@ -65,6 +72,20 @@
 			c.memberSince[shard] = now
 		}
 	}
+	for n, f := range c.foreign {
+		p := members.Pair(ServerKey(n), f.dataCentre, f.region, now)
+		if !p.Has(c.self) {
+			delete(c.foreign, n)
+		}
+	}
+}
+
+// addForeign records that the instance is a member of the pair of a backend server, if
+// that is not one of its own data centre.
+func (c *grantCoverage) addForeign(now int64, n config.Number, dataCentre, region string) {
+	if _, known := c.foreign[n]; !known && !c.local[n] {
+		c.foreign[n] = foreignMembership{since: now, dataCentre: dataCentre, region: region}
+	}
 }
 
 // covers reports whether the instance is a member of the pair of a backend server, and
@@ -72,11 +93,7 @@
 func (c *grantCoverage) covers(now int64, n config.Number) (member, complete bool) {
 	memberSince := c.memberSince[n%shards]
 	if !c.local[n] {
-		// A backend server in a data centre without instances.
-		if c.foreignSince[n] == 0 {
-			c.foreignSince[n] = now
-		}
-		memberSince = c.foreignSince[n]
+		memberSince = c.foreign[n].since
 	}
 	if memberSince == 0 {
 		return false, false
--- a/internal/admission/system.go
+++ b/internal/admission/system.go
@@ -172,6 +172,9 @@
 		if r.Holder != s.self {
 			s.yieldUnusedGrant(now, n)
 		}
+		if p.Has(s.self.ID) {
+			s.grantCoverage.addForeign(now, n, r.DataCentre, r.Region)
+		}
 		in, complete := s.grantCoverage.covers(now, n)
 		if in && s.grants.HandleGrantRequest(now, r.Holder, n, r.SentAt) {
 			granted = append(granted, Grant{Server: n, Complete: complete})
@@ -269,8 +272,11 @@
 		return request.NoServer
 	}
 	left := time.Duration(at.Deadline - now)
-	if left <= 0 || time.Duration(at.Deadline-now) > s.timing.MaxRun+s.timing.Margin {
+	switch {
+	case left <= 0:
 		return request.DeadlinePassed
+	case left > s.timing.MaxRun+s.timing.Margin:
+		return request.Invalid
 	}
 	if len(sv.queue) >= QueuePerSlot*sv.Slots || !s.withinFairShare(sv.Service) {
 		return request.Overloaded
--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -121,9 +121,8 @@
 	return 0
 }
 
-// Read returns the newest limit entries in the pages up to that of entry last,
-// oldest first. Entries after last are included if they are in its page. A limit
-// of zero means all. The entries are not verified; see Verify.
+// Read returns the newest limit entries up to entry last, oldest first. A limit of
+// zero means all. The entries are not verified; see Verify.
 func (t *Trail) Read(ctx context.Context, last uint64, limit int) ([]Entry, error) {
 	if limit <= 0 {
 		limit = MaxEntries
@@ -144,7 +143,8 @@
 		if p.Number != number {
 			break
 		}
-		entries = append(slices.Clone(p.Entries), entries...)
+		upToLast := slices.DeleteFunc(slices.Clone(p.Entries), func(e Entry) bool { return e.Sequence > last })
+		entries = append(upToLast, entries...)
 	}
 	return entries[max(0, len(entries)-limit):], nil
 }
--- a/internal/confstore/allocate.go
+++ b/internal/confstore/allocate.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// retainedRevisions is the number of revisions of the store, counted from
-	// its base, for which a value that the head does not name stays allocated,
-	// so that reads in progress still find it.
-	retainedRevisions = 8
+	// retainedHeads is the number of heads after its base for which a value that
+	// the head does not name stays allocated, so that reads in progress still find
+	// it.
+	retainedHeads = 8
 	// maxAllocatedValues bounds the number of values allocated at any time.
 	maxAllocatedValues = 4096
 	// maxWriteAttempts bounds the attempts of a write that loses races.
@@ -28,6 +28,9 @@
 	Highest uint64       `json:"next"`
 	Free    []uint64     `json:"free,omitempty"`
 	Used    []allocation `json:"used,omitempty"`
+	// Heads lists the revisions of the newest heads that writers started from,
+	// oldest first, at most retainedHeads+1.
+	Heads []store.Revision `json:"heads,omitempty"`
 }
 
 type allocation struct {
@@ -59,15 +62,22 @@
 }
 
 // release frees the values that head does not name and that no writer can still
-// add to a later head. Values whose base is at most retainedRevisions old are
-// kept.
+// add to a later head. Values whose base is one of the last retainedHeads heads
+// before this one are kept.
 func (a *allocations) release(head Head, revision store.Revision) {
+	if len(a.Heads) == 0 || a.Heads[len(a.Heads)-1] < revision {
+		a.Heads = append(a.Heads, revision)
+	}
+	a.Heads = a.Heads[max(0, len(a.Heads)-retainedHeads-1):]
+	if len(a.Heads) <= retainedHeads {
+		return
+	}
 	named := map[uint64]bool{}
 	for _, v := range head.Values {
 		named[v.Number] = true
 	}
 	a.Used = slices.DeleteFunc(a.Used, func(u allocation) bool {
-		if named[u.Number] || u.Base+retainedRevisions >= revision {
+		if named[u.Number] || u.Base >= a.Heads[0] {
 			return false
 		}
 		a.Free = append(a.Free, u.Number)
--- a/internal/confstore/apply.go
+++ b/internal/confstore/apply.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"strings"
 
 	"balsamfork/internal/audit"
@@ -147,10 +146,12 @@
 	if err != nil {
 		return nil, err
 	}
-	entries = slices.DeleteFunc(entries, func(e audit.Entry) bool { return e.Sequence > last.Sequence })
 	if n := len(entries); last.Sequence != 0 && (n == 0 || entries[n-1].Sequence+1 == last.Sequence) {
 		entries = append(entries, last)
 	}
+	if limit > 0 {
+		entries = entries[max(0, len(entries)-limit):]
+	}
 	if err := audit.Verify(entries, last); err != nil {
 		return entries, err
 	}
--- a/internal/confsync/confsync_test.go
+++ b/internal/confsync/confsync_test.go
@@ -393,3 +393,33 @@
 		is.Equal(count, len(b.instances))
 	})
 }
+
+// TestIntactVersionBelowRefusedOne refuses a version that this release cannot apply,
+// and then offers an intact one that is older but newer than the version in force: it
+// comes into force.
+func TestIntactVersionBelowRefusedOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newTestBed(t, 1, 1)
+		defer b.stopAll()
+		_, err := b.apply(b.operator(), 1)
+		is.NoErr(err)
+		b.startAll()
+		time.Sleep(5 * time.Second)
+		h := &b.nodes["dc0-00"].sync.holder
+		newer, intact := *h.state, *h.state
+		newer.Version, newer.Format, newer.ReadableFrom = 3, config.StoredFormat+1, config.StoredFormat+1
+		intact.Version = 2
+		is.True(!h.adopt(&newer, fromPeer))
+		is.True(!h.wants(3))
+		is.True(h.wants(2))
+		is.True(h.adopt(&intact, fromPeer))
+		is.True(!h.adopt(&newer, fromPeer))
+		for v := config.Version(10); v < 10+2*maxRefused; v++ {
+			newer.Version = v
+			is.True(!h.adopt(&newer, fromStore))
+			is.True(!h.wants(v))
+		}
+		is.True(len(h.refused) <= maxRefused)
+	})
+}
--- a/internal/confsync/holder.go
+++ b/internal/confsync/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sync"
 
 	"github.com/uber-go/tally/v4"
@@ -25,9 +26,9 @@
 	mu    sync.Mutex
 	state *config.State
 	conf  *config.Config
-	// refused is the newest version that refuse has recorded. Neither it nor an
-	// older version is requested or adopted.
-	refused config.Version
+	// refused holds the newest maxRefused versions that refuse has recorded. They
+	// are not requested or adopted; an intact older version may be.
+	refused []config.Version
 
 	// adoptMu serialises adopt, so that listeners are called in the order of
 	// the versions.
@@ -73,12 +74,16 @@
 	return h.state.Version
 }
 
-// wants reports whether a version is newer than the one in force and than any
-// that refuse has recorded.
+// maxRefused bounds the refused versions that are remembered. A forgotten one is
+// requested once more.
+const maxRefused = 16
+
+// wants reports whether a version is newer than the one in force and was not
+// refused.
 func (h *holder) wants(v config.Version) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return v > h.refused && (h.state == nil || v > h.state.Version)
+	return !slices.Contains(h.refused, v) && (h.state == nil || v > h.state.Version)
 }
 
 // adopt brings a version into force if it is newer than the current one, and
@@ -123,10 +128,19 @@
 // since another peer may still send it intact.
 func (h *holder) refuse(v config.Version, from source, err error) {
 	if from == fromStore || config.Newer.Has(err) {
-		h.mu.Lock()
-		h.refused = max(h.refused, v)
-		h.mu.Unlock()
+		h.recordRefused(v)
 	}
 	h.metrics.refused.Inc(1)
 	h.log.Error("Configuration refused.", "version", v, "from", from, "err", err)
 }
+
+func (h *holder) recordRefused(v config.Version) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if slices.Contains(h.refused, v) {
+		return
+	}
+	h.refused = append(h.refused, v)
+	slices.Sort(h.refused)
+	h.refused = h.refused[max(0, len(h.refused)-maxRefused):]
+}
--- a/internal/records/bucket.go
+++ b/internal/records/bucket.go
@@ -57,8 +57,8 @@
 }
 
 // changeKind moves a record from the count of one kind to that of another, and
-// returns false if the limits do not allow it. The limit on Placed includes Opening
-// records, so turning an Opening into a Placed one always succeeds.
+// returns false if the limits do not allow it. Opening and Placed records share a limit,
+// so turning an Opening into a Placed one always succeeds.
 func (b *Bucket) changeKind(from, to Kind) bool {
 	t := b.table
 	switch {
@@ -66,10 +66,18 @@
 		return true
 	case from == Opening && to == Placed:
 		t.counts[Placed].Add(1)
+		t.counts[Opening].Add(-1)
+		return true
+	case from == Placed && to == Opening:
+		if !t.add(&t.counts[Opening], t.limits.Opening) {
+			return false
+		}
+		t.counts[Placed].Add(-1)
+		return true
 	case !t.reserve(to):
 		return false
 	}
-	t.counts[from].Add(-1)
+	t.release(from)
 	return true
 }
 
@@ -119,7 +127,7 @@
 	if b.slots[i].empty() {
 		return
 	}
-	b.table.counts[b.slots[i].Kind()].Add(-1)
+	b.table.release(b.slots[i].Kind())
 	b.count--
 	b.slots[i] = Record{}
 	b.closeGap(i)
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -81,8 +81,10 @@
 
 // Table holds the records of all buckets.
 type Table struct {
-	limits  Limits
-	counts  [kindCount]atomic.Int64
+	limits Limits
+	counts [kindCount]atomic.Int64
+	// flows is the number of Opening and Placed records together.
+	flows   atomic.Int64
 	refused atomic.Int64
 	buckets [table.Buckets]Bucket
 }
@@ -117,24 +119,36 @@
 
 // reserve adds one to the count of a kind if the limits allow it.
 func (t *Table) reserve(k Kind) bool {
-	switch k {
-	case Opening:
-		return t.add(Opening, t.limits.Opening, t.limits.Placed-t.Len(Placed))
-	case Placed:
-		return t.add(Placed, t.limits.Placed, t.limits.Placed-t.Len(Opening))
-	default:
-		return t.add(Observed, t.limits.Observed, t.limits.Observed)
+	if k == Observed {
+		return t.add(&t.counts[Observed], t.limits.Observed)
+	}
+	if !t.add(&t.flows, t.limits.Placed) {
+		return false
+	}
+	if k == Opening && !t.add(&t.counts[Opening], t.limits.Opening) {
+		t.flows.Add(-1)
+		return false
+	}
+	if k == Placed {
+		t.counts[Placed].Add(1)
+	}
+	return true
+}
+
+// release takes one from the count of a kind.
+func (t *Table) release(k Kind) {
+	t.counts[k].Add(-1)
+	if k != Observed {
+		t.flows.Add(-1)
 	}
 }
 
-func (t *Table) add(k Kind, limits ...int) bool {
-	n := int(t.counts[k].Add(1))
-	for _, l := range limits {
-		if n > l {
-			t.counts[k].Add(-1)
-			t.refused.Add(1)
-			return false
-		}
+// add adds one to a count unless that exceeds the limit.
+func (t *Table) add(count *atomic.Int64, limit int) bool {
+	if int(count.Add(1)) > limit {
+		count.Add(-1)
+		t.refused.Add(1)
+		return false
 	}
 	return true
 }
--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"unsafe"
 
@@ -139,3 +141,26 @@
 		}
 	})
 }
+
+// TestConcurrentReservationsKeepJointLimit reserves room for placed and opening records
+// from several goroutines at once: together they never exceed the joint limit.
+func TestConcurrentReservationsKeepJointLimit(t *testing.T) {
+	is := is.New(t)
+	const limit = 8
+	for range 3000 {
+		tbl := NewTable(Limits{Placed: limit, Opening: limit, Observed: limit})
+		var wg sync.WaitGroup
+		var ready atomic.Int32
+		for i := range 4 {
+			wg.Go(func() {
+				for ready.Add(1); ready.Load() < 4; {
+				}
+				for range limit {
+					tbl.reserve([]Kind{Opening, Placed}[i%2])
+				}
+			})
+		}
+		wg.Wait()
+		is.True(tbl.Len(Opening)+tbl.Len(Placed) <= limit)
+	}
+}
