Close each link connection once; keep other services due after a step

Each with a test that failed first: - link: a connection dialled while idle ones were swept could be in no table, and calls after Close still dialled (TestSweepKeepsConnectionsInTheTable). - handover: a step of one service postponed the other due services by their whole backoff, and the logged waits of settled services were kept (TestStepDoesNotDelayOtherServices).

--- a/internal/handover/schedule.go
+++ b/internal/handover/schedule.go
@@ -34,19 +34,21 @@
 
 func newSchedule() *schedule { return &schedule{services: map[string]*nextPoll{}} }
 
-// due reports whether the service is to be polled now, and if so schedules the next
-// poll. If the service has changed since the last call, the backoff starts again.
+// due reports whether the service is to be polled now. If the service has changed since
+// the last call, the backoff starts again.
 func (sc *schedule) due(now time.Time, s *config.Service) bool {
 	next := sc.services[s.Name]
 	if next == nil || next.past != len(s.Past) || !slices.Equal(next.current, s.Current) {
 		sc.services[s.Name] = newNextPoll(now, s)
 		return false
 	}
-	if now.Before(next.at) {
-		return false
-	}
+	return !now.Before(next.at)
+}
+
+// polled schedules the next poll of a service that is polled now.
+func (sc *schedule) polled(now time.Time, name string) {
+	next := sc.services[name]
 	next.at = now.Add(next.wait.NextBackOff())
-	return true
 }
 
 func newNextPoll(now time.Time, s *config.Service) *nextPoll {
--- a/internal/handover/settle.go
+++ b/internal/handover/settle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -78,13 +79,14 @@
 }
 
 // pollServices polls each service that is due. It returns after one step, since the
-// step changes the configuration.
+// step changes the configuration; the services after it remain due.
 func (c *Coordinator) pollServices(ctx context.Context) {
 	cfg, view := c.source.Config(), c.source.View()
 	if cfg == nil || view == nil {
 		return
 	}
 	for _, name := range c.due(cfg, view) {
+		c.schedule.polled(time.Now(), name)
 		step, wait := placement.Settle(cfg, name, view, c.summaries(ctx, view, name))
 		c.logWait(name, wait)
 		if step != placement.NoStep {
@@ -101,6 +103,7 @@
 		assigned[name] = First(view, name) == c.self
 	}
 	c.schedule.retain(assigned)
+	maps.DeleteFunc(c.loggedWaits, func(name string, _ placement.WaitReason) bool { return !assigned[name] })
 	var names []string
 	now := time.Now()
 	for i := range cfg.Services {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/netip"
 	"sync"
-	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 	"github.com/uber-go/tally/v4"
@@ -140,7 +139,7 @@
 		_ = raw.Close()
 	}
 	l.mu.Unlock()
-	l.peers.sweep(time.Now().Add(time.Hour))
+	l.peers.close()
 	l.running.Wait()
 	return nil
 }
--- a/internal/link/peers.go
+++ b/internal/link/peers.go
@@ -16,7 +16,7 @@
 
 // peerConn is the outgoing connection to one instance. lock is a channel of capacity 1
 // used as a mutex, so that waiting for it can end with a context; it protects conn,
-// addr and used, and is held while the connection is looked up or dialled.
+// addr, used and removed, and is held while the connection is looked up or dialled.
 // redialBackoff and nextDialAt are protected by peers.mu.
 type peerConn struct {
 	lock chan struct{}
@@ -24,6 +24,8 @@
 	conn *jsonrpc2.Conn
 	addr netip.AddrPort
 	used time.Time
+	// removed is set once the entry is no longer in the table.
+	removed bool
 
 	redialBackoff *backoff.ExponentialBackOff
 	nextDialAt    time.Time
@@ -38,8 +40,9 @@
 
 // peers is the table of outgoing connections by instance.
 type peers struct {
-	mu   sync.Mutex
-	byID map[fleet.ID]*peerConn
+	mu     sync.Mutex
+	byID   map[fleet.ID]*peerConn
+	closed bool
 
 	self    keys.Identity
 	keys    *keys.Reloader
@@ -47,15 +50,19 @@
 	traffic byteCounters
 }
 
-func (p *peers) entry(id fleet.ID) *peerConn {
+// entry returns the entry of the instance, which it adds if there is none.
+func (p *peers) entry(id fleet.ID) (*peerConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		return nil, peer.NewNotSent("instance %q: this link is closed", id)
+	}
 	e := p.byID[id]
 	if e == nil {
 		e = newPeerConn()
 		p.byID[id] = e
 	}
-	return e
+	return e, nil
 }
 
 // get returns an open connection to the instance, dialling if there is none.
@@ -64,11 +71,9 @@
 	if !ok {
 		return nil, peer.NewNotSent("instance %q has no known address", id)
 	}
-	e := p.entry(id)
-	select {
-	case e.lock <- struct{}{}:
-	case <-ctx.Done():
-		return nil, peer.NewNotSent("instance %q: %v", id, ctx.Err())
+	e, err := p.lockEntry(ctx, id)
+	if err != nil {
+		return nil, err
 	}
 	defer func() { <-e.lock }()
 	e.used = time.Now()
@@ -78,6 +83,37 @@
 	return p.dial(ctx, id, addr, e)
 }
 
+// lockEntry returns the entry of the instance with its lock held.
+func (p *peers) lockEntry(ctx context.Context, id fleet.ID) (*peerConn, error) {
+	for {
+		e, err := p.entry(id)
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case e.lock <- struct{}{}:
+		case <-ctx.Done():
+			return nil, peer.NewNotSent("instance %q: %v", id, ctx.Err())
+		}
+		if !e.removed {
+			return e, nil
+		}
+		<-e.lock
+	}
+}
+
+// close closes all connections. None is opened afterwards.
+func (p *peers) close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	for id, e := range p.snapshot() {
+		e.lock <- struct{}{}
+		p.removeLocked(id, e)
+		<-e.lock
+	}
+}
+
 func (p *peers) dial(ctx context.Context, id fleet.ID, addr netip.AddrPort, e *peerConn) (*jsonrpc2.Conn, error) {
 	if p.inBackoff(e) && e.addr == addr {
 		return nil, peer.NewNotSent("instance %q at %s: redialling is delayed by backoff", id, addr)
@@ -145,17 +181,21 @@
 func (p *peers) sweep(before time.Time) {
 	for id, e := range p.snapshot() {
 		e.lock <- struct{}{}
-		idle := e.used.Before(before)
-		if idle {
-			e.closeConn()
+		if e.used.Before(before) {
+			p.removeLocked(id, e)
 		}
 		<-e.lock
-		if idle {
-			p.remove(id)
-		}
 	}
 }
 
+// removeLocked closes the connection of an entry and removes the entry. The caller holds
+// the lock of the entry, so that no connection is dialled on it meanwhile.
+func (p *peers) removeLocked(id fleet.ID, e *peerConn) {
+	e.closeConn()
+	e.removed = true
+	p.remove(id)
+}
+
 func (p *peers) snapshot() map[fleet.ID]*peerConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
