Bound start and stop; close sockets of an instance that does not start

Cause: fx applies its start and stop timeouts in App.Run only, which neither daemon calls; sockets that components had opened stayed open if a later one could not be built or started, or if stopping ran out of time.

Also: reads of packets are repeated when interrupted, instead of waiting for another packet as if the socket were empty (that moved the time at which the socket was last empty, by which stalls are told); a lasting read error pauses for 10 ms in exchange, forward and flowpath, instead of spinning (no test: a socket that fails for ever has no stand-in). storeclient.SetFleetSize was unused and is gone.

Tests, failed before: TestFailedStartClosesSockets in flowd and app, TestStopEndsInTime, TestInterruptedReadIsRepeated in flowpath and forward.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -72,6 +72,12 @@
 	return Error.Wrap(s.server.Shutdown(ctx))
 }
 
+// Abort closes the listener and all connections at once.
+func (s *Server) Abort() {
+	_ = s.listener.Close()
+	_ = s.server.Close()
+}
+
 func handler(o Options) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", o.Metrics)
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -20,36 +20,44 @@
 var Error = errs.Class("instance")
 
 // startTimeout bounds the time for starting all components. An instance that still
-// waits for a configuration has started, but is not ready.
+// waits for a configuration has started, but is not ready. The time for stopping is
+// bounded by the caller of Stop.
 const startTimeout = 15 * time.Second
 
 // Daemon is one instance: an fx application of its own.
 type Daemon struct {
 	fx         *fx.App
+	sockets    *openSockets
 	components components
 }
 
 // New builds an instance from its settings and opens its sockets, but starts nothing.
 func New(s *settings.Valid, log *slog.Logger) (*Daemon, error) {
-	d := &Daemon{}
+	d := &Daemon{sockets: &openSockets{}}
 	d.fx = fx.New(
-		fx.Supply(s, log),
+		fx.Supply(s, log, d.sockets),
 		fx.NopLogger,
-		fx.StartTimeout(startTimeout),
-		fx.StopTimeout(s.DrainTimeout),
 		Module,
 		fx.Populate(&d.components.Listeners, &d.components.Forwarder, &d.components.Requests, &d.components.Link, &d.components.Serving,
 			&d.components.Admin),
 	)
 	if err := d.fx.Err(); err != nil {
+		d.sockets.close()
 		return nil, Error.Wrap(err)
 	}
 	return d, nil
 }
 
-// Start starts all components. The instance serves once Ready returns true.
+// Start starts all components. The instance serves once Ready returns true. If Start
+// fails, all sockets are closed.
 func (d *Daemon) Start(ctx context.Context) error {
-	return Error.Wrap(d.fx.Start(ctx))
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := d.fx.Start(ctx); err != nil {
+		d.sockets.close()
+		return Error.Wrap(err)
+	}
+	return nil
 }
 
 // Stop shuts the instance down gracefully: it announces the departure, waits for the
--- a/internal/app/components.go
+++ b/internal/app/components.go
@@ -195,10 +195,15 @@
 }
 
 func newForwarder(
-	s *settings.Valid, e *placement.Engine, t *trustedAddresses, o *forward.FragmentOwners, log *slog.Logger, scope tally.Scope,
+	s *settings.Valid, e *placement.Engine, t *trustedAddresses, o *forward.FragmentOwners, sockets *openSockets, log *slog.Logger, scope tally.Scope,
 ) (*forward.Forwarder, error) {
 	c := forward.Config{Listen: s.Packets.Listen, Workers: s.Workers, FragmentOwner: o.FragmentOwner}
-	return forward.New(c, e, t.contains, log, scope)
+	f, err := forward.New(c, e, t.contains, log, scope)
+	if err != nil {
+		return nil, err
+	}
+	sockets.add(f.Abort)
+	return f, nil
 }
 
 func newRequests(s *settings.Valid, g *gossip.Gossip, p *prober.Prober, l *link.Link, log *slog.Logger, scope tally.Scope) *requestpath.Path {
@@ -213,13 +218,18 @@
 	}, l, l, log, scope)
 }
 
-func newAdmin(s *settings.Valid, m *telemetry.Metrics, sv *serving, log *slog.Logger) (*admin.Server, error) {
-	return admin.Listen(admin.Options{
+func newAdmin(s *settings.Valid, m *telemetry.Metrics, sv *serving, sockets *openSockets, log *slog.Logger) (*admin.Server, error) {
+	server, err := admin.Listen(admin.Options{
 		Listen:  s.Admin.Listen,
 		Metrics: m.Handler,
 		Ready:   sv.ready,
 		Pprof:   s.Pprof,
 	}, telemetry.WithPart(log, "admin"))
+	if err != nil {
+		return nil, err
+	}
+	sockets.add(server.Abort)
+	return server, nil
 }
 
 // random returns a random number generator with a random seed.
--- a/internal/app/listeners.go
+++ b/internal/app/listeners.go
@@ -16,7 +16,7 @@
 	Control  net.Listener
 }
 
-func newListeners(s *settings.Valid) (*Listeners, error) {
+func newListeners(s *settings.Valid, sockets *openSockets) (*Listeners, error) {
 	requests, err := net.Listen("tcp", s.Requests.Listen.String())
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -25,6 +25,8 @@
 	if err != nil {
 		return nil, Error.Wrap(multierr.Append(err, requests.Close()))
 	}
+	sockets.add(func() { _ = requests.Close() })
+	sockets.add(func() { _ = control.Close() })
 	return &Listeners{Requests: requests, Control: control}, nil
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -95,8 +95,8 @@
 }
 
 type metrics struct {
-	sent, received, malformed, pulls, pullsFailed, relays tally.Counter
-	size                                                  tally.Gauge
+	sent, received, readErrors, malformed, pulls, pullsFailed, relays tally.Counter
+	size                                                              tally.Gauge
 }
 
 // Open binds the sockets and returns an exchange on them.
@@ -121,6 +121,7 @@
 		metrics: metrics{
 			sent:        scope.Counter("messages_sent"),
 			received:    scope.Counter("messages_received"),
+			readErrors:  scope.Counter("read_errors"),
 			malformed:   scope.Counter("messages_malformed"),
 			pulls:       scope.Counter("pulls"),
 			pullsFailed: scope.Counter("pulls_failed"),
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// readErrorDelay is the pause after a failed read of the socket, so that a lasting error
+// does not take up the processor.
+const readErrorDelay = 10 * time.Millisecond
+
 // Receive reads and handles datagrams until the exchange is closed.
 func (e *Exchange) Receive() {
 	buffer := make([]byte, receiveBufferSize)
@@ -16,6 +20,8 @@
 			return
 		}
 		if err != nil {
+			e.metrics.readErrors.Inc(1)
+			time.Sleep(readErrorDelay)
 			continue
 		}
 		m, ok := parse(buffer[:n])
--- a/internal/flowd/flowd.go
+++ b/internal/flowd/flowd.go
@@ -11,10 +11,8 @@
 	"balsamfork/platform"
 )
 
-// startTimeout and stopTimeout are the fx application's timeouts for starting and
-// stopping all components. fx applies them only in App.Run, which a Daemon doesn't call:
-// its Start and Stop pass the caller's context to fx. stopTimeout doesn't include the
-// time for which Stop waits for the last packets.
+// startTimeout and stopTimeout bound the time for starting and stopping all components.
+// stopTimeout doesn't include the time for which Stop waits for the last packets.
 const (
 	startTimeout = 10 * time.Second
 	stopTimeout  = time.Second
@@ -38,6 +36,7 @@
 // Daemon is one instance, built as an fx application.
 type Daemon struct {
 	fx       *fx.App
+	sockets  *openSockets
 	settings platform.Settings
 	log      *slog.Logger
 	path     *flowpath.Path
@@ -48,25 +47,33 @@
 // New builds an instance and opens its sockets for packets and for messages between
 // instances, but starts nothing. The instance logs to log.
 func New(s platform.Settings, log *slog.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, log: log.With("part", "daemon")}
+	return newDaemon(s, log, fx.Options())
+}
+
+func newDaemon(s platform.Settings, log *slog.Logger, extra fx.Option) (*Daemon, error) {
+	d := &Daemon{settings: s, log: log.With("part", "daemon"), sockets: &openSockets{}}
 	d.fx = fx.New(
 		fx.NopLogger,
-		fx.StartTimeout(startTimeout),
-		fx.StopTimeout(stopTimeout),
-		fx.Supply(s, log),
+		fx.Supply(s, log, d.sockets),
 		Module,
+		extra,
 		fx.Populate(&d.path, &d.state, &d.reload),
 	)
 	if err := d.fx.Err(); err != nil {
+		d.closeSockets()
 		return nil, Error.Wrap(err)
 	}
 	return d, nil
 }
 
 // Start opens the HTTP sockets and starts all components. The instance is ready once it
-// has read the catalogue and can reach backend servers.
+// has read the catalogue and can reach backend servers. If Start fails, all sockets are
+// closed.
 func (d *Daemon) Start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
 	if err := d.fx.Start(ctx); err != nil {
+		d.closeSockets()
 		return Error.Wrap(err)
 	}
 	d.log.Info("Instance has started.", "data_centre", d.settings.DataCentre,
@@ -74,6 +81,14 @@
 	return nil
 }
 
+// closeSockets closes the sockets of an instance that could not be built or started. A
+// failed start closes some of them itself.
+func (d *Daemon) closeSockets() {
+	if err := d.sockets.close(); err != nil {
+		d.log.Debug("Failed to close the sockets.", "error", err)
+	}
+}
+
 // Reload applies new settings. Only the seeds can change while an instance runs; other
 // changes are ignored.
 func (d *Daemon) Reload(s platform.Settings) {
@@ -92,7 +107,12 @@
 	for time.Since(start) < d.settings.Grace-stopReserve && d.path.IdleTime() < idleTime {
 		time.Sleep(idleCheckInterval)
 	}
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
 	err := d.fx.Stop(ctx)
+	if err != nil {
+		d.closeSockets()
+	}
 	d.log.Info("Instance has stopped.", "after_ms", time.Since(start).Milliseconds())
 	return Error.Wrap(err)
 }
--- a/internal/flowd/module.go
+++ b/internal/flowd/module.go
@@ -103,7 +103,7 @@
 	})
 }
 
-func newExchange(s platform.Settings, m *catalogue.Mirror, w *watch.Watcher, plan *watch.Plan, h *hooks, log *slog.Logger, scope tally.Scope) (*exchange.Exchange, error) {
+func newExchange(s platform.Settings, m *catalogue.Mirror, w *watch.Watcher, plan *watch.Plan, h *hooks, sockets *openSockets, log *slog.Logger, scope tally.Scope) (*exchange.Exchange, error) {
 	e, err := exchange.Open(exchange.Options{
 		Listen:     netip.AddrPortFrom(s.Address, s.FirstPort),
 		DataCentre: s.DataCentre,
@@ -118,14 +118,16 @@
 		Log:        telemetry.WithPart(log, "exchange"),
 		Scope:      scope,
 	})
-	if err == nil {
-		e.SetSeeds(s.Seeds)
+	if err != nil {
+		return nil, err
 	}
-	return e, err
+	sockets.add(e)
+	e.SetSeeds(s.Seeds)
+	return e, nil
 }
 
-func newPath(s platform.Settings, m *catalogue.Mirror, w *watch.Watcher, h *hooks, log *slog.Logger, scope tally.Scope) (*flowpath.Path, error) {
-	return flowpath.Open(flowpath.Options{
+func newPath(s platform.Settings, m *catalogue.Mirror, w *watch.Watcher, h *hooks, sockets *openSockets, log *slog.Logger, scope tally.Scope) (*flowpath.Path, error) {
+	p, err := flowpath.Open(flowpath.Options{
 		Codec:      platform.Codec{},
 		Listen:     s.Packets,
 		DataCentre: s.DataCentre,
@@ -141,6 +143,11 @@
 		Log:            telemetry.WithPart(log, "flows"),
 		Scope:          scope,
 	})
+	if err != nil {
+		return nil, err
+	}
+	sockets.add(p)
+	return p, nil
 }
 
 // reloader applies new settings to a running instance.
--- a/internal/flowpath/path.go
+++ b/internal/flowpath/path.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,9 @@
 	// reachabilityCheckInterval is how often the instance checks whether it reaches
 	// any server.
 	reachabilityCheckInterval = 250 * time.Millisecond
+	// readErrorDelay is the pause after a failed read of the socket, so that a lasting
+	// error does not take up the processor.
+	readErrorDelay = 10 * time.Millisecond
 	// pruneInterval is how often the state of removed servers is deleted.
 	pruneInterval = time.Minute
 )
@@ -79,6 +83,7 @@
 	instances             atomic.Pointer[instanceCounts]
 	lastRead              atomic.Int64
 	closed                chan struct{}
+	closeOnce             sync.Once
 }
 
 // heldPacket is a packet, preceded by its headroom, that waits for the catalogue.
@@ -115,9 +120,10 @@
 // Address returns the address on which packets arrive.
 func (p *Path) Address() netip.AddrPort { return p.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
 
-// Close closes the socket and makes Run and Release return.
+// Close closes the socket and makes Run and Release return. A repeated call returns an
+// error.
 func (p *Path) Close() error {
-	close(p.closed)
+	p.closeOnce.Do(func() { close(p.closed) })
 	return Error.Wrap(p.conn.Close())
 }
 
@@ -166,6 +172,7 @@
 				continue
 			}
 			p.metrics.readErrors.Inc(1)
+			time.Sleep(readErrorDelay)
 			continue
 		}
 		now := p.Clock()
--- a/internal/flowpath/reader.go
+++ b/internal/flowpath/reader.go
@@ -18,6 +18,8 @@
 	size    int
 	err     error
 	receive func(fd uintptr) bool
+	// readSocket is read(2).
+	readSocket func(fd int, buffer []byte) (int, error)
 }
 
 func newReader(conn *net.UDPConn, clock func() int64) (*reader, error) {
@@ -25,7 +27,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	r := &reader{conn: raw, clock: clock}
+	r := &reader{conn: raw, clock: clock, readSocket: unix.Read}
 	r.receive = r.tryReceive
 	return r, nil
 }
@@ -40,10 +42,14 @@
 	return r.size, r.err
 }
 
-// tryReceive reports false if no packet is waiting.
+// tryReceive reports false if no packet is waiting. An interrupted read is repeated: it
+// does not show that the socket is empty.
 func (r *reader) tryReceive(fd uintptr) bool {
-	r.size, r.err = unix.Read(int(fd), r.buffer)
-	if r.err == unix.EAGAIN || r.err == unix.EINTR {
+	r.size, r.err = r.readSocket(int(fd), r.buffer)
+	for r.err == unix.EINTR {
+		r.size, r.err = r.readSocket(int(fd), r.buffer)
+	}
+	if r.err == unix.EAGAIN {
 		r.drained = r.clock()
 		return false
 	}
--- a/internal/forward/mmsg_linux.go
+++ b/internal/forward/mmsg_linux.go
@@ -25,8 +25,10 @@
 	vectors [batchSize]unix.Iovec
 	names   [batchSize]unix.RawSockaddrInet6
 	receive func(fd uintptr) bool
-	count   int
-	errno   syscall.Errno
+	// recvmmsg is recvmmsg(2).
+	recvmmsg func(fd uintptr, headers *[batchSize]mmsghdr) (int, syscall.Errno)
+	count    int
+	errno    syscall.Errno
 }
 
 // newReader returns a reader that reads into the given batchSize buffers, one per
@@ -36,7 +38,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	r := &reader{conn: raw}
+	r := &reader{conn: raw, recvmmsg: recvmmsg}
 	for i := range r.headers {
 		r.vectors[i].Base = &buffers[i][0]
 		r.vectors[i].SetLen(len(buffers[i]))
@@ -45,10 +47,16 @@
 		header.SetIovlen(1)
 		header.Name = (*byte)(unsafe.Pointer(&r.names[i]))
 	}
-	r.receive = r.recvmmsg
+	r.receive = r.tryReceive
 	return r, nil
 }
 
+func recvmmsg(fd uintptr, headers *[batchSize]mmsghdr) (int, syscall.Errno) {
+	n, _, errno := unix.Syscall6(unix.SYS_RECVMMSG, fd,
+		uintptr(unsafe.Pointer(headers)), batchSize, unix.MSG_DONTWAIT, 0, 0)
+	return int(n), errno
+}
+
 // read waits for packets, reads a batch and returns the number of packets in it.
 func (r *reader) read() (int, error) {
 	for i := range r.headers {
@@ -63,14 +71,14 @@
 	return r.count, nil
 }
 
-func (r *reader) recvmmsg(fd uintptr) bool {
-	n, _, errno := unix.Syscall6(unix.SYS_RECVMMSG, fd,
-		uintptr(unsafe.Pointer(&r.headers[0])), batchSize, unix.MSG_DONTWAIT, 0, 0)
-	if errno == unix.EAGAIN || errno == unix.EINTR {
-		return false
+// tryReceive reports false if no packet is waiting. An interrupted read is repeated:
+// packets may be waiting.
+func (r *reader) tryReceive(fd uintptr) bool {
+	r.count, r.errno = r.recvmmsg(fd, &r.headers)
+	for r.errno == unix.EINTR {
+		r.count, r.errno = r.recvmmsg(fd, &r.headers)
 	}
-	r.count, r.errno = int(n), errno
-	return true
+	return r.errno != unix.EAGAIN
 }
 
 // size returns the size of the i-th packet of the last batch, and false if it
--- a/internal/forward/worker.go
+++ b/internal/forward/worker.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"time"
 
 	"github.com/gopacket/gopacket/layers"
 
@@ -42,6 +43,10 @@
 	return w, err
 }
 
+// readErrorDelay is the pause after a failed read of a socket, so that a lasting error
+// does not take up the processor.
+const readErrorDelay = 10 * time.Millisecond
+
 // run handles packets until the read deadline of the socket expires or the socket
 // is closed.
 func (w *worker) run() {
@@ -52,6 +57,7 @@
 		}
 		if err != nil {
 			w.failed.Add(1)
+			time.Sleep(readErrorDelay)
 			continue
 		}
 		w.handleBatch(n)
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -88,12 +88,6 @@
 	return c
 }
 
-// SetFleetSize sets the number of instances that share the service's rate limits.
-func (c *Client) SetFleetSize(n int) {
-	c.SetReaders(n)
-	c.SetWriters(n)
-}
-
 // SetReaders sets the number of equal shares of the fleet's read rate, if it differs from
 // the fleet size. This client uses one share.
 func (c *Client) SetReaders(n int) {
