Trust nothing that waited while the process was paused

Cause: datagrams that waited in the socket of a stopped process were read afterwards with the ages that they had when sent, so that a catalogue from before the pause counted as recent for up to 2.2 s more. New flows after a pause were placed with that catalogue, at servers that had been drained meanwhile.

Change: internal/pause detects that the process did not run for 0.5 s; the exchange discards what waited. A new flow that finds a catalogue older than 2.5 s after a pause is held until the store has been read; if the last read failed, it is placed with what is known, since then waiting helps nobody.

Ruled out: pulls and reads of the store, whose ages count from before the call.

Tests, failed before: TestMessagesThatWaitedDuringAPauseAreDiscarded, TestResumedInstanceReadsBeforeItPlacesFlows. Three tests of paused instances now say that the store has been read since, as the daemon does.

A test of the failed start was flaky once: a server that had not begun to serve left its listener open; it closes it now.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -68,6 +68,9 @@
 	// when they change. It must not block.
 	OnResize func(all, local int)
 	Random   *rand.Rand
+	// LastResume returns the end of the last pause of this process, in nanoseconds, or 0
+	// if there was none.
+	LastResume func() int64
 	// Clock returns the monotonic time in nanoseconds.
 	Clock func() int64
 	Log   *slog.Logger
@@ -95,8 +98,8 @@
 }
 
 type metrics struct {
-	sent, received, readErrors, malformed, pulls, pullsFailed, relays tally.Counter
-	size                                                              tally.Gauge
+	sent, received, readErrors, outdated, malformed, pulls, pullsFailed, relays tally.Counter
+	size                                                                        tally.Gauge
 }
 
 // Open binds the sockets and returns an exchange on them.
@@ -122,6 +125,7 @@
 			sent:        scope.Counter("messages_sent"),
 			received:    scope.Counter("messages_received"),
 			readErrors:  scope.Counter("read_errors"),
+			outdated:    scope.Counter("messages_outdated"),
 			malformed:   scope.Counter("messages_malformed"),
 			pulls:       scope.Counter("pulls"),
 			pullsFailed: scope.Counter("pulls_failed"),
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -27,6 +27,8 @@
 	known   int64
 	reports []suspicion.Report
 	regular atomic.Bool
+	// resumed is the end of a simulated pause.
+	resumed atomic.Int64
 	// contacts holds the data centres that have answered.
 	contacts []string
 }
@@ -100,11 +102,12 @@
 			defer i.mu.Unlock()
 			i.contacts = append(i.contacts, dataCentre)
 		},
-		OnResize: func(int, int) {},
-		Random:   rand.New(rand.NewPCG(uint64(last), 1)),
-		Clock:    clock,
-		Log:      slog.New(slog.DiscardHandler),
-		Scope:    tally.NoopScope,
+		OnResize:   func(int, int) {},
+		Random:     rand.New(rand.NewPCG(uint64(last), 1)),
+		LastResume: func() int64 { return i.resumed.Load() },
+		Clock:      clock,
+		Log:        slog.New(slog.DiscardHandler),
+		Scope:      tally.NoopScope,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -295,3 +298,25 @@
 		}
 	})
 }
+
+// TestMessagesThatWaitedDuringAPauseAreDiscarded sends a digest and a report to an
+// instance, which reads them only after a pause: the digest does not make its catalogue
+// recent, and the report counts for nothing. Later messages do.
+func TestMessagesThatWaitedDuringAPauseAreDiscarded(t *testing.T) {
+	is := is.New(t)
+	port := freePort(t)
+	a, b := start(t, port, 71, "a", address(72)), start(t, port, 72, "a", address(71))
+	eventually(t, "instances don't know one another", func() bool { return a.peers.size() == 2 && b.peers.size() == 2 })
+	a.readStore(5, 1)
+	eventually(t, "nothing was received", func() bool { return b.mirror.Snapshot().Revision == 5 })
+	b.resumed.Store(clock()) // the next messages waited during a pause that ends now
+	before, _ := b.Known()
+	a.Report(suspicion.Report{Kind: suspicion.NoHandshake, Server: 1, DataCentre: "a"})
+	a.readStore(5, 1)
+	time.Sleep(50 * time.Millisecond)
+	after, _ := b.Known()
+	is.Equal(after, before)
+	is.Equal(b.reportCount(), 0)
+	a.readStore(6, 1)
+	eventually(t, "later messages are not received", func() bool { return b.mirror.Snapshot().Revision == 6 })
+}
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -11,9 +11,19 @@
 // does not take up the processor.
 const readErrorDelay = 10 * time.Millisecond
 
-// Receive reads and handles datagrams until the exchange is closed.
+const (
+	// discardWait is how long the socket must be empty after a pause, and discardLimit
+	// how long waiting messages are discarded at most.
+	discardWait  = time.Millisecond
+	discardLimit = 500 * time.Millisecond
+)
+
+// Receive reads and handles datagrams until the exchange is closed. Those that waited
+// while the process was paused are discarded: the ages in them are those at which they
+// were sent.
 func (e *Exchange) Receive() {
 	buffer := make([]byte, receiveBufferSize)
+	resumed := int64(0)
 	for {
 		n, err := e.conn.Read(buffer)
 		if errors.Is(err, net.ErrClosed) {
@@ -24,6 +34,11 @@
 			time.Sleep(readErrorDelay)
 			continue
 		}
+		if last := e.LastResume(); last > resumed {
+			resumed = last
+			e.discardWaiting(buffer)
+			continue
+		}
 		m, ok := parse(buffer[:n])
 		if !ok {
 			e.metrics.malformed.Inc(1)
@@ -34,6 +49,24 @@
 	}
 }
 
+// discardWaiting discards the message that was just read and those that wait behind it.
+func (e *Exchange) discardWaiting(buffer []byte) {
+	count := 1
+	for end := time.Now().Add(discardLimit); time.Now().Before(end); count++ {
+		if err := e.conn.SetReadDeadline(time.Now().Add(discardWait)); err != nil {
+			break
+		}
+		if _, err := e.conn.Read(buffer); err != nil {
+			break
+		}
+	}
+	if err := e.conn.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, net.ErrClosed) {
+		e.metrics.readErrors.Inc(1)
+	}
+	e.metrics.outdated.Inc(int64(count))
+	e.Log.Info("Discarded messages that waited during a pause.", "messages", count)
+}
+
 // parse returns the message in a datagram, and false if it is malformed.
 func parse(data []byte) (m message, ok bool) {
 	err := decode(data, &m)
--- a/internal/flowd/module.go
+++ b/internal/flowd/module.go
@@ -18,6 +18,7 @@
 	"balsamfork/internal/clock"
 	"balsamfork/internal/exchange"
 	"balsamfork/internal/flowpath"
+	"balsamfork/internal/pause"
 	"balsamfork/internal/suspicion"
 	"balsamfork/internal/telemetry"
 	"balsamfork/internal/watch"
@@ -34,6 +35,7 @@
 		newHooks,
 		watch.NewPlan,
 		newWatcher,
+		newPauseDetector,
 		newExchange,
 		newPath,
 		newReloader,
@@ -103,7 +105,9 @@
 	})
 }
 
-func newExchange(s platform.Settings, m *catalogue.Mirror, w *watch.Watcher, plan *watch.Plan, h *hooks, sockets *openSockets, log *slog.Logger, scope tally.Scope) (*exchange.Exchange, error) {
+func newPauseDetector() *pause.Detector { return pause.New(processClock.Now) }
+
+func newExchange(s platform.Settings, m *catalogue.Mirror, w *watch.Watcher, plan *watch.Plan, h *hooks, pauses *pause.Detector, sockets *openSockets, log *slog.Logger, scope tally.Scope) (*exchange.Exchange, error) {
 	e, err := exchange.Open(exchange.Options{
 		Listen:     netip.AddrPortFrom(s.Address, s.FirstPort),
 		DataCentre: s.DataCentre,
@@ -114,6 +118,7 @@
 		OnContact:  func(dataCentre string) { h.dataCentreAnswered(dataCentre) },
 		OnResize:   func(all, local int) { h.instancesChanged(all, local) },
 		Random:     newRandom(),
+		LastResume: pauses.LastResume,
 		Clock:      processClock.Now,
 		Log:        telemetry.WithPart(log, "exchange"),
 		Scope:      scope,
@@ -134,7 +139,7 @@
 		Limits:     flowpath.WarmupLimits{Factor: s.WarmupFactor, Slack: s.WarmupSlack},
 		CatalogueState: func() flowpath.CatalogueState {
 			known, since := w.Known()
-			return flowpath.CatalogueState{Snapshot: m.Snapshot(), Known: known, Since: since}
+			return flowpath.CatalogueState{Snapshot: m.Snapshot(), Known: known, Since: since, Failing: w.Failing()}
 		},
 		Refresh:        func() { w.Refresh(context.Background()) },
 		Report:         func(r suspicion.Report) { h.reportServer(r) },
@@ -158,7 +163,7 @@
 }
 
 // connect sets the hooks and registers the start and stop of the components.
-func connect(lc fx.Lifecycle, h *hooks, w *watch.Watcher, e *exchange.Exchange, p *flowpath.Path, log *slog.Logger) {
+func connect(lc fx.Lifecycle, h *hooks, w *watch.Watcher, e *exchange.Exchange, p *flowpath.Path, pauses *pause.Detector, log *slog.Logger) {
 	h.catalogueRead = func() {
 		p.CatalogueRefreshed()
 		e.Announce()
@@ -173,6 +178,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
+			go pauses.Run(ctx)
 			go w.Run(ctx)
 			go e.Run()
 			go e.Receive()
@@ -194,27 +200,48 @@
 
 // serveHTTP registers the HTTP servers for the fabric's readiness probes and for
 // metrics.
-func serveHTTP(lc fx.Lifecycle, s platform.Settings, r *readiness, m *telemetry.Metrics) {
+func serveHTTP(lc fx.Lifecycle, s platform.Settings, r *readiness, m *telemetry.Metrics, sockets *openSockets) {
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", m.Handler)
-	serve(lc, s.Readiness, platform.ReadinessHandler(r.ready))
-	serve(lc, netip.AddrPortFrom(s.Address, metricsPort), metrics)
+	for address, handler := range map[netip.AddrPort]http.Handler{
+		s.Readiness: platform.ReadinessHandler(r.ready),
+		netip.AddrPortFrom(s.Address, metricsPort): metrics,
+	} {
+		server := &httpServer{address: address, server: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}}
+		sockets.add(server)
+		lc.Append(fx.StartStopHook(server.start, server.Close))
+	}
 }
 
 // headerTimeout is the time within which an HTTP client must send its request headers.
 const headerTimeout = 2 * time.Second
 
-func serve(lc fx.Lifecycle, address netip.AddrPort, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			listener, err := net.Listen("tcp4", address.String())
-			if err != nil {
-				return Error.Wrap(err)
-			}
-			go func() { _ = server.Serve(listener) }()
-			return nil
-		},
-		OnStop: func(context.Context) error { return server.Close() },
-	})
+// httpServer is an HTTP server on one address.
+type httpServer struct {
+	address  netip.AddrPort
+	server   *http.Server
+	listener net.Listener
+}
+
+func (h *httpServer) start() error {
+	listener, err := net.Listen("tcp4", h.address.String())
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	h.listener = listener
+	go func() { _ = h.server.Serve(listener) }()
+	return nil
+}
+
+// Close closes the listener, if there is one, and all connections.
+func (h *httpServer) Close() error {
+	if h.listener == nil {
+		return nil
+	}
+	// The server closes its listener only once Serve has begun.
+	err := h.listener.Close()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
+	return errors.Join(h.server.Close(), err)
 }
--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -15,6 +15,9 @@
 	// taken as absent: without disturbances an instance reads a change within this
 	// time.
 	maxCatalogueAge = 1500 * time.Millisecond
+	// pausedCatalogueAge is the catalogue age that only an instance which was paused
+	// reaches while the store can be read: a running one reads the store sooner.
+	pausedCatalogueAge = 2500 * time.Millisecond
 	// catalogueSettlingTime is how long an instance must have known the catalogue
 	// before a cookie that is missing from it counts as that of a removed server. It
 	// covers entries that expired while the store was unavailable.
@@ -78,6 +81,8 @@
 	UnknownCookie
 	NoCookie
 	Forged
+	// StaleCatalogue is a new flow that waits for a read of the store, as the instance
+	// was paused.
 	StaleCatalogue
 )
 
@@ -121,6 +126,8 @@
 	// time since which the catalogue has been known without interruption, both in
 	// nanoseconds.
 	Known, Since int64
+	// Failing is set if the last read of the store failed.
+	Failing bool
 }
 
 // Decider decides what happens to packets. It is not safe for concurrent use.
--- a/internal/flowpath/opening.go
+++ b/internal/flowpath/opening.go
@@ -10,6 +10,9 @@
 
 // decideOpening returns the verdict on an opening packet.
 func (d *Decider) decideOpening(p *Packet, state CatalogueState, now int64) Verdict {
+	if p.Arrived == now && d.outdatedByPause(state, now) {
+		return Verdict{Action: Hold, Reason: StaleCatalogue}
+	}
 	route := state.Snapshot.Route(p.Flow.To())
 	if route == nil {
 		return d.rejectOrHold(Verdict{Reason: NoRoute}, state, now)
@@ -32,6 +35,13 @@
 	return d.placeFlow(v, entry, hash, cookie.None, state, now)
 }
 
+// outdatedByPause reports whether the catalogue is from before a pause of this instance
+// and may be read again: servers may have been drained and routes changed meanwhile. If
+// the store cannot be read, the instance goes on with what it has.
+func (d *Decider) outdatedByPause(state CatalogueState, now int64) bool {
+	return !state.Failing && state.Known < d.resumedAt && now-state.Known >= int64(pausedCatalogueAge)
+}
+
 // shouldSpill reports whether a flow is to go to another data centre because the
 // local servers are overloaded. The fabric spreads callers evenly over the instances
 // of a data centre, so each instance sees its share of the load and estimates the
--- a/internal/flowpath/unresponsive_test.go
+++ b/internal/flowpath/unresponsive_test.go
@@ -185,6 +185,7 @@
 		h.peerFailure(b, source)
 	}
 	is.True(!h.Suspected(b, h.now))
+	h.known = h.now // the store has been read since the pause
 	h.offerFlows(10, 600*ms, "")
 	for source := range uint64(6) {
 		h.peerFailure(b, source)
@@ -200,6 +201,7 @@
 	h := newHarness(5, nil)
 	h.backlogged = true
 	h.now += 5000 * ms
+	h.known = h.now // the store has been read since the pause
 	for port := uint16(1); port < 40; port++ {
 		h.now += ms / 4
 		h.open(port, 0)
@@ -221,6 +223,7 @@
 		opened[port] = h.open(port, 0).Backend
 	}
 	h.now += 4000 * ms
+	h.known = h.now // the store has been read since the pause
 	h.backlogged = true
 	for port := uint16(1); port < 40; port++ {
 		h.now += ms
@@ -230,3 +233,26 @@
 	h.offerFlows(1000, 1000*ms, "")
 	is.Equal(len(h.unanswered), 0)
 }
+
+// TestResumedInstanceReadsBeforeItPlacesFlows covers an instance that was stopped for 8 s
+// while servers were drained: a new flow waits for a read of the store. If the store
+// cannot be read, or the read has been made, it is placed with what is known. An instance
+// that only got no packets places it at once, since its catalogue is recent.
+func TestResumedInstanceReadsBeforeItPlacesFlows(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(3, nil)
+	h.now += 8000 * ms
+	v := h.open(1, 0)
+	is.Equal(v.Action, Hold)
+	is.Equal(v.Reason, StaleCatalogue)
+	is.Equal(h.decide(Packet{Flow: flow(1), Kind: Opening, Arrived: h.now - ms}).Reason, Placed) // no newer one to be had
+	h.failing = true
+	is.Equal(h.open(2, 0).Reason, Placed)
+	h.failing = false
+	h.known = h.now
+	is.Equal(h.open(3, 0).Reason, Placed)
+
+	h.now += 8000 * ms
+	h.known = h.now - 500*ms
+	is.Equal(h.open(4, 0).Reason, Placed)
+}
--- /dev/null
+++ b/internal/pause/pause.go
@@ -0,0 +1,56 @@
+// Package pause detects that the process was paused: stopped by a signal, or not
+// scheduled for a while. What waited in its sockets meanwhile is older than it seems.
+package pause
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// interval is the time between two marks that the process is running.
+	interval = 100 * time.Millisecond
+	// threshold is the time without a mark that counts as a pause. A slow machine that
+	// is busy with other work is late by less.
+	threshold = 500 * time.Millisecond
+)
+
+// Detector detects pauses of the process. It is safe for concurrent use.
+type Detector struct {
+	clock func() int64
+	// marked is when the process was last known to be running, and resumed the end of
+	// the last pause, 0 for none; both in nanoseconds.
+	marked, resumed atomic.Int64
+}
+
+// New returns a Detector. The clock returns the monotonic time in nanoseconds.
+func New(clock func() int64) *Detector {
+	d := &Detector{clock: clock}
+	d.marked.Store(clock())
+	return d
+}
+
+// Run marks that the process is running until the context ends.
+func (d *Detector) Run(ctx context.Context) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		d.LastResume()
+		d.marked.Store(d.clock())
+	}
+}
+
+// LastResume returns the end of the last pause in nanoseconds, or 0 if there was none.
+// After a pause it returns the current time until Run has marked the process as running.
+func (d *Detector) LastResume() int64 {
+	if now := d.clock(); now-d.marked.Load() > int64(threshold) {
+		d.resumed.Store(now)
+	}
+	return d.resumed.Load()
+}
--- /dev/null
+++ b/internal/pause/pause_test.go
@@ -0,0 +1,36 @@
+package pause
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestPauseIsDetectedBeforeAndAfterTheFirstMark stops the marks for 8 s, as a stopped
+// process does: the pause is reported at once, before the detector itself has run again,
+// and its end is known afterwards.
+func TestPauseIsDetectedBeforeAndAfterTheFirstMark(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		var suspended atomic.Int64
+		clock := func() int64 { return int64(time.Since(began)) + suspended.Load() }
+		d := New(clock)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go d.Run(ctx)
+		time.Sleep(time.Minute + interval/2)
+		is.Equal(d.LastResume(), int64(0))
+		suspended.Store(int64(8 * time.Second)) // the clock goes on while no goroutine runs
+		is.Equal(d.LastResume(), clock())
+		time.Sleep(interval)
+		resumed := d.LastResume()
+		is.True(clock()-resumed <= int64(interval))
+		time.Sleep(time.Minute)
+		is.Equal(d.LastResume(), resumed)
+	})
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -45,6 +45,7 @@
 	known          atomic.Int64
 	since          atomic.Int64
 	failingSince   int64
+	failing        atomic.Bool
 	reads          singleflight.Group
 	changed        chan struct{}
 	changedRecords tally.Counter
@@ -219,7 +220,11 @@
 	}
 }
 
+// Failing reports whether the last read of the store failed.
+func (w *Watcher) Failing() bool { return w.failing.Load() }
+
 func (w *Watcher) logFailure(began int64, err error) {
+	w.failing.Store(true)
 	if w.failingSince == 0 {
 		w.failingSince = began
 		w.Log.Warn("Reading the store failed.", "error", err, "revision", w.Mirror.Snapshot().Revision)
@@ -227,6 +232,7 @@
 }
 
 func (w *Watcher) logRecovery() {
+	w.failing.Store(false)
 	if w.failingSince != 0 {
 		w.Log.Info("Store is readable again.", "after_ms", time.Duration(w.Clock()-w.failingSince).Milliseconds())
 		w.failingSince = 0
