Pull large changes through a tree; read the store first after a start

Cause: changes that do not fit a datagram were pulled by every instance from the one that announced them. Instances of other data centres that were asked to relay such an announcement pulled it and passed nothing on, so the others there waited for a periodic digest or read the store. A starting instance pulled the whole catalogue from a peer while it read the same from the store.

An instance that has pulled a relayed announcement passes it on.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -82,8 +82,10 @@
 type Exchange struct {
 	Options
 	// ctx ends when the exchange is closed.
-	ctx         context.Context
-	cancel      context.CancelFunc
+	ctx    context.Context
+	cancel context.CancelFunc
+	// openedAt is when the exchange was opened, in nanoseconds.
+	openedAt    int64
 	peers       *peers
 	seeds       atomic.Pointer[[]netip.Addr]
 	conn        *net.UDPConn
@@ -98,8 +100,8 @@
 }
 
 type metrics struct {
-	sent, received, readErrors, outdated, malformed, pulls, pullsFailed, relays tally.Counter
-	size                                                                        tally.Gauge
+	sent, received, readErrors, outdated, malformed, pulls, pullsFailed, pullsAnswered, relays tally.Counter
+	size                                                                                       tally.Gauge
 }
 
 // Open binds the sockets and returns an exchange on them.
@@ -115,22 +117,24 @@
 	scope := o.Scope.SubScope("exchange")
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Exchange{
-		Options: o,
-		ctx:     ctx,
-		cancel:  cancel,
-		peers:   newPeers(Peer{Address: o.Listen.Addr(), DataCentre: o.DataCentre}, o.Random),
-		conn:    conn,
-		server:  server,
+		Options:  o,
+		ctx:      ctx,
+		cancel:   cancel,
+		openedAt: o.Clock(),
+		peers:    newPeers(Peer{Address: o.Listen.Addr(), DataCentre: o.DataCentre}, o.Random),
+		conn:     conn,
+		server:   server,
 		metrics: metrics{
-			sent:        scope.Counter("messages_sent"),
-			received:    scope.Counter("messages_received"),
-			readErrors:  scope.Counter("read_errors"),
-			outdated:    scope.Counter("messages_outdated"),
-			malformed:   scope.Counter("messages_malformed"),
-			pulls:       scope.Counter("pulls"),
-			pullsFailed: scope.Counter("pulls_failed"),
-			relays:      scope.Counter("relays"),
-			size:        scope.Gauge("instances"),
+			sent:          scope.Counter("messages_sent"),
+			received:      scope.Counter("messages_received"),
+			readErrors:    scope.Counter("read_errors"),
+			outdated:      scope.Counter("messages_outdated"),
+			malformed:     scope.Counter("messages_malformed"),
+			pulls:         scope.Counter("pulls"),
+			pullsFailed:   scope.Counter("pulls_failed"),
+			pullsAnswered: scope.Counter("pulls_answered"),
+			relays:        scope.Counter("relays"),
+			size:          scope.Gauge("instances"),
 		},
 	}
 	e.SetSeeds(nil)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -23,6 +23,7 @@
 type instance struct {
 	*Exchange
 	mirror  *catalogue.Mirror
+	scope   tally.TestScope
 	mu      sync.Mutex
 	known   int64
 	reports []suspicion.Report
@@ -85,7 +86,7 @@
 }
 
 func start(t *testing.T, port uint16, last byte, dataCentre string, seeds ...netip.Addr) *instance {
-	i := &instance{mirror: catalogue.NewMirror()}
+	i := &instance{mirror: catalogue.NewMirror(), scope: tally.NewTestScope("", nil)}
 	e, err := Open(Options{
 		Listen:     netip.AddrPortFrom(address(last), port),
 		DataCentre: dataCentre,
@@ -107,7 +108,7 @@
 		LastResume: func() int64 { return i.resumed.Load() },
 		Clock:      clock,
 		Log:        slog.New(slog.DiscardHandler),
-		Scope:      tally.NoopScope,
+		Scope:      i.scope,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -286,7 +287,7 @@
 	f.Add(deflate.Pack([]byte(`{"from":{"address":"10.0.0.1","dataCentre":"a"},"revision":4,"hello":false,"relay":false}`)))
 	f.Add([]byte(`{"from":{"address":"10.0.0.1","dataCentre":"a"},"revision":4,"delta":{"revision":4,"records":[{"kind":1}]}}`))
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		i := &instance{mirror: catalogue.NewMirror()}
+		i := &instance{mirror: catalogue.NewMirror(), scope: tally.NewTestScope("", nil)}
 		e := &Exchange{Options: Options{
 			Mirror: i.mirror, Catalogue: i, Reader: i, Clock: clock, OnReport: func(suspicion.Report) {}, OnResize: func(int, int) {},
 			Log: slog.New(slog.DiscardHandler),
@@ -320,3 +321,62 @@
 	a.readStore(6, 1)
 	eventually(t, "later messages are not received", func() bool { return b.mirror.Snapshot().Revision == 6 })
 }
+
+func (i *instance) count(name string) int64 {
+	if c := i.scope.Snapshot().Counters()["exchange."+name+"+"]; c != nil {
+		return c.Value()
+	}
+	return 0
+}
+
+// TestLargeChangeCrossesDataCentresOnce announces a change that does not fit a datagram
+// to another data centre (a release on a large site, or a return of power): the
+// instances there pull it from one another, and the announcing one serves only those it
+// has sent the announcement to.
+func TestLargeChangeCrossesDataCentresOnce(t *testing.T) {
+	is := is.New(t)
+	port := freePort(t)
+	seed := address(81)
+	reader := start(t, port, 81, "a", seed)
+	var others []*instance
+	for n := range byte(12) {
+		others = append(others, start(t, port, 82+n, "b", seed))
+	}
+	all := append([]*instance{reader}, others...)
+	for _, i := range all {
+		eventually(t, "instances don't know one another", func() bool { return i.peers.size() == len(all) })
+	}
+	reader.readStore(3, 1)
+	for _, i := range others {
+		eventually(t, "the first revision is not known", func() bool { return i.mirror.Snapshot().Revision == 3 })
+	}
+	before := reader.count("pulls_answered")
+	reader.readStore(900, 800)
+	is.True(pulled(t, reader.mirror, 3))
+	for _, i := range others {
+		eventually(t, "the change has not arrived", func() bool { return i.mirror.Snapshot().Revision == 900 })
+	}
+	// Periodic digests, one a second, may add a pull to those of the announcement.
+	is.True(reader.count("pulls_answered")-before <= 2*relaysPerDataCentre)
+	for _, i := range others {
+		is.True(i.count("pulls_answered") <= 2*pullFanOut)
+	}
+}
+
+// TestStartingInstanceReadsTheStoreFirst announces a revision to an instance that has
+// just started and whose catalogue is empty: it pulls nothing until it has had the time to
+// read the store.
+func TestStartingInstanceReadsTheStoreFirst(t *testing.T) {
+	is := is.New(t)
+	port := freePort(t)
+	a := start(t, port, 95, "a", address(96))
+	a.readStore(900, 800)
+	b := start(t, port, 96, "a", address(95))
+	began := time.Now()
+	for time.Since(began) < firstReadTime-50*time.Millisecond {
+		a.Announce()
+		time.Sleep(20 * time.Millisecond)
+	}
+	is.Equal(b.count("pulls"), int64(0))
+	eventually(t, "the store was not to be had", func() bool { a.Announce(); return b.mirror.Snapshot().Revision == 900 })
+}
--- a/internal/exchange/pull.go
+++ b/internal/exchange/pull.go
@@ -19,22 +19,81 @@
 	serveTimeout = 3 * time.Second
 )
 
-// pull requests the changes that this instance lacks from a peer. Only one pull runs
-// at a time: changes that it misses are announced by the next digest.
-func (e *Exchange) pull(from netip.Addr) {
+// announcement is a revision that a peer has announced without usable changes.
+type announcement struct {
+	from     Peer
+	revision uint64
+	// relay asks for the announcement to be passed on within the data centre.
+	relay bool
+}
+
+// pull requests the changes that lead to an announced revision. Only one pull runs at a
+// time: changes that it misses are announced by the next digest.
+func (e *Exchange) pull(a announcement) {
 	if !e.pulling.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer e.pulling.Store(false)
-		e.metrics.pulls.Inc(1)
-		if err := e.fetchChanges(from); err != nil {
-			e.metrics.pullsFailed.Inc(1)
-			e.Log.Warn("Failed to pull changes from a peer.", "peer", from.String(), "error", err)
+		e.pullFromTree(a)
+		if e.lacks(a) {
+			e.pullFrom(a.from.Address)
+		}
+		if a.relay && !e.lacks(a) {
+			e.relayPulled()
 		}
 	}()
 }
 
+// lacks reports whether this instance does not have an announced revision yet.
+func (e *Exchange) lacks(a announcement) bool { return e.Mirror.Snapshot().Revision < a.revision }
+
+// pullFromTree waits for its turn in the tree of pulls of the data centre and pulls from
+// its parent there. The parent may not have the revision yet, so it is asked a second
+// time. An announcement of another data centre is not pulled through a tree.
+func (e *Exchange) pullFromTree(a announcement) {
+	if a.from.DataCentre != e.DataCentre {
+		return
+	}
+	parent, depth := pullTree(e.peers.self.Address, a.from.Address, append(e.peers.local(), e.peers.self.Address, a.from.Address))
+	if parent == a.from.Address {
+		return
+	}
+	for _, wait := range []time.Duration{time.Duration(depth-1) * pullStep, pullStep} {
+		if !e.sleep(wait) || !e.lacks(a) || !e.pullFrom(parent) || !e.lacks(a) {
+			return
+		}
+	}
+}
+
+// sleep waits, and returns false if the exchange is closed first.
+func (e *Exchange) sleep(d time.Duration) bool {
+	select {
+	case <-e.ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// pullFrom pulls from one peer, and reports whether the peer has answered.
+func (e *Exchange) pullFrom(from netip.Addr) bool {
+	e.metrics.pulls.Inc(1)
+	err := e.fetchChanges(from)
+	if err != nil {
+		e.metrics.pullsFailed.Inc(1)
+		e.Log.Warn("Failed to pull changes from a peer.", "peer", from.String(), "error", err)
+	}
+	return err == nil
+}
+
+// relayPulled passes an announcement on within the data centre, now that the others can
+// pull the changes from this instance.
+func (e *Exchange) relayPulled() {
+	e.metrics.relays.Inc(1)
+	e.sendAll(e.digest(), e.peers.local())
+}
+
 func (e *Exchange) fetchChanges(from netip.Addr) error {
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
@@ -85,6 +144,7 @@
 	if r.Params == nil || json.Unmarshal(*r.Params, &params) != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "revision: must be a number"}
 	}
+	e.metrics.pullsAnswered.Inc(1)
 	a, err := e.answerCache.answer(params.Revision, e.Mirror.Snapshot().Revision, e.Clock(), e.encodeSince)
 	if err != nil {
 		return nil, err
