Share retries of the store among the instances of a data centre

Cause: while the store failed, each instance retried by itself, up to every 2 s.

Change: after a failed read the next planned one comes after a random delay, so that all instances of a data centre together retry ten times a second on average; the first that succeeds passes on what it has read. First reads and those that packets trigger are as before, and so is an instance that has never read.

Ruled out: holding back the first read of an instance once others have failed; the bound on the age of the catalogue rests on it.

Test: TestRetriesDoNotGrowWithTheDataCentre (6, 70 and 300 instances) failed before.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -175,8 +175,8 @@
 	e.sendAll(message{From: e.peers.self, Report: &r}, e.peers.local())
 }
 
-// Alone reports whether no other instance of the data centre is known.
-func (e *Exchange) Alone() bool { return len(e.peers.local()) == 0 }
+// LocalPeers returns the number of other instances in the data centre that are known.
+func (e *Exchange) LocalPeers() int { return len(e.peers.local()) }
 
 // Run discovers the other instances, and then sends digests to random peers, until
 // the exchange is closed.
--- a/internal/flowd/module.go
+++ b/internal/flowd/module.go
@@ -81,7 +81,7 @@
 // dependencies form a cycle. connect sets them when all components have been built.
 type hooks struct {
 	catalogueRead      func()
-	alone              func() bool
+	localPeers         func() int
 	probeDataCentre    func(dataCentre string)
 	reportServer       func(suspicion.Report)
 	peerReported       func(suspicion.Report)
@@ -99,7 +99,7 @@
 		Plan:   plan,
 		Clock:  processClock.Now,
 		OnRead: func() { h.catalogueRead() },
-		Alone:  func() bool { return h.alone() },
+		Peers:  func() int { return h.localPeers() },
 		Log:    telemetry.WithPart(log, "catalogue"),
 		Scope:  scope,
 	})
@@ -168,7 +168,7 @@
 		p.CatalogueRefreshed()
 		e.Announce()
 	}
-	h.alone = e.Alone
+	h.localPeers = e.LocalPeers
 	h.reportServer = e.Report
 	h.probeDataCentre = e.ProbeDataCentre
 	h.peerReported = p.PeerReport
--- a/internal/watch/plan.go
+++ b/internal/watch/plan.go
@@ -22,6 +22,12 @@
 	// the store rejects relies on what its peers pass on.
 	minBackoff = 250 * time.Millisecond
 	maxBackoff = 2 * time.Second
+	// sharedRetryInterval is the mean time between the retries of all instances of a
+	// data centre while the store fails: the first that succeeds passes on what it has
+	// read. maxSharedRetryDelay bounds the delay of one instance, whose peers may be
+	// gone.
+	sharedRetryInterval = 100 * time.Millisecond
+	maxSharedRetryDelay = 10 * time.Second
 )
 
 // Plan schedules this instance's reads of the store. Times are nanoseconds of the
@@ -35,28 +41,32 @@
 	// read or by reads that packets trigger.
 	regularRead int64
 	failedAt    int64
-	backoff     time.Duration
+	// backoff is the delay after the last failure, by which reads that packets trigger
+	// are delayed too. retryDelay is that of the next planned read.
+	backoff, retryDelay time.Duration
+	random              *rand.Rand
 }
 
 // NewPlan returns a Plan with a random takeover delay, for an instance that has not
 // read yet.
 func NewPlan(random *rand.Rand) *Plan {
-	return &Plan{takeoverDelay: minTakeoverDelay + time.Duration(random.Int64N(int64(maxTakeoverDelay-minTakeoverDelay)))}
+	takeoverDelay := minTakeoverDelay + time.Duration(random.Int64N(int64(maxTakeoverDelay-minTakeoverDelay)))
+	return &Plan{takeoverDelay: takeoverDelay, random: random}
 }
 
 // NextRead returns the time of the next read, given the time at which the catalogue
-// was last known to be complete, 0 for never. An instance that is alone reads only for
-// itself, and less often.
-func (p *Plan) NextRead(known int64, alone bool) int64 {
+// was last known to be complete, 0 for never, and the number of other instances in the
+// data centre. An instance that is alone reads only for itself, and less often.
+func (p *Plan) NextRead(known int64, peers int) int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if known == 0 {
 		return p.failedAt + int64(p.backoff)
 	}
-	if p.regularRead != 0 && !alone {
+	if p.regularRead != 0 && peers > 0 {
 		return p.regularRead + int64(regularInterval)
 	}
-	return max(known+int64(p.takeoverDelay), p.failedAt+int64(p.backoff))
+	return max(known+int64(p.takeoverDelay), p.failedAt+int64(p.retryDelay))
 }
 
 // Regular reports whether this instance is a regular reader.
@@ -91,13 +101,16 @@
 	if planned && p.lastRead != 0 {
 		p.regularRead = began
 	}
-	p.lastRead, p.failedAt, p.backoff = began, 0, 0
+	p.lastRead, p.failedAt, p.backoff, p.retryDelay = began, 0, 0, 0
 }
 
-// RecordFailure records a failed read.
-func (p *Plan) RecordFailure(now int64) {
+// RecordFailure records a failed read. The data centre has the given number of other
+// instances, which probably fail as well and share the retries.
+func (p *Plan) RecordFailure(now int64, peers int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.failedAt, p.regularRead = now, 0
 	p.backoff = min(max(2*p.backoff, minBackoff), maxBackoff)
+	shared := min(time.Duration(peers+1)*sharedRetryInterval, maxSharedRetryDelay)
+	p.retryDelay = max(p.backoff, time.Duration(p.random.Int64N(2*int64(shared))))
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -28,8 +28,8 @@
 	Source Source
 	Mirror *catalogue.Mirror
 	Plan   *Plan
-	// Alone reports whether no other instance of the data centre is known.
-	Alone func() bool
+	// Peers returns the number of other instances in the data centre that are known.
+	Peers func() int
 	// Clock returns the time of the monotonic clock in nanoseconds.
 	Clock func() int64
 	// OnRead is called after each successful read.
@@ -106,7 +106,7 @@
 // Run reads the store as scheduled by the plan until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	for {
-		wait := time.Duration(w.Plan.NextRead(w.known.Load(), w.Alone()) - w.Clock())
+		wait := time.Duration(w.Plan.NextRead(w.known.Load(), w.Peers()) - w.Clock())
 		if wait > 0 {
 			select {
 			case <-ctx.Done():
@@ -141,7 +141,7 @@
 func (w *Watcher) readNow(ctx context.Context, planned bool) {
 	began := w.Clock()
 	if err := w.read(ctx, w.Mirror.Snapshot().Revision); err != nil {
-		w.Plan.RecordFailure(w.Clock())
+		w.Plan.RecordFailure(w.Clock(), w.Peers())
 		w.logFailure(began, err)
 		return
 	}
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -103,7 +104,7 @@
 		Plan:   NewPlan(rand.New(rand.NewPCG(seed, 0))),
 		Clock:  func() int64 { return w.now },
 		OnRead: func() {},
-		Alone:  func() bool { return false },
+		Peers:  func() int { return 1 },
 		Log:    slog.New(slog.DiscardHandler),
 		Scope:  tally.NoopScope,
 	})
@@ -202,7 +203,7 @@
 			onDemand = tick / 300 % instances
 		}
 		for i, p := range plans {
-			due := now >= p.NextRead(known, false)
+			due := now >= p.NextRead(known, 1)
 			if i == lost || !due && i != onDemand {
 				continue
 			}
@@ -220,7 +221,7 @@
 		is.True(n <= int(30*time.Second/regularInterval)+1)
 	}
 	is.True(longest <= int64(maxTakeoverDelay+10*time.Millisecond)) // and another takes over in time
-	is.True(plans[0].NextRead(known, true) >= known+int64(minTakeoverDelay))
+	is.True(plans[0].NextRead(known, 0) >= known+int64(minTakeoverDelay))
 }
 
 // yield makes instances yield as they do when they learn of the regular reader i.
@@ -243,14 +244,14 @@
 	is := is.New(t)
 	p := NewPlan(rand.New(rand.NewPCG(1, 1)))
 	p.RecordSuccess(int64(time.Second), true)
-	is.True(p.NextRead(int64(time.Second), false) >= int64(time.Second+minTakeoverDelay))
+	is.True(p.NextRead(int64(time.Second), 1) >= int64(time.Second+minTakeoverDelay))
 	p.RecordSuccess(int64(3*time.Second), false) // triggered by a packet
-	is.True(p.NextRead(int64(3*time.Second), false) >= int64(3*time.Second+minTakeoverDelay))
+	is.True(p.NextRead(int64(3*time.Second), 1) >= int64(3*time.Second+minTakeoverDelay))
 	p.RecordSuccess(int64(5*time.Second), true)
-	is.Equal(p.NextRead(int64(5*time.Second), false), int64(5*time.Second+regularInterval))
-	is.Equal(p.NextRead(int64(5*time.Second)+1, false), int64(5*time.Second+regularInterval)) // another read was triggered by a packet
+	is.Equal(p.NextRead(int64(5*time.Second), 1), int64(5*time.Second+regularInterval))
+	is.Equal(p.NextRead(int64(5*time.Second)+1, 1), int64(5*time.Second+regularInterval)) // another read was triggered by a packet
 	p.Yield()
-	is.True(p.NextRead(int64(5*time.Second), false) >= int64(5*time.Second+minTakeoverDelay))
+	is.True(p.NextRead(int64(5*time.Second), 1) >= int64(5*time.Second+minTakeoverDelay))
 }
 
 // TestOnDemandReadsAreRateLimited guards against a read of the store for each of many
@@ -281,3 +282,41 @@
 	}
 	return best
 }
+
+// TestRetriesDoNotGrowWithTheDataCentre covers a store that is down for 10 s (the
+// scenario platform_down) in data centres of several sizes: after each instance has
+// failed once, all together retry at a bounded rate, and the first retry after the
+// outage, which serves all, comes soon.
+func TestRetriesDoNotGrowWithTheDataCentre(t *testing.T) {
+	const step, outage = 10 * time.Millisecond, 10 * time.Second
+	for _, instances := range []int{6, 70, 300} {
+		for seed := range uint64(20) {
+			is := is.New(t)
+			random := rand.New(rand.NewPCG(seed, uint64(instances)))
+			var plans []*Plan
+			known := int64(time.Hour)
+			for range instances {
+				plans = append(plans, NewPlan(random))
+				plans[len(plans)-1].RecordSuccess(known, true)
+			}
+			retries := 0
+			for now := known; now < known+int64(outage); now += int64(step) {
+				for _, p := range plans {
+					if now >= p.NextRead(known, instances-1) {
+						if p.backoff > 0 {
+							retries++
+						}
+						p.RecordFailure(now, instances-1)
+					}
+				}
+			}
+			perSecond := retries / int((outage-maxTakeoverDelay)/time.Second)
+			is.True(perSecond <= 3*int(time.Second/sharedRetryInterval))
+			next := int64(math.MaxInt64)
+			for _, p := range plans {
+				next = min(next, p.NextRead(known, instances-1))
+			}
+			is.True(next <= known+int64(outage+time.Second))
+		}
+	}
+}
