Pass on which changes were not seen; pull whole catalogues only if needed

Cause: with onlyAtSince, changes that cross a range a mirror has not seen applied to one revision only, and a peer inside the range was sent everything. After a start of the whole fleet all instances are a few revisions apart and inside each other's ranges.

Change: a delta names the range; it applies to every mirror outside. A mirror that gets everything from a peer knows as much as the peer. A peer that lacks the changes answers nothing unless the asking instance needs the whole catalogue: its own is empty or older than 2.5 s, since otherwise it reads the changes from the store sooner.

--- a/internal/catalogue/mirror.go
+++ b/internal/catalogue/mirror.go
@@ -36,26 +36,10 @@
 	// dropped.
 	droppedRevision uint64
 	// unseen is the newest range of revisions whose changes the mirror has not seen.
-	unseen   revisionRange
+	unseen   RevisionRange
 	snapshot atomic.Pointer[Snapshot]
 }
 
-// revisionRange is a range of revisions that a mirror has skipped with a complete delta.
-// Entities that were created and removed inside it are unknown to the mirror.
-type revisionRange struct {
-	// after and until are the revisions before and after the complete delta.
-	after, until uint64
-}
-
-// crossedFrom reports whether the changes after a revision cross the range.
-func (r revisionRange) crossedFrom(revision uint64) bool { return revision < r.until }
-
-// contains reports whether a revision lies inside the range, so that a mirror at that
-// revision may hold entities whose removal is unknown.
-func (r revisionRange) contains(revision uint64) bool {
-	return revision > r.after && revision < r.until
-}
-
 // NewMirror returns an empty mirror.
 func NewMirror() *Mirror {
 	m := &Mirror{entries: map[ID]*entry{}}
@@ -69,20 +53,17 @@
 // Apply applies a delta and returns the records that changed the mirror; age is the
 // time since the delta was read from the store. It returns false and applies nothing if
 // the delta is older than the mirror, starts after the mirror's revision and so leaves a
-// gap, or applies only to another revision.
+// gap, or lacks changes that the mirror needs.
 func (m *Mirror) Apply(d Delta, now int64, age time.Duration) (changed []Record, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if d.Revision < m.revision || !d.Complete && (d.Since > m.revision || d.OnlyAtSince && d.Since != m.revision) {
+	if d.Revision < m.revision || !d.Complete && (d.Since > m.revision || d.Unseen.contains(m.revision)) {
 		return nil, false
 	}
 	if d.Complete {
 		d.Records = append(slices.Clone(d.Records), m.impliedRemovals(d)...)
 	}
-	if d.Revision > m.revision && (d.Complete || d.OnlyAtSince) {
-		m.droppedRevision = max(m.droppedRevision, m.unseen.until)
-		m.unseen = revisionRange{after: m.revision, until: d.Revision}
-	}
+	m.recordUnseen(d)
 	readAt := now - int64(age)
 	for _, r := range d.Records {
 		if r.Kind != KindOther && m.put(r, readAt) {
@@ -98,6 +79,21 @@
 	return changed, true
 }
 
+// recordUnseen records which changes the mirror has not seen once a delta is applied.
+func (m *Mirror) recordUnseen(d Delta) {
+	if d.Complete && d.Unseen == (RevisionRange{}) {
+		d.Unseen.Until = d.Revision
+	}
+	if m.revision < d.Dropped {
+		m.droppedRevision = max(m.droppedRevision, d.Dropped)
+	}
+	if !d.Unseen.crossedFrom(m.revision) {
+		return
+	}
+	m.droppedRevision = max(m.droppedRevision, m.unseen.Until)
+	m.unseen = RevisionRange{After: max(d.Unseen.After, m.revision), Until: d.Unseen.Until}
+}
+
 // impliedRemovals returns a removal for each entity that a complete delta does not
 // contain, or of which it contains only an earlier removal.
 func (m *Mirror) impliedRemovals(d Delta) []Record {
@@ -162,9 +158,13 @@
 func (m *Mirror) Since(revision uint64, asOf int64) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	d := Delta{Since: revision, Revision: m.revision}
-	d.Complete = revision == 0 || revision < m.droppedRevision || m.unseen.contains(revision)
-	d.OnlyAtSince = !d.Complete && m.unseen.crossedFrom(revision)
+	d := Delta{Since: revision, Revision: m.revision, Complete: m.lacksChangesSince(revision)}
+	if d.Complete {
+		d.Dropped = m.droppedRevision
+	}
+	if m.unseen.crossedFrom(revision) {
+		d.Unseen = m.unseen
+	}
 	for _, e := range m.entries {
 		if d.Complete || e.record.Revision > revision {
 			d.Records = append(d.Records, e.asOf(asOf))
@@ -174,6 +174,18 @@
 	return d
 }
 
+// HasChangesSince reports whether the mirror knows all changes after a revision, so that
+// Since returns no complete delta.
+func (m *Mirror) HasChangesSince(revision uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.lacksChangesSince(revision)
+}
+
+func (m *Mirror) lacksChangesSince(revision uint64) bool {
+	return revision == 0 || revision < m.droppedRevision || m.unseen.contains(revision)
+}
+
 // asOf returns the record with the warm-up time that remains at a time.
 func (e *entry) asOf(asOf int64) Record {
 	r := e.record
--- a/internal/catalogue/record.go
+++ b/internal/catalogue/record.go
@@ -101,14 +101,33 @@
 	Complete bool `json:"complete,omitempty"`
 	// Since is the revision after which the changes start, if not Complete.
 	Since uint64 `json:"since"`
-	// OnlyAtSince is set if the changes apply only to a mirror at revision Since: they
-	// lack the removals of entities that were created after it.
-	OnlyAtSince bool `json:"onlyAtSince,omitempty"`
+	// Unseen is a range of revisions whose changes the sender has not seen: the delta
+	// lacks the removals of entities that were created and removed inside it. The zero
+	// value in a complete delta means all up to Revision, as in one read from the store.
+	Unseen RevisionRange `json:"unseen,omitzero"`
+	// Dropped is the revision up to which removals may be missing from a complete delta.
+	Dropped uint64 `json:"dropped,omitempty"`
 	// Revision is the revision to which the changes lead.
 	Revision uint64   `json:"revision"`
 	Records  []Record `json:"records,omitempty"`
 }
 
+// RevisionRange is a range of revisions without its ends: After is the last revision
+// before it and Until the first one after it.
+type RevisionRange struct {
+	After uint64 `json:"after"`
+	Until uint64 `json:"until"`
+}
+
+// crossedFrom reports whether the changes after a revision cross the range.
+func (r RevisionRange) crossedFrom(revision uint64) bool { return revision < r.Until }
+
+// contains reports whether a revision lies inside the range, so that a mirror at that
+// revision may hold entities whose removal is unknown.
+func (r RevisionRange) contains(revision uint64) bool {
+	return revision > r.After && revision < r.Until
+}
+
 func byRevision(a, b Record) int {
 	return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -380,3 +380,25 @@
 	is.Equal(b.count("pulls"), int64(0))
 	eventually(t, "the store was not to be had", func() bool { a.Announce(); return b.mirror.Snapshot().Revision == 900 })
 }
+
+// TestCompleteCatalogueIsPulledOnlyIfNeeded lets an instance that has read the whole
+// store announce its revision to one that is a few revisions behind, as all do after the
+// start of a fleet: the removals in between are unknown there. The one behind does not
+// pull the whole catalogue while its own is recent, since it reads the changes from the
+// store sooner; if it cannot, it does.
+func TestCompleteCatalogueIsPulledOnlyIfNeeded(t *testing.T) {
+	is := is.New(t)
+	port := freePort(t)
+	a, b := start(t, port, 97, "a", address(98)), start(t, port, 98, "a", address(97))
+	eventually(t, "instances don't know one another", func() bool { return a.peers.size() == 2 && b.peers.size() == 2 })
+	b.mirror.Apply(catalogue.Delta{Complete: true, Revision: 898, Records: records(898, 800, 0)}, clock(), 0)
+	b.advanceKnown(clock())
+	a.readStore(900, 800)
+	eventually(t, "nothing was pulled", func() bool { return b.count("pulls") > 0 })
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(b.mirror.Snapshot().Revision, uint64(898))
+	b.mu.Lock()
+	b.known = clock() - int64(outdatedAge) - 1 // the store cannot be read
+	b.mu.Unlock()
+	eventually(t, "the catalogue is not pulled", func() bool { a.Announce(); return b.mirror.Snapshot().Revision == 900 })
+}
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -82,11 +82,13 @@
 // sinceParams holds the parameters of methodSince.
 type sinceParams struct {
 	Revision uint64 `json:"revision"`
+	// Complete asks for the complete catalogue if the changes are not known.
+	Complete bool `json:"complete,omitempty"`
 }
 
-// sinceResult is the result of methodSince. Delta is an encoded catalogue.Delta, and
-// AgeMS its age in milliseconds.
+// sinceResult is the result of methodSince. Delta is an encoded catalogue.Delta, or empty
+// if the changes are not known; AgeMS is its age in milliseconds.
 type sinceResult struct {
-	Delta []byte `json:"delta"`
+	Delta []byte `json:"delta,omitempty"`
 	AgeMS int64  `json:"ageMs"`
 }
--- a/internal/exchange/pull.go
+++ b/internal/exchange/pull.go
@@ -106,9 +106,13 @@
 	defer func() { _ = conn.Close() }()
 	var result sinceResult
 	startedAt := e.Clock()
-	if err := conn.Call(ctx, methodSince, sinceParams{Revision: e.Mirror.Snapshot().Revision}, &result); err != nil {
+	params := sinceParams{Revision: e.Mirror.Snapshot().Revision, Complete: e.needsComplete(startedAt)}
+	if err := conn.Call(ctx, methodSince, params, &result); err != nil {
 		return Error.Wrap(err)
 	}
+	if len(result.Delta) == 0 {
+		return nil
+	}
 	var delta catalogue.Delta
 	if err := decode(result.Delta, &delta); err != nil {
 		return err
@@ -118,6 +122,18 @@
 	return nil
 }
 
+// outdatedAge is the age of the catalogue from which the complete one is pulled if a peer
+// does not know the changes. An instance that can read the store has read it by then,
+// which takes one call in place of the whole catalogue.
+const outdatedAge = 2500 * time.Millisecond
+
+// needsComplete reports whether this instance needs the complete catalogue from a peer
+// that does not know the changes since its own.
+func (e *Exchange) needsComplete(now int64) bool {
+	known, _ := e.Catalogue.Known()
+	return known == 0 || now-known > int64(outdatedAge)
+}
+
 // Serve answers peers' pulls until the exchange is closed.
 func (e *Exchange) Serve() {
 	for {
@@ -145,6 +161,9 @@
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "revision: must be a number"}
 	}
 	e.metrics.pullsAnswered.Inc(1)
+	if params.Revision != 0 && !params.Complete && !e.Mirror.HasChangesSince(params.Revision) {
+		return sinceResult{}, nil
+	}
 	a, err := e.answerCache.answer(params.Revision, e.Mirror.Snapshot().Revision, e.Clock(), e.encodeSince)
 	if err != nil {
 		return nil, err
