--- a/internal/catalogue/derive.go
+++ b/internal/catalogue/derive.go
@@ -60,7 +60,11 @@
 		return false
 	}
 	list := d.list(b.Service)
-	list[slices.Index(list, old)] = b
+	at := slices.Index(list, old)
+	if at < 0 {
+		return false
+	}
+	list[at] = b
 	d.setCookie(b)
 	return true
 }
--- a/internal/catalogue/mirror.go
+++ b/internal/catalogue/mirror.go
@@ -153,8 +153,8 @@
 }
 
 // Since returns the changes after a revision, or a complete delta if the revision is 0
-// or removals after it may have been dropped or never seen. Warm-up times are those that remain at
-// asOf; the receiver counts the age of the delta from that time.
+// or removals after it may have been dropped or never seen. Warm-up times are those that
+// remain at asOf; the receiver counts the age of the delta from that time.
 func (m *Mirror) Since(revision uint64, asOf int64) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -100,8 +100,9 @@
 }
 
 type metrics struct {
-	sent, received, readErrors, outdated, malformed, pulls, pullsFailed, pullsAnswered, relays tally.Counter
-	size                                                                                       tally.Gauge
+	sent, received, readErrors, outdated, malformed tally.Counter
+	pulls, pullsFailed, pullsAnswered, relays       tally.Counter
+	size                                            tally.Gauge
 }
 
 // Open binds the sockets and returns an exchange on them.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -42,10 +42,12 @@
 // use.
 type Watcher struct {
 	Options
-	known          atomic.Int64
-	since          atomic.Int64
-	failingSince   int64
-	failing        atomic.Bool
+	known        atomic.Int64
+	since        atomic.Int64
+	failingSince int64
+	// failedAt is when a read last failed, in nanoseconds, 0 if none has failed since the
+	// last that succeeded.
+	failedAt       atomic.Int64
 	reads          singleflight.Group
 	changed        chan struct{}
 	changedRecords tally.Counter
@@ -220,11 +222,18 @@
 	}
 }
 
-// Failing reports whether the last read of the store failed.
-func (w *Watcher) Failing() bool { return w.failing.Load() }
+// failingPeriod is how long after a failed read the store is taken to fail, by an instance
+// that has not read it since: its peers may read it for all.
+const failingPeriod = 5 * time.Second
+
+// Failing reports whether the last read of the store failed a short time ago.
+func (w *Watcher) Failing() bool {
+	at := w.failedAt.Load()
+	return at != 0 && w.Clock()-at < int64(failingPeriod)
+}
 
 func (w *Watcher) logFailure(began int64, err error) {
-	w.failing.Store(true)
+	w.failedAt.Store(w.Clock())
 	if w.failingSince == 0 {
 		w.failingSince = began
 		w.Log.Warn("Reading the store failed.", "error", err, "revision", w.Mirror.Snapshot().Revision)
@@ -232,7 +241,7 @@
 }
 
 func (w *Watcher) logRecovery() {
-	w.failing.Store(false)
+	w.failedAt.Store(0)
 	if w.failingSince != 0 {
 		w.Log.Info("Store is readable again.", "after_ms", time.Duration(w.Clock()-w.failingSince).Milliseconds())
 		w.failingSince = 0
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -320,3 +320,24 @@
 		}
 	}
 }
+
+// TestFailureIsForgotten lets a read fail and peers keep the catalogue up to date
+// afterwards: the store is not taken to fail for ever, and a read that succeeds ends the
+// failure at once.
+func TestFailureIsForgotten(t *testing.T) {
+	is := is.New(t)
+	f := newFakeStore()
+	f.write("s0", false, true)
+	w := newTestWatcher(f, 1)
+	f.unavailable = true
+	w.Refresh(context.Background())
+	is.True(w.Failing())
+	w.now += int64(failingPeriod)
+	is.True(!w.Failing())
+	w.Refresh(context.Background())
+	is.True(w.Failing())
+	f.unavailable = false
+	w.now += int64(maxBackoff)
+	w.Refresh(context.Background())
+	is.True(!w.Failing())
+}
