Count nothing against servers on packets that were held

Change: a packet that was held is no evidence, for handshakes, requests and retransmissions.

Test: TestHeldPacketsAreNoEvidence failed before.

--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -146,6 +146,9 @@
 	// lastRead is when a packet was last read, lastDrained when the socket was last
 	// empty, and resumedAt the end of the last pause without packets.
 	lastRead, lastDrained, resumedAt int64
+	// held says that the packet that is being decided was held before: its caller may
+	// have given up meanwhile.
+	held bool
 	// startedAt is the time of the first reachability check, soon after the start.
 	startedAt int64
 }
@@ -212,6 +215,7 @@
 
 // Decide returns the verdict on one packet.
 func (d *Decider) Decide(p *Packet, state CatalogueState, now int64) Verdict {
+	d.held = p.Arrived != now
 	if now-d.loadCountedAt > int64(loadRefreshInterval) {
 		d.refreshLoad(now)
 	}
--- a/internal/flowpath/evidence.go
+++ b/internal/flowpath/evidence.go
@@ -37,9 +37,12 @@
 	}
 }
 
-// readsPromptly reports whether packets are read as they arrive, so that a response
-// to what is sent now can be expected in time.
-func (d *Decider) readsPromptly(now int64) bool { return now-d.lastDrained <= int64(maxReadDelay) }
+// readsPromptly reports whether the packet that is being decided has just arrived, so that
+// a response to it can be expected in time: it was not held, and packets are read as they
+// arrive.
+func (d *Decider) readsPromptly(now int64) bool {
+	return !d.held && now-d.lastDrained <= int64(maxReadDelay)
+}
 
 // recordFailure records a missing response of a server that is still in the
 // catalogue.
@@ -68,7 +71,7 @@
 // longer than a retransmission timeout, so this counts only against a server that
 // also accepts no flows and sends no data to others.
 func (d *Decider) recordRetransmission(b *catalogue.Backend, now int64) {
-	if d.suspicion.Silent(b.Cookie, now) {
+	if !d.held && d.suspicion.Silent(b.Cookie, now) {
 		d.recordFailure(b, suspicion.NoHandshake, now)
 	}
 }
--- a/internal/flowpath/unresponsive_test.go
+++ b/internal/flowpath/unresponsive_test.go
@@ -256,3 +256,28 @@
 	h.known = h.now - 500*ms
 	is.Equal(h.open(4, 0).Reason, Placed)
 }
+
+// TestHeldPacketsAreNoEvidence covers instances that were frozen (deploy/days/
+// instances-lost --vary --seed 595177173665 on tbo-lb): opening packets had waited in
+// their sockets, were held until the store had been read, and their callers had long gone
+// elsewhere. The handshakes that do not come are no server's fault.
+func TestHeldPacketsAreNoEvidence(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(5, nil)
+	h.now += 8000 * ms
+	arrived := h.now
+	for port := uint16(1); port < 40; port++ {
+		is.Equal(h.open(port, 0).Action, Hold)
+	}
+	h.now += 10 * ms
+	h.known = h.now
+	for port := uint16(1); port < 40; port++ {
+		v := h.decide(Packet{Flow: flow(port), Kind: Opening, Arrived: arrived})
+		is.Equal(v.Reason, Placed)
+		if port%2 == 0 {
+			h.decide(Packet{Flow: flow(port), Kind: Established, Cookie: v.Backend.Cookie, Acknowledged: 1, Data: 100, Arrived: arrived})
+		}
+	}
+	h.offerFlows(1000, 2000*ms, "")
+	is.Equal(len(h.unanswered)+len(h.stalled), 0)
+}
