--- a/client/client.go
+++ b/client/client.go
@@ -61,6 +61,7 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
 	mu       sync.Mutex
+	closed   bool
 	budget   retry.Budget
 	retries  int64
 	current  int // index into addresses, modulo their number
@@ -86,10 +87,15 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// Close closes all connections. Requests in progress return an error of class Unknown.
+// errClosed is the error of a request to a client that is closed.
+var errClosed = errors.New("the client is closed")
+
+// Close closes all connections. Requests in progress return an error of class Unknown,
+// later ones an error of class Refused; none is sent any more.
 func (c *Client) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closed = true
 	for a, s := range c.sessions {
 		s.conn.Close()
 		delete(c.sessions, a)
@@ -203,14 +209,17 @@
 		if Invalid.Has(err) || err == nil && !resendable(res) {
 			return res, err
 		}
+		if errors.Is(err, errClosed) {
+			return timeoutResult(sent, res, err)
+		}
 		if !sleep(ctx, delays.NextBackOff()) {
 			return timeoutResult(sent, res, err)
 		}
 	}
 }
 
-// timeoutResult returns the result of a request whose context is done. sent means
-// that a copy may have reached an instance.
+// timeoutResult returns the result of a request that is given up, since its context is
+// done or the client is closed. sent means that a copy may have reached an instance.
 func timeoutResult(sent bool, res request.Result, err error) (request.Result, error) {
 	if err == nil {
 		return res, nil
@@ -285,6 +294,9 @@
 func (c *Client) session(ctx context.Context) (string, *session, error) {
 	err := error(net.ErrClosed)
 	for range c.addresses {
+		if c.isClosed() {
+			return "", nil, errClosed
+		}
 		address := c.currentAddress()
 		var s *session
 		if s, err = c.connect(ctx, address); err == nil {
@@ -295,6 +307,12 @@
 	return "", nil, err
 }
 
+func (c *Client) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 func (c *Client) currentAddress() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -334,6 +352,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		s.conn.Close()
+		return nil, errClosed
+	}
 	if other := c.sessions[address]; other != nil {
 		s.conn.Close()
 		return other, nil
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -166,3 +166,23 @@
 		is.New(t).True(client.Refused.Has(cl.Do(t.Context(), client.Request{Service: "s", Method: "m"}, nil)))
 	})
 }
+
+// TestClosedClientSendsNothing closes a client: later requests are refused at once, and no
+// connection is opened for them.
+func TestClosedClientSendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		dialled := 0
+		cl := client.New("10.0.0.1:1", "10.0.0.2:1")
+		cl.Dial = func(context.Context, string) (net.Conn, error) {
+			dialled++
+			return nil, net.ErrClosed
+		}
+		is.NoErr(cl.Close())
+		began := time.Now()
+		err := cl.Do(t.Context(), client.Request{Service: "s", Method: "m"}, nil)
+		is.True(client.Refused.Has(err))
+		is.Equal(time.Since(began), time.Duration(0))
+		is.Equal(dialled, 0)
+	})
+}
--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -64,11 +65,13 @@
 	keys.Files
 }
 
+// listHolders returns the files of all holders, in the order of their names.
 func listHolders(files map[keys.Identity]keys.Files) []holderFiles {
 	var all []holderFiles
 	for identity, f := range files {
 		all = append(all, holderFiles{Holder: identity.URI().String(), Files: f})
 	}
+	slices.SortFunc(all, func(a, b holderFiles) int { return strings.Compare(a.Holder, b.Holder) })
 	return all
 }
 
--- a/internal/member/fault_test.go
+++ b/internal/member/fault_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"balsamfork/internal/fleet"
+	"balsamfork/internal/member"
 	"balsamfork/internal/member/membertest"
 )
 
@@ -327,3 +328,26 @@
 		is.Equal(len(r.violations), 0)
 	}
 }
+
+// TestIndirectProbesAskDifferentInstances lets one instance of a small fleet fall silent,
+// in which the neighbours on the rings are the same few: none is asked twice to probe it
+// in one tick.
+func TestIndirectProbesAskDifferentInstances(t *testing.T) {
+	is := is.New(t)
+	r := newRun(t, 3, 3)
+	silent := r.Nodes[2]
+	silent.Down = true
+	requests := 0
+	r.AfterTick = func(by *membertest.Node) {
+		asked := map[fleet.ID]bool{}
+		for _, o := range by.Out.Send {
+			if o.Message.Kind == member.PingRequest && o.Message.Subject == silent.ID {
+				is.True(!asked[o.To])
+				asked[o.To] = true
+				requests++
+			}
+		}
+	}
+	r.Run(3 * time.Second)
+	is.True(requests > 0)
+}
--- a/internal/member/watch.go
+++ b/internal/member/watch.go
@@ -86,13 +86,13 @@
 // probe pings a silent instance directly and through a few others.
 func (t *Table) probe(id fleet.ID) {
 	t.send(id, Message{Kind: Ping})
-	asked := 0
+	var asked []fleet.ID
 	for _, peer := range append(slices.Clone(t.successors), t.predecessors...) {
-		if peer == id || asked == t.params.IndirectProbes {
+		if peer == id || len(asked) == t.params.IndirectProbes || slices.Contains(asked, peer) {
 			continue
 		}
 		t.send(peer, Message{Kind: PingRequest, Subject: id})
-		asked++
+		asked = append(asked, peer)
 	}
 }
 
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -157,8 +157,9 @@
 func (h *handler) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	if req.Method == requestpath.ServerCancel {
 		var p requestpath.CancelServerParams
-		_ = json.Unmarshal(*req.Params, &p)
-		h.w.cancel(p.ID)
+		if req.Params != nil && json.Unmarshal(*req.Params, &p) == nil {
+			h.w.cancel(p.ID)
+		}
 		return
 	}
 	var p requestpath.ServerParams
