Close an HTTP server before its listener, so that closing is no error

Cause: the listener was closed first, and the server, which had not noticed yet, closed it again and returned an error: a stopped instance ended with code 1.

Change: the server is closed first, and the listener only in case that the server had not begun to serve.

Test: TestHTTPServerClosesWithoutError, 1,500 starts and stops.

--- a/internal/flowd/daemon_test.go
+++ b/internal/flowd/daemon_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"log/slog"
 	"net"
+	"net/http"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -83,3 +85,19 @@
 	is.NoErr(err) // the sockets are closed all the same
 	is.NoErr(conn.Close())
 }
+
+// TestHTTPServerClosesWithoutError starts and closes an HTTP server many times, with and
+// without time for it to begin to serve: closing it returns no error, and frees the port.
+func TestHTTPServerClosesWithoutError(t *testing.T) {
+	is := is.New(t)
+	address := netip.MustParseAddrPort("127.0.77.4:18167")
+	for n := range 1500 {
+		s := &httpServer{address: address, server: &http.Server{ReadHeaderTimeout: headerTimeout}}
+		is.NoErr(s.start())
+		if n%2 == 0 {
+			runtime.Gosched()
+		}
+		is.NoErr(s.Close())
+		is.NoErr(s.Close())
+	}
+}
--- a/internal/flowd/module.go
+++ b/internal/flowd/module.go
@@ -238,10 +238,10 @@
 	if h.listener == nil {
 		return nil
 	}
-	// The server closes its listener only once Serve has begun.
-	err := h.listener.Close()
-	if errors.Is(err, net.ErrClosed) {
-		err = nil
+	err := h.server.Close()
+	// The server has closed the listener only if Serve has begun.
+	if closeErr := h.listener.Close(); !errors.Is(closeErr, net.ErrClosed) {
+		err = errors.Join(err, closeErr)
 	}
-	return errors.Join(h.server.Close(), err)
+	return err
 }
