Pull the first catalogue at once from the announcing instance

Cause: since an instance with an empty catalogue pulled nothing in its first 0.3 s and then through the tree of pulls.

Change: the 0.3 s are gone, and the tree is for instances that have a catalogue.

Test: TestFirstCatalogueIsPulledAtOnce failed before. It takes the place of TestStartingInstanceReadsTheStoreFirst, which asked for the opposite. TestLargeChangeCrossesDataCentresOnce counts the pulls of its large change alone, with the same bounds.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -82,10 +82,8 @@
 type Exchange struct {
 	Options
 	// ctx ends when the exchange is closed.
-	ctx    context.Context
-	cancel context.CancelFunc
-	// openedAt is when the exchange was opened, in nanoseconds.
-	openedAt    int64
+	ctx         context.Context
+	cancel      context.CancelFunc
 	peers       *peers
 	seeds       atomic.Pointer[[]netip.Addr]
 	conn        *net.UDPConn
@@ -118,13 +116,12 @@
 	scope := o.Scope.SubScope("exchange")
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Exchange{
-		Options:  o,
-		ctx:      ctx,
-		cancel:   cancel,
-		openedAt: o.Clock(),
-		peers:    newPeers(Peer{Address: o.Listen.Addr(), DataCentre: o.DataCentre}, o.Random),
-		conn:     conn,
-		server:   server,
+		Options: o,
+		ctx:     ctx,
+		cancel:  cancel,
+		peers:   newPeers(Peer{Address: o.Listen.Addr(), DataCentre: o.DataCentre}, o.Random),
+		conn:    conn,
+		server:  server,
 		metrics: metrics{
 			sent:          scope.Counter("messages_sent"),
 			received:      scope.Counter("messages_received"),
--- a/internal/exchange/pull.go
+++ b/internal/exchange/pull.go
@@ -50,9 +50,10 @@
 
 // pullFromTree waits for its turn in the tree of pulls of the data centre and pulls from
 // its parent there. The parent may not have the revision yet, so it is asked a second
-// time. An announcement of another data centre is not pulled through a tree.
+// time. An announcement of another data centre is not pulled through a tree, nor is the
+// first catalogue of an instance: flows wait for it.
 func (e *Exchange) pullFromTree(a announcement) {
-	if a.from.DataCentre != e.DataCentre {
+	if a.from.DataCentre != e.DataCentre || e.Mirror.Snapshot().Revision == 0 {
 		return
 	}
 	parent, depth := pullTree(e.peers.self.Address, a.from.Address, append(e.peers.local(), e.peers.self.Address, a.from.Address))
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -7,10 +7,6 @@
 	"time"
 )
 
-// firstReadTime is how long after its start an instance with an empty catalogue pulls
-// nothing: it is reading the store, as are the others if all have started together.
-const firstReadTime = 300 * time.Millisecond
-
 // readErrorDelay is the pause after a failed read of the socket, so that a lasting error
 // does not take up the processor.
 const readErrorDelay = 10 * time.Millisecond
@@ -131,8 +127,6 @@
 		return
 	case m.Revision == current:
 		e.Catalogue.Confirm(m.Revision, age)
-	case current == 0 && now-e.openedAt < int64(firstReadTime):
-		return
 	case m.Delta == nil || !e.Catalogue.ApplyDelta(*m.Delta, age):
 		e.pull(announcement{from: m.From, revision: m.Revision, relay: m.Relay})
 		return
