Log and count the store's epoch and the reads that the catalogue refuses

The logs of a restored store could not tell whether its contents were never read, refused or applied. Nothing else changes: equality of positions is still judged by the revision alone.

The dead channel of Watcher is removed.

--- a/internal/catalogue/record.go
+++ b/internal/catalogue/record.go
@@ -37,6 +37,8 @@
 // nil.
 type Record struct {
 	ID
+	// Epoch and Revision are the position of the entity's last change.
+	Epoch    uint64 `json:"epoch,omitempty"`
 	Revision uint64 `json:"revision"`
 	// Created is the revision at which the entity was created; 0 in a removal.
 	Created       uint64         `json:"created,omitempty"`
@@ -107,6 +109,9 @@
 	Unseen RevisionRange `json:"unseen,omitzero"`
 	// Dropped is the revision up to which removals may be missing from a complete delta.
 	Dropped uint64 `json:"dropped,omitempty"`
+	// Epoch is the epoch of all revisions of the delta, except those of records that the
+	// sender has kept from an earlier one.
+	Epoch uint64 `json:"epoch,omitempty"`
 	// Revision is the revision to which the changes lead.
 	Revision uint64   `json:"revision"`
 	Records  []Record `json:"records,omitempty"`
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -14,8 +14,8 @@
 
 // Source reads the store. Each of its calls is limited in time.
 type Source interface {
-	// Position returns the store's revision with a linearizable read.
-	Position(ctx context.Context) (uint64, error)
+	// Position returns the store's position with a linearizable read.
+	Position(ctx context.Context) (catalogue.Position, error)
 	// Changes returns the changes after a revision, or catalogue.HistoryGone. It may
 	// miss some changes.
 	Changes(ctx context.Context, after uint64) (catalogue.Delta, error)
@@ -47,23 +47,32 @@
 	failingSince int64
 	// failedAt is when a read last failed, in nanoseconds, 0 if none has failed since the
 	// last that succeeded.
-	failedAt       atomic.Int64
-	reads          singleflight.Group
-	changed        chan struct{}
-	changedRecords tally.Counter
-	readDuration   tally.Histogram
-	lag            tally.Histogram
+	failedAt atomic.Int64
+	reads    singleflight.Group
+	// storeEpoch is the epoch that was last read from the store, 0 before the first read.
+	storeEpoch uint64
+	metrics    metrics
+}
+
+type metrics struct {
+	changedRecords, refused   tally.Counter
+	readDuration, lag         tally.Histogram
+	storeEpoch, storeRevision tally.Gauge
 }
 
 // New returns a Watcher that has not read the store yet.
 func New(o Options) *Watcher {
 	scope := o.Scope.SubScope("catalogue")
 	return &Watcher{
-		Options:        o,
-		changed:        make(chan struct{}, 1),
-		changedRecords: scope.Counter("changes"),
-		readDuration:   scope.Histogram("reading_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)),
-		lag:            scope.Histogram("change_lag_seconds", tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 2, 12)),
+		Options: o,
+		metrics: metrics{
+			changedRecords: scope.Counter("changes"),
+			refused:        scope.Counter("reads_refused"),
+			readDuration:   scope.Histogram("reading_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)),
+			lag:            scope.Histogram("change_lag_seconds", tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 2, 12)),
+			storeEpoch:     scope.Gauge("store_epoch"),
+			storeRevision:  scope.Gauge("store_revision"),
+		},
 	}
 }
 
@@ -150,7 +159,7 @@
 	w.Plan.RecordSuccess(began, planned)
 	w.logRecovery()
 	w.advanceKnown(began)
-	w.readDuration.RecordDuration(time.Duration(w.Clock() - began))
+	w.metrics.readDuration.RecordDuration(time.Duration(w.Clock() - began))
 	w.OnRead()
 }
 
@@ -160,15 +169,19 @@
 		return w.readAll(ctx)
 	}
 	position, err := w.Source.Position(ctx)
-	if err != nil || position == before {
+	if err != nil {
 		return err
 	}
+	w.observe(position)
+	if position.Revision == before {
+		return nil
+	}
 	delta, err := w.Source.Changes(ctx, before)
 	if err != nil {
 		return w.readAll(ctx)
 	}
 	delta = contiguous(delta)
-	if delta.Revision < position {
+	if delta.Revision < position.Revision {
 		return w.readAll(ctx)
 	}
 	return w.apply(delta)
@@ -198,19 +211,36 @@
 }
 
 func (w *Watcher) apply(d catalogue.Delta) error {
-	if changed, ok := w.Mirror.Apply(d, w.Clock(), 0); ok {
-		w.report(changed, "store", 0)
+	w.observe(catalogue.Position{Epoch: d.Epoch, Revision: d.Revision})
+	changed, ok := w.Mirror.Apply(d, w.Clock(), 0)
+	if !ok {
+		w.metrics.refused.Inc(1)
+		w.Log.Warn("Refused what was read from the store.", "store_epoch", d.Epoch, "store_revision", d.Revision, "complete", d.Complete,
+			"revision", w.Mirror.Snapshot().Revision)
+		return nil
 	}
+	w.report(changed, "store", 0)
 	return nil
 }
 
+// observe records the position that was read from the store, and logs a new epoch.
+func (w *Watcher) observe(p catalogue.Position) {
+	w.metrics.storeEpoch.Update(float64(p.Epoch))
+	w.metrics.storeRevision.Update(float64(p.Revision))
+	if w.storeEpoch != 0 && p.Epoch != w.storeEpoch {
+		w.Log.Warn("Store has been restored from an earlier copy.", "store_epoch", p.Epoch, "store_revision", p.Revision,
+			"revision", w.Mirror.Snapshot().Revision)
+	}
+	w.storeEpoch = p.Epoch
+}
+
 // report counts the changed records and logs one line for each, or a single line for
 // more than maxLines.
 func (w *Watcher) report(changed []catalogue.Record, source string, age time.Duration) {
-	w.changedRecords.Inc(int64(len(changed)))
+	w.metrics.changedRecords.Inc(int64(len(changed)))
 	if known := w.known.Load(); known != 0 && len(changed) > 0 {
 		// The change is more recent than the last read that did not have it.
-		w.lag.RecordDuration(time.Duration(w.Clock() - known))
+		w.metrics.lag.RecordDuration(time.Duration(w.Clock() - known))
 	}
 	if len(changed) > maxLines {
 		w.Log.Info("Catalogue changed.", "records", len(changed), "source", source, "age_ms", age.Milliseconds(),
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -57,12 +57,12 @@
 	f.missed[f.revision] = !seen
 }
 
-func (f *fakeStore) Position(context.Context) (uint64, error) {
+func (f *fakeStore) Position(context.Context) (catalogue.Position, error) {
 	f.calls++
 	if f.unavailable {
-		return 0, errUnavailable
+		return catalogue.Position{}, errUnavailable
 	}
-	return f.revision, nil
+	return catalogue.Position{Revision: f.revision}, nil
 }
 
 func (f *fakeStore) Changes(_ context.Context, after uint64) (catalogue.Delta, error) {
