Reproduce the fault of a restored store in a test

TestChangesAfterARestoreAreRead restores a store to an earlier revision, begins a new epoch and writes 0 to 3 further servers before the next read, then one more: with one or two writes (up to the revision that the instance has) the instance refuses the complete read or takes an equal revision for its own, and never learns of them.

--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -21,6 +21,7 @@
 // fakeStore is a store whose watch may miss changes and whose history may have been
 // dropped.
 type fakeStore struct {
+	epoch       uint64
 	revision    uint64
 	items       map[string]uint64
 	events      []catalogue.Record
@@ -33,11 +34,11 @@
 var errUnavailable = errors.New("down")
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{items: map[string]uint64{}, missed: map[uint64]bool{}}
+	return &fakeStore{epoch: 1, items: map[string]uint64{}, missed: map[uint64]bool{}}
 }
 
 func (f *fakeStore) record(name string, removed bool) catalogue.Record {
-	r := catalogue.Record{ID: catalogue.ID{Kind: catalogue.KindServer, Name: name}, Revision: f.items[name], Removed: removed}
+	r := catalogue.Record{ID: catalogue.ID{Kind: catalogue.KindServer, Name: name}, Epoch: f.epoch, Revision: f.items[name], Removed: removed}
 	if removed {
 		r.Revision = f.revision
 		return r
@@ -57,20 +58,29 @@
 	f.missed[f.revision] = !seen
 }
 
+// restore replaces the contents by those of an earlier revision and begins a new epoch.
+func (f *fakeStore) restore(revision uint64) {
+	events := f.events[:revision]
+	f.epoch, f.revision, f.events, f.items, f.missed = f.epoch+1, 0, nil, map[string]uint64{}, map[uint64]bool{}
+	for _, e := range events {
+		f.write(e.Name, e.Removed, true)
+	}
+}
+
 func (f *fakeStore) Position(context.Context) (catalogue.Position, error) {
 	f.calls++
 	if f.unavailable {
 		return catalogue.Position{}, errUnavailable
 	}
-	return catalogue.Position{Revision: f.revision}, nil
+	return catalogue.Position{Epoch: f.epoch, Revision: f.revision}, nil
 }
 
 func (f *fakeStore) Changes(_ context.Context, after uint64) (catalogue.Delta, error) {
 	f.calls++
-	if f.historyGone {
+	if f.historyGone || after > f.revision {
 		return catalogue.Delta{}, catalogue.HistoryGone.New("dropped")
 	}
-	d := catalogue.Delta{Since: after, Revision: f.revision}
+	d := catalogue.Delta{Epoch: f.epoch, Since: after, Revision: f.revision}
 	for _, e := range f.events {
 		if e.Revision > after && !f.missed[e.Revision] {
 			d.Records = append(d.Records, e)
@@ -84,7 +94,7 @@
 	if f.unavailable {
 		return catalogue.Delta{}, errUnavailable
 	}
-	d := catalogue.Delta{Complete: true, Revision: f.revision}
+	d := catalogue.Delta{Complete: true, Epoch: f.epoch, Revision: f.revision}
 	for name := range f.items {
 		d.Records = append(d.Records, f.record(name, false))
 	}
@@ -152,6 +162,37 @@
 	})
 }
 
+// TestChangesAfterARestoreAreRead guards against changes that are never read because a
+// store that was restored from a backup gives their revisions out a second time.
+func TestChangesAfterARestoreAreRead(t *testing.T) {
+	for writes := range uint64(4) { // up to one revision more than the instance has
+		is := is.New(t)
+		f := newFakeStore()
+		f.write("s0", false, true)
+		f.write("s1", false, true)
+		f.write("s2", false, true)
+		w := newTestWatcher(f, 1)
+		w.Refresh(context.Background())
+		f.restore(1)
+		for i := range writes {
+			f.write(fmt.Sprint("t", i), false, true)
+		}
+		w.now += int64(time.Second)
+		w.Refresh(context.Background())
+		f.write("t9", false, true)
+		w.now += int64(time.Second)
+		w.Refresh(context.Background())
+		is.Equal(w.Mirror.Snapshot().Revision, f.revision)
+		present := map[string]bool{}
+		for _, b := range w.Mirror.Snapshot().Backends("desk") {
+			present[b.Name] = b.Removed == 0
+		}
+		for name := range f.items {
+			is.True(present[name]) // every server in the store is known
+		}
+	}
+}
+
 func TestCatalogueAgesWhileStoreIsUnavailable(t *testing.T) {
 	is := is.New(t)
 	f := newFakeStore()
