Compare positions of the store by epoch before revision

Cause: a revision alone was taken for the identity of the store's contents. A restored store has lower revisions and gives those after the backup out again. An instance asked for changes after a revision that did not exist (410), read everything, and the mirror refused that as older; the refusal was dropped and the read confirmed the catalogue. Once the store had given out the instance's revision again, equal revisions confirmed contents that differed, and changes before it were never read.

Ruled out: a lost announcement (the first reader itself did not have the change) and a stale read (all reads are linearizable).

Change: catalogue.Position is epoch and revision, ordered in that order. A mirror takes a complete delta of a later epoch whatever its revision, and pulls one at once if a peer announces a later epoch. A read that the mirror refuses is now a failed read (watch.Refused) and confirms nothing.

Why it works: within an epoch revisions only rise, and the store raises the epoch before it answers from a copy.

--- a/internal/catalogue/derive.go
+++ b/internal/catalogue/derive.go
@@ -16,7 +16,7 @@
 		return m.buildSnapshot()
 	}
 	d := derivation{next: *m.snapshot.Load()}
-	d.next.Revision = m.revision
+	d.next.Position = m.position
 	for _, r := range changed {
 		e := m.entries[r.ID]
 		if r.Kind != KindServer || !d.apply(e) {
@@ -103,5 +103,5 @@
 
 // compareCreation orders servers by their creation.
 func compareCreation(a, b *Backend) int {
-	return cmp.Or(cmp.Compare(a.created, b.created), cmp.Compare(a.Name, b.Name))
+	return cmp.Or(a.created.Compare(b.created), cmp.Compare(a.Name, b.Name))
 }
--- a/internal/catalogue/mirror.go
+++ b/internal/catalogue/mirror.go
@@ -19,8 +19,8 @@
 	// removal, and 0 otherwise.
 	readAt  int64
 	removed int64
-	// created is the revision at which the entity was created.
-	created uint64
+	// created is the position at which the entity was created.
+	created Position
 	// server and configuration are the newest ones that could be decoded.
 	server        *Server
 	configuration *Configuration
@@ -31,9 +31,9 @@
 type Mirror struct {
 	mu       sync.Mutex
 	entries  map[ID]*entry
-	revision uint64
-	// droppedRevision is the revision up to which removed records may have been
-	// dropped.
+	position Position
+	// droppedRevision is the revision of the epoch up to which removed records may have
+	// been dropped.
 	droppedRevision uint64
 	// unseen is the newest range of revisions whose changes the mirror has not seen.
 	unseen   RevisionRange
@@ -43,7 +43,7 @@
 // NewMirror returns an empty mirror.
 func NewMirror() *Mirror {
 	m := &Mirror{entries: map[ID]*entry{}}
-	m.snapshot.Store(newSnapshot(0))
+	m.snapshot.Store(newSnapshot(Position{}))
 	return m
 }
 
@@ -52,14 +52,17 @@
 
 // Apply applies a delta and returns the records that changed the mirror; age is the
 // time since the delta was read from the store. It returns false and applies nothing if
-// the delta is older than the mirror, starts after the mirror's revision and so leaves a
-// gap, or lacks changes that the mirror needs.
+// the delta is older than the mirror, or is incomplete and either starts after the
+// mirror's revision or in another epoch, or lacks changes that the mirror needs.
 func (m *Mirror) Apply(d Delta, now int64, age time.Duration) (changed []Record, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if d.Revision < m.revision || !d.Complete && (d.Since > m.revision || d.Unseen.contains(m.revision)) {
+	if d.Position().Compare(m.position) < 0 || !d.Complete && !m.continues(d) {
 		return nil, false
 	}
+	if d.Epoch != m.position.Epoch {
+		m.beginEpoch(d.Epoch)
+	}
 	if d.Complete {
 		d.Records = append(slices.Clone(d.Records), m.impliedRemovals(d)...)
 	}
@@ -71,27 +74,39 @@
 		}
 	}
 	dropped := m.dropExpired(now)
-	advanced := d.Revision > m.revision
-	m.revision = d.Revision
+	advanced := d.Position() != m.Snapshot().Position
+	m.position = d.Position()
 	if len(changed) > 0 || dropped || advanced {
 		m.snapshot.Store(m.nextSnapshot(changed, dropped))
 	}
 	return changed, true
 }
 
+// continues reports whether the mirror knows all changes before those of a delta.
+func (m *Mirror) continues(d Delta) bool {
+	return d.Epoch == m.position.Epoch && d.Since <= m.position.Revision && !d.Unseen.contains(m.position.Revision)
+}
+
+// beginEpoch prepares the mirror for a complete delta of a later epoch: its revisions say
+// nothing about those of the epoch before.
+func (m *Mirror) beginEpoch(epoch uint64) {
+	m.position = Position{Epoch: epoch}
+	m.droppedRevision, m.unseen = 0, RevisionRange{}
+}
+
 // recordUnseen records which changes the mirror has not seen once a delta is applied.
 func (m *Mirror) recordUnseen(d Delta) {
 	if d.Complete && d.Unseen == (RevisionRange{}) {
 		d.Unseen.Until = d.Revision
 	}
-	if m.revision < d.Dropped {
+	if m.position.Revision < d.Dropped {
 		m.droppedRevision = max(m.droppedRevision, d.Dropped)
 	}
-	if !d.Unseen.crossedFrom(m.revision) {
+	if !d.Unseen.crossedFrom(m.position.Revision) {
 		return
 	}
 	m.droppedRevision = max(m.droppedRevision, m.unseen.Until)
-	m.unseen = RevisionRange{After: max(d.Unseen.After, m.revision), Until: d.Unseen.Until}
+	m.unseen = RevisionRange{After: max(d.Unseen.After, m.position.Revision), Until: d.Unseen.Until}
 }
 
 // impliedRemovals returns a removal for each entity that a complete delta does not
@@ -100,22 +115,22 @@
 	present := make(map[ID]bool, len(d.Records))
 	for _, r := range d.Records {
 		e := m.entries[r.ID]
-		present[r.ID] = !r.Removed || e != nil && r.Revision > e.record.Revision
+		present[r.ID] = !r.Removed || e != nil && r.position().Compare(e.record.position()) > 0
 	}
 	var removals []Record
 	for id, e := range m.entries {
-		if !present[id] && !e.record.Removed && e.record.Revision <= d.Revision {
-			removals = append(removals, Record{ID: id, Revision: d.Revision, Removed: true})
+		if !present[id] && !e.record.Removed && e.record.position().Compare(d.Position()) <= 0 {
+			removals = append(removals, Record{ID: id, Epoch: d.Epoch, Revision: d.Revision, Removed: true})
 		}
 	}
-	slices.SortFunc(removals, byRevision)
+	slices.SortFunc(removals, byPosition)
 	return removals
 }
 
 // put stores a record if it is newer than the stored one, and reports whether it is.
 func (m *Mirror) put(r Record, readAt int64) bool {
 	e, known := m.entries[r.ID]
-	if known && r.Revision <= e.record.Revision {
+	if known && r.position().Compare(e.record.position()) <= 0 {
 		return false
 	}
 	if !known {
@@ -123,7 +138,7 @@
 		m.entries[r.ID] = e
 	}
 	if r.Created != 0 {
-		e.created = r.Created
+		e.created = Position{Epoch: r.Epoch, Revision: r.Created}
 	}
 	e.record, e.readAt, e.removed = r, readAt, 0
 	if r.Removed {
@@ -144,7 +159,9 @@
 	dropped := false
 	for id, e := range m.entries {
 		if e.record.Removed && now-e.removed > int64(Retention) {
-			m.droppedRevision = max(m.droppedRevision, e.record.Revision)
+			if e.record.Epoch == m.position.Epoch {
+				m.droppedRevision = max(m.droppedRevision, e.record.Revision)
+			}
 			delete(m.entries, id)
 			dropped = true
 		}
@@ -152,13 +169,18 @@
 	return dropped
 }
 
-// Since returns the changes after a revision, or a complete delta if the revision is 0
-// or removals after it may have been dropped or never seen. Warm-up times are those that
-// remain at asOf; the receiver counts the age of the delta from that time.
-func (m *Mirror) Since(revision uint64, asOf int64) Delta {
+// Since returns the changes after a position, or a complete delta if its revision is 0,
+// it is in another epoch, or removals after it may have been dropped or never seen.
+// Warm-up times are those that remain at asOf; the receiver counts the age of the delta
+// from that time.
+func (m *Mirror) Since(after Position, asOf int64) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	d := Delta{Since: revision, Revision: m.revision, Complete: m.lacksChangesSince(revision)}
+	if after.Epoch != m.position.Epoch {
+		after = Position{Epoch: m.position.Epoch}
+	}
+	revision := after.Revision
+	d := Delta{Epoch: m.position.Epoch, Since: revision, Revision: m.position.Revision, Complete: m.lacksChangesSince(after)}
 	if d.Complete {
 		d.Dropped = m.droppedRevision
 	}
@@ -166,24 +188,25 @@
 		d.Unseen = m.unseen
 	}
 	for _, e := range m.entries {
-		if d.Complete || e.record.Revision > revision {
+		if d.Complete || e.record.position().Compare(after) > 0 {
 			d.Records = append(d.Records, e.asOf(asOf))
 		}
 	}
-	slices.SortFunc(d.Records, byRevision)
+	slices.SortFunc(d.Records, byPosition)
 	return d
 }
 
-// HasChangesSince reports whether the mirror knows all changes after a revision, so that
+// HasChangesSince reports whether the mirror knows all changes after a position, so that
 // Since returns no complete delta.
-func (m *Mirror) HasChangesSince(revision uint64) bool {
+func (m *Mirror) HasChangesSince(after Position) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.lacksChangesSince(revision)
+	return !m.lacksChangesSince(after)
 }
 
-func (m *Mirror) lacksChangesSince(revision uint64) bool {
-	return revision == 0 || revision < m.droppedRevision || m.unseen.contains(revision)
+func (m *Mirror) lacksChangesSince(after Position) bool {
+	return after.Epoch != m.position.Epoch || after.Revision == 0 ||
+		after.Revision < m.droppedRevision || m.unseen.contains(after.Revision)
 }
 
 // asOf returns the record with the warm-up time that remains at a time.
@@ -199,7 +222,7 @@
 }
 
 func (m *Mirror) buildSnapshot() *Snapshot {
-	s := newSnapshot(m.revision)
+	s := newSnapshot(m.position)
 	var servers []*Backend
 	for _, e := range m.entries {
 		switch e.record.Kind {
--- a/internal/catalogue/mirror_test.go
+++ b/internal/catalogue/mirror_test.go
@@ -47,14 +47,14 @@
 			if _, ok := reader.Apply(Delta{Since: before, Revision: revision, Records: []Record{r}}, int64(revision), 0); !ok {
 				t.Fatalf("revision %d was refused", revision)
 			}
-			sent = append(sent, reader.Since(rapid.Uint64Range(0, revision).Draw(t, "since"), int64(revision)))
+			sent = append(sent, reader.Since(Position{Revision: rapid.Uint64Range(0, revision).Draw(t, "since")}, int64(revision)))
 			last := follower.Snapshot().Revision
 			follower.Apply(sent[rapid.IntRange(0, len(sent)-1).Draw(t, "delivered")], int64(revision), 0)
 			if follower.Snapshot().Revision < last {
 				t.Fatalf("the follower returned from revision %d to %d", last, follower.Snapshot().Revision)
 			}
 		}
-		follower.Apply(reader.Since(follower.Snapshot().Revision, int64(revision)), int64(revision), 0)
+		follower.Apply(reader.Since(follower.Snapshot().Position, int64(revision)), int64(revision), 0)
 		for i := range 6 {
 			name := fmt.Sprint("s", i)
 			a, b := findPresent(reader, name), findPresent(follower, name)
@@ -120,7 +120,7 @@
 	is.True(findBackend(m, "s1").Cold(int64(2900 * time.Millisecond)))
 	is.True(!findBackend(m, "s1").Cold(int64(3 * time.Second)))
 
-	forwarded := m.Since(0, int64(2*time.Second))
+	forwarded := m.Since(Position{}, int64(2*time.Second))
 	is.Equal(forwarded.Records[0].Server.Warmup, time.Second)
 	other := NewMirror()
 	other.Apply(forwarded, int64(10*time.Second), 100*time.Millisecond)
@@ -136,13 +136,13 @@
 	is.True(m.Snapshot().ByCookie(cookie.Of("s1")) != nil)
 	m.Apply(Delta{Since: 3, Revision: 4}, int64(Retention)+3, 0)
 	is.True(m.Snapshot().ByCookie(cookie.Of("s1")) == nil)
-	is.True(m.Since(2, 0).Complete) // the removal was dropped
-	is.True(!m.Since(3, 0).Complete)
+	is.True(m.Since(Position{Revision: 2}, 0).Complete) // the removal was dropped
+	is.True(!m.Since(Position{Revision: 3}, 0).Complete)
 }
 
 func TestLaterOfTwoServersWithOneCookieIsAmbiguous(t *testing.T) {
 	is := is.New(t)
-	s := newSnapshot(1)
+	s := newSnapshot(Position{Revision: 1})
 	first := &Backend{Name: "s1", Server: Server{Service: "desk"}}
 	s.addBackend(first)
 	second := &Backend{Name: "s1", Server: Server{Service: "desk"}} // the same name simulates a collision of cookies
@@ -182,7 +182,7 @@
 // all returns everything in the store.
 func (s *storeHistory) all() Delta {
 	records := slices.Collect(maps.Values(s.contents[len(s.contents)-1]))
-	slices.SortFunc(records, byRevision)
+	slices.SortFunc(records, byPosition)
 	return Delta{Revision: s.revision(), Complete: true, Records: records}
 }
 
@@ -213,7 +213,7 @@
 				m.Apply(store.since(at), 1, 0)
 			case 4:
 				other := mirrors[rapid.IntRange(0, len(mirrors)-1).Draw(t, "asking mirror")]
-				sent = append(sent, m.Since(other.Snapshot().Revision, 1))
+				sent = append(sent, m.Since(other.Snapshot().Position, 1))
 			case 5:
 				if len(sent) > 0 {
 					m.Apply(sent[rapid.IntRange(0, len(sent)-1).Draw(t, "delivered")], 1, 0)
@@ -266,7 +266,7 @@
 						s.Warmup = time.Duration(rapid.IntRange(0, 1).Draw(t, "cold")) * time.Second
 					})
 					if e := m.entries[r.ID]; e != nil && rapid.IntRange(0, 4).Draw(t, "recreated") > 0 {
-						r.Created = e.created
+						r.Created = e.created.Revision
 					}
 					records = append(records, r)
 				}
--- a/internal/catalogue/record.go
+++ b/internal/catalogue/record.go
@@ -47,6 +47,8 @@
 	Configuration *Configuration `json:"configuration,omitempty"`
 }
 
+func (r Record) position() Position { return Position{Epoch: r.Epoch, Revision: r.Revision} }
+
 // Server is a backend server as it describes itself in the store.
 type Server struct {
 	// Number is the server's identity in the form that is sent in packets to the server.
@@ -117,6 +119,9 @@
 	Records  []Record `json:"records,omitempty"`
 }
 
+// Position returns the position to which the changes lead.
+func (d Delta) Position() Position { return Position{Epoch: d.Epoch, Revision: d.Revision} }
+
 // RevisionRange is a range of revisions without its ends: After is the last revision
 // before it and Until the first one after it.
 type RevisionRange struct {
@@ -133,6 +138,6 @@
 	return revision > r.After && revision < r.Until
 }
 
-func byRevision(a, b Record) int {
-	return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+func byPosition(a, b Record) int {
+	return cmp.Or(a.position().Compare(b.position()), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
 }
--- a/internal/catalogue/snapshot.go
+++ b/internal/catalogue/snapshot.go
@@ -19,8 +19,8 @@
 	// WarmupRate is the rate that the server can handle while it is cold, in requests a
 	// second; 0 if none is stated.
 	WarmupRate float64
-	// created is the revision at which the server's record was created.
-	created uint64
+	// created is the position at which the server's record was created.
+	created Position
 	// Ambiguous is set if an earlier server that has not been removed has the same
 	// cookie.
 	Ambiguous bool
@@ -29,9 +29,9 @@
 // Snapshot is the state of the platform that an instance bases its decisions on. It is
 // immutable.
 type Snapshot struct {
-	// Revision is the revision of the store that the snapshot describes; 0 before the
-	// first delta has been applied.
-	Revision uint64
+	// Position is the position of the store that the snapshot describes; its revision is
+	// 0 before the first delta has been applied.
+	Position
 	// Configuration is the current configuration; nil before the first.
 	Configuration *Configuration
 
@@ -68,9 +68,9 @@
 // Size returns the number of backend servers that ByCookie finds, removed ones included.
 func (s *Snapshot) Size() int { return len(s.byCookie) }
 
-func newSnapshot(revision uint64) *Snapshot {
+func newSnapshot(position Position) *Snapshot {
 	return &Snapshot{
-		Revision:  revision,
+		Position:  position,
 		routes:    map[Destination]*Route{},
 		services:  map[string]*Service{},
 		backends:  map[string][]*Backend{},
--- a/internal/exchange/answercache.go
+++ b/internal/exchange/answercache.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"balsamfork/internal/catalogue"
 )
 
 const (
@@ -17,24 +19,24 @@
 // cachedAnswer is an encoded answer to a pull.
 type cachedAnswer struct {
 	delta []byte
-	// until is the revision to which the changes lead, known the time as of which
+	// until is the position to which the changes lead, known the time as of which
 	// they are valid, and encodedAt when they were encoded, in nanoseconds.
-	until            uint64
+	until            catalogue.Position
 	known, encodedAt int64
 }
 
-// answerCache holds the last answers to pulls, by the revision from which their
+// answerCache holds the last answers to pulls, by the position from which their
 // changes start. Large changes are pulled by many instances at once, and encoding one
 // takes long on a small machine. It is safe for concurrent use.
 type answerCache struct {
 	mu      sync.Mutex
-	answers map[uint64]cachedAnswer
+	answers map[catalogue.Position]cachedAnswer
 }
 
-// answer returns a cached answer that leads to the current revision, or encodes one;
+// answer returns a cached answer that leads to the current position, or encodes one;
 // its errors are those of encode, and now is in nanoseconds. Concurrent callers wait
 // meanwhile, since most of them need the same answer.
-func (c *answerCache) answer(since, until uint64, now int64, encode func(since uint64) ([]byte, int64, error)) (cachedAnswer, error) {
+func (c *answerCache) answer(since, until catalogue.Position, now int64, encode func(since catalogue.Position) ([]byte, int64, error)) (cachedAnswer, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if a, found := c.answers[since]; found && a.until == until && now-a.encodedAt < int64(cacheLifetime) {
@@ -49,9 +51,9 @@
 	return a, nil
 }
 
-func (c *answerCache) store(since uint64, a cachedAnswer) {
+func (c *answerCache) store(since catalogue.Position, a cachedAnswer) {
 	if c.answers == nil || len(c.answers) >= maxCachedAnswers {
-		c.answers = map[uint64]cachedAnswer{}
+		c.answers = map[catalogue.Position]cachedAnswer{}
 	}
 	c.answers[since] = a
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -38,8 +38,8 @@
 	// ApplyDelta applies changes of the given age and reports whether they continue from
 	// the current revision.
 	ApplyDelta(d catalogue.Delta, age time.Duration) bool
-	// Confirm records that a revision was the store's current one some time ago.
-	Confirm(revision uint64, age time.Duration)
+	// Confirm records that a position was the store's current one some time ago.
+	Confirm(p catalogue.Position, age time.Duration)
 }
 
 // Reader controls this instance's regular reads of the store.
@@ -91,9 +91,9 @@
 	pulling     atomic.Bool
 	probes      probes
 	answerCache answerCache
-	// announced is the revision of the last digest that was announced to the data
-	// centre.
-	announced atomic.Uint64
+	// announced is the position of the last digest that was announced to the data centre,
+	// nil before the first.
+	announced atomic.Pointer[catalogue.Position]
 	metrics   metrics
 }
 
@@ -156,10 +156,11 @@
 	if m.Revision == 0 {
 		return
 	}
-	before := e.announced.Swap(m.Revision)
-	if before != 0 && before < m.Revision {
+	position := m.position()
+	before := e.announced.Swap(&position)
+	if before != nil && before.Compare(position) < 0 {
 		known, _ := e.Catalogue.Known()
-		delta := e.Mirror.Since(before, known)
+		delta := e.Mirror.Since(*before, known)
 		m.Delta = &delta
 	}
 	e.sendAll(m, append(e.peers.local(), e.unknownSeeds()...))
@@ -256,7 +257,8 @@
 		return m
 	}
 	m.Regular = e.Reader.Regular()
-	m.Revision = e.Mirror.Snapshot().Revision
+	position := e.Mirror.Snapshot().Position
+	m.Epoch, m.Revision = position.Epoch, position.Revision
 	m.AgeMS = (now - known) / int64(time.Millisecond)
 	return m
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -48,8 +48,8 @@
 	return ok
 }
 
-func (i *instance) Confirm(revision uint64, age time.Duration) {
-	if revision == i.mirror.Snapshot().Revision {
+func (i *instance) Confirm(p catalogue.Position, age time.Duration) {
+	if p == i.mirror.Snapshot().Position {
 		i.advanceKnown(clock() - int64(age))
 	}
 }
@@ -160,7 +160,7 @@
 
 // pulled reports whether changes are too large for a datagram and have to be pulled.
 func pulled(t *testing.T, m *catalogue.Mirror, since uint64) bool {
-	data, err := encode(m.Since(since, clock()))
+	data, err := encode(m.Since(at(since), clock()))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -208,7 +208,7 @@
 			port := freePort(t)
 			a, b := start(t, port, 61, "a", address(62)), start(t, port, 62, "a", address(61))
 			eventually(t, "instances don't know one another", func() bool { return a.peers.size() == 2 && b.peers.size() == 2 })
-			a.announced.Store(1)
+			a.announced.Store(&catalogue.Position{Revision: 1})
 			b.mirror.Apply(catalogue.Delta{Complete: true, Revision: 1}, clock(), 0)
 			readAt := clock() - int64(time.Second)
 			a.mirror.Apply(catalogue.Delta{Complete: true, Revision: 2, Records: records(2, c.servers, 10*time.Second)}, readAt, 0)
@@ -388,6 +388,41 @@
 	is.Equal(reader.count("pulls_answered"), int64(len(others)))
 }
 
+// TestRestoredStoreReachesPeers guards against peers that take the catalogue of a restored
+// store for an older one, or for the one that they have: it may have a lower revision or
+// the same one, and may be too large for a datagram.
+func TestRestoredStoreReachesPeers(t *testing.T) {
+	for n, c := range []struct {
+		revision uint64
+		servers  int
+	}{{900, 3}, {850, 3}, {900, 700}, {850, 700}} {
+		is := is.New(t)
+		port := freePort(t)
+		low := byte(160 + 3*n)
+		a, b, far := start(t, port, low, "a"), start(t, port, low+1, "a", address(low)), start(t, port, low+2, "b", address(low))
+		all := []*instance{a, b, far}
+		for _, i := range all {
+			eventually(t, "instances don't know one another", func() bool { return i.peers.size() == len(all) })
+		}
+		a.readStore(900, 800)
+		for _, i := range all {
+			eventually(t, "the catalogue has not arrived", func() bool { return i.mirror.Snapshot().Revision == 900 })
+		}
+		restored := catalogue.Position{Epoch: 1, Revision: c.revision}
+		delta := catalogue.Delta{Complete: true, Epoch: 1, Revision: c.revision, Records: records(c.revision, c.servers, 0)}
+		for i := range delta.Records {
+			delta.Records[i].Epoch = 1
+		}
+		_, ok := a.mirror.Apply(delta, clock(), 0)
+		is.True(ok)
+		a.advanceKnown(clock())
+		a.Announce()
+		for _, i := range all {
+			eventually(t, "the restored catalogue has not arrived", func() bool { return i.mirror.Snapshot().Position == restored })
+		}
+	}
+}
+
 // TestCompleteCatalogueIsPulledOnlyIfNeeded lets an instance that has read the whole
 // store announce its revision to one that is a few revisions behind, as all do after the
 // start of a fleet: the removals in between are unknown there. The one behind does not
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -32,14 +32,15 @@
 // message is a datagram between instances.
 type message struct {
 	From Peer `json:"from"`
-	// Revision is the sender's revision of the catalogue, and AgeMS the time since it
-	// was last confirmed to be the store's, in milliseconds; both are absent in a
+	// Epoch and Revision are the position of the sender's catalogue, and AgeMS the time
+	// since it was last confirmed to be the store's, in milliseconds; all are absent in a
 	// report.
+	Epoch    uint64 `json:"epoch,omitempty"`
 	Revision uint64 `json:"revision,omitempty"`
 	AgeMS    int64  `json:"ageMs,omitempty"`
 	// Regular says that the sender reads the store regularly.
 	Regular bool `json:"regular,omitempty"`
-	// Delta holds the changes that led to Revision, if they are small enough.
+	// Delta holds the changes that led to that position, if they are small enough.
 	Delta *catalogue.Delta `json:"delta,omitempty"`
 	// Relay asks the receiver to forward the digest within its data centre.
 	Relay bool `json:"relay,omitempty"`
@@ -55,6 +56,11 @@
 	Report *suspicion.Report `json:"report,omitempty"`
 }
 
+// position returns the position of the sender's catalogue.
+func (m *message) position() catalogue.Position {
+	return catalogue.Position{Epoch: m.Epoch, Revision: m.Revision}
+}
+
 // encode returns a value as JSON, compressed if it is large.
 func encode(v any) ([]byte, error) {
 	data, err := json.Marshal(v)
@@ -76,11 +82,12 @@
 	return Error.Wrap(json.Unmarshal(plain, into))
 }
 
-// methodSince requests the changes after a revision.
+// methodSince requests the changes after a position.
 const methodSince = "catalogue.since"
 
 // sinceParams holds the parameters of methodSince.
 type sinceParams struct {
+	Epoch    uint64 `json:"epoch,omitempty"`
 	Revision uint64 `json:"revision"`
 	// Complete asks for the complete catalogue if the changes are not known.
 	Complete bool `json:"complete,omitempty"`
--- a/internal/exchange/pull.go
+++ b/internal/exchange/pull.go
@@ -19,15 +19,15 @@
 	serveTimeout = 3 * time.Second
 )
 
-// announcement is a revision that a peer has announced without usable changes.
+// announcement is a position that a peer has announced without usable changes.
 type announcement struct {
 	from     Peer
-	revision uint64
+	position catalogue.Position
 	// relay asks for the announcement to be passed on within the data centre.
 	relay bool
 }
 
-// pull requests the changes that lead to an announced revision. Only one pull runs at a
+// pull requests the changes that lead to an announced position. Only one pull runs at a
 // time: changes that it misses are announced by the next digest.
 func (e *Exchange) pull(a announcement) {
 	if !e.pulling.CompareAndSwap(false, true) {
@@ -37,7 +37,7 @@
 		defer e.pulling.Store(false)
 		e.pullFromTree(a)
 		if e.lacks(a) {
-			e.pullFrom(a.from.Address)
+			e.pullFrom(a.from.Address, a)
 		}
 		if a.relay && !e.lacks(a) {
 			e.relayPulled()
@@ -45,8 +45,10 @@
 	}()
 }
 
-// lacks reports whether this instance does not have an announced revision yet.
-func (e *Exchange) lacks(a announcement) bool { return e.Mirror.Snapshot().Revision < a.revision }
+// lacks reports whether this instance has not reached an announced position yet.
+func (e *Exchange) lacks(a announcement) bool {
+	return e.Mirror.Snapshot().Position.Compare(a.position) < 0
+}
 
 // pullFromTree waits for its turn in the tree of pulls of the data centre and pulls from
 // its parent there. The parent may not have the revision yet, so it is asked a second
@@ -61,7 +63,7 @@
 		return
 	}
 	for _, wait := range []time.Duration{time.Duration(depth-1) * pullStep, pullStep} {
-		if !e.sleep(wait) || !e.lacks(a) || !e.pullFrom(parent) || !e.lacks(a) {
+		if !e.sleep(wait) || !e.lacks(a) || !e.pullFrom(parent, a) || !e.lacks(a) {
 			return
 		}
 	}
@@ -78,9 +80,9 @@
 }
 
 // pullFrom pulls from one peer, and reports whether the peer has answered.
-func (e *Exchange) pullFrom(from netip.Addr) bool {
+func (e *Exchange) pullFrom(from netip.Addr, a announcement) bool {
 	e.metrics.pulls.Inc(1)
-	err := e.fetchChanges(from)
+	err := e.fetchChanges(from, a)
 	if err != nil {
 		e.metrics.pullsFailed.Inc(1)
 		e.Log.Warn("Failed to pull changes from a peer.", "peer", from.String(), "error", err)
@@ -95,7 +97,7 @@
 	e.sendAll(e.digest(), e.peers.local())
 }
 
-func (e *Exchange) fetchChanges(from netip.Addr) error {
+func (e *Exchange) fetchChanges(from netip.Addr, a announcement) error {
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
 	var dialer net.Dialer
@@ -107,7 +109,8 @@
 	defer func() { _ = conn.Close() }()
 	var result sinceResult
 	startedAt := e.Clock()
-	params := sinceParams{Revision: e.Mirror.Snapshot().Revision, Complete: e.needsComplete(startedAt)}
+	after := e.Mirror.Snapshot().Position
+	params := sinceParams{Epoch: after.Epoch, Revision: after.Revision, Complete: after.Epoch != a.position.Epoch || e.needsComplete(startedAt)}
 	if err := conn.Call(ctx, methodSince, params, &result); err != nil {
 		return Error.Wrap(err)
 	}
@@ -162,21 +165,22 @@
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "revision: must be a number"}
 	}
 	e.metrics.pullsAnswered.Inc(1)
-	if params.Revision != 0 && !params.Complete && !e.Mirror.HasChangesSince(params.Revision) {
+	after := catalogue.Position{Epoch: params.Epoch, Revision: params.Revision}
+	if params.Revision != 0 && !params.Complete && !e.Mirror.HasChangesSince(after) {
 		return sinceResult{}, nil
 	}
-	a, err := e.answerCache.answer(params.Revision, e.Mirror.Snapshot().Revision, e.Clock(), e.encodeSince)
+	a, err := e.answerCache.answer(after, e.Mirror.Snapshot().Position, e.Clock(), e.encodeSince)
 	if err != nil {
 		return nil, err
 	}
 	return sinceResult{Delta: a.delta, AgeMS: (e.Clock() - a.known) / int64(time.Millisecond)}, nil
 }
 
-// encodeSince encodes the changes after a revision, and returns the time as of which
+// encodeSince encodes the changes after a position, and returns the time as of which
 // they are valid, in nanoseconds.
-func (e *Exchange) encodeSince(revision uint64) (delta []byte, known int64, err error) {
+func (e *Exchange) encodeSince(after catalogue.Position) (delta []byte, known int64, err error) {
 	known, _ = e.Catalogue.Known()
-	delta, err = encode(e.Mirror.Since(revision, known))
+	delta, err = encode(e.Mirror.Since(after, known))
 	return delta, known, err
 }
 
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -121,14 +121,15 @@
 func (e *Exchange) applyDigest(m *message, now int64) {
 	age := time.Duration(m.AgeMS) * time.Millisecond
 	before, _ := e.Catalogue.Known()
-	current := e.Mirror.Snapshot().Revision
+	position := m.position()
+	order := position.Compare(e.Mirror.Snapshot().Position)
 	switch {
-	case m.Revision < current:
+	case order < 0:
 		return
-	case m.Revision == current:
-		e.Catalogue.Confirm(m.Revision, age)
+	case order == 0:
+		e.Catalogue.Confirm(position, age)
 	case m.Delta == nil || !e.Catalogue.ApplyDelta(*m.Delta, age):
-		e.pull(announcement{from: m.From, revision: m.Revision, relay: m.Relay})
+		e.pull(announcement{from: m.From, position: position, relay: m.Relay})
 		return
 	}
 	if m.Relay {
--- a/internal/watch/describe.go
+++ b/internal/watch/describe.go
@@ -8,7 +8,7 @@
 
 // describe returns the log attributes of a record.
 func describe(r *catalogue.Record) []any {
-	out := []any{"revision", r.Revision}
+	out := []any{"epoch", r.Epoch, "revision", r.Revision}
 	switch r.Kind {
 	case catalogue.KindServer:
 		return append(out, "server", r.Name, "state", serverState(r))
--- a/internal/watch/doc.go
+++ b/internal/watch/doc.go
@@ -7,3 +7,9 @@
 // Each read asks for the store's revision with a linearizable read, so that a watch
 // that misses changes, or stale data, is never mistaken for the current state.
 package watch
+
+import "github.com/zeebo/errs"
+
+// Refused is the class of errors for data that was read from the store and is older than
+// the catalogue, which must not count as a confirmation of the catalogue.
+var Refused = errs.Class("watch: refused")
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -93,9 +93,9 @@
 	return true
 }
 
-// Confirm records that the store was at the given revision the given age ago.
-func (w *Watcher) Confirm(revision uint64, age time.Duration) {
-	if revision != 0 && revision == w.Mirror.Snapshot().Revision {
+// Confirm records that the store was at the given position the given age ago.
+func (w *Watcher) Confirm(p catalogue.Position, age time.Duration) {
+	if p.Revision != 0 && p == w.Mirror.Snapshot().Position {
 		w.advanceKnown(w.Clock() - int64(age))
 	}
 }
@@ -151,7 +151,7 @@
 
 func (w *Watcher) readNow(ctx context.Context, planned bool) {
 	began := w.Clock()
-	if err := w.read(ctx, w.Mirror.Snapshot().Revision); err != nil {
+	if err := w.read(ctx, w.Mirror.Snapshot().Position); err != nil {
 		w.Plan.RecordFailure(w.Clock(), w.Peers())
 		w.logFailure(began, err)
 		return
@@ -163,28 +163,31 @@
 	w.OnRead()
 }
 
-// read updates the mirror to the store's revision.
-func (w *Watcher) read(ctx context.Context, before uint64) error {
-	if before == 0 {
-		return w.readAll(ctx)
+// read updates the mirror from its position to the store's.
+func (w *Watcher) read(ctx context.Context, before catalogue.Position) error {
+	if before.Revision == 0 {
+		return w.readAll(ctx, before)
 	}
 	position, err := w.Source.Position(ctx)
 	if err != nil {
 		return err
 	}
 	w.observe(position)
-	if position.Revision == before {
+	switch {
+	case position == before:
 		return nil
+	case position.Epoch != before.Epoch:
+		return w.readAll(ctx, before)
 	}
-	delta, err := w.Source.Changes(ctx, before)
-	if err != nil {
-		return w.readAll(ctx)
+	delta, err := w.Source.Changes(ctx, before.Revision)
+	if err != nil || delta.Epoch != before.Epoch {
+		return w.readAll(ctx, before)
 	}
 	delta = contiguous(delta)
 	if delta.Revision < position.Revision {
-		return w.readAll(ctx)
+		return w.readAll(ctx, before)
 	}
-	return w.apply(delta)
+	return w.apply(delta, before)
 }
 
 // contiguous truncates the delta before the first missing revision: a watch that has
@@ -202,25 +205,30 @@
 	return d
 }
 
-func (w *Watcher) readAll(ctx context.Context) error {
+func (w *Watcher) readAll(ctx context.Context, before catalogue.Position) error {
 	delta, err := w.Source.All(ctx)
 	if err != nil {
 		return err
 	}
-	return w.apply(delta)
+	return w.apply(delta, before)
 }
 
-func (w *Watcher) apply(d catalogue.Delta) error {
-	w.observe(catalogue.Position{Epoch: d.Epoch, Revision: d.Revision})
+// apply applies a delta that was read from the store when the mirror was at the given
+// position. It returns an error of the class Refused if the mirror does not take the
+// delta, unless a peer has advanced the mirror meanwhile.
+func (w *Watcher) apply(d catalogue.Delta, before catalogue.Position) error {
+	w.observe(d.Position())
 	changed, ok := w.Mirror.Apply(d, w.Clock(), 0)
-	if !ok {
-		w.metrics.refused.Inc(1)
-		w.Log.Warn("Refused what was read from the store.", "store_epoch", d.Epoch, "store_revision", d.Revision, "complete", d.Complete,
-			"revision", w.Mirror.Snapshot().Revision)
+	if ok {
+		w.report(changed, "store", 0)
+		return nil
+	}
+	current := w.Mirror.Snapshot().Position
+	if current.Compare(before) > 0 {
 		return nil
 	}
-	w.report(changed, "store", 0)
-	return nil
+	w.metrics.refused.Inc(1)
+	return Refused.New("store at epoch %d, revision %d; catalogue at epoch %d, revision %d", d.Epoch, d.Revision, current.Epoch, current.Revision)
 }
 
 // observe records the position that was read from the store, and logs a new epoch.
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -210,12 +210,15 @@
 	w.Refresh(context.Background())
 	is.Equal(f.calls, before) // a store that has just failed is not read again
 
-	w.Confirm(w.Mirror.Snapshot().Revision, 300*time.Millisecond)
+	w.Confirm(w.Mirror.Snapshot().Position, 300*time.Millisecond)
 	known, _ = w.Known()
 	is.Equal(known, w.now-int64(300*time.Millisecond)) // a confirmation from a peer counts with its age
-	w.Confirm(99, 0)
+	w.Confirm(catalogue.Position{Epoch: 1, Revision: 99}, 0)
 	known, _ = w.Known()
 	is.Equal(known, w.now-int64(300*time.Millisecond)) // a different revision confirms nothing
+	w.Confirm(catalogue.Position{Epoch: 2, Revision: w.Mirror.Snapshot().Revision}, 0)
+	known, _ = w.Known()
+	is.Equal(known, w.now-int64(300*time.Millisecond)) // nor does a different epoch
 }
 
 // TestOneReaderIsEnough runs the plans of the instances of a data centre. Each learns
