Keep what writers have replaced when a store is restored

What callers would see: with epochs alone, an instance takes everything that a restored store holds. Until the operator and the backend servers have written again what was lost, that is an older configuration, servers as ready that were draining or had left (new flows to them are lost), an evacuated data centre in use, and a second warm-up.

Cause: the order of the store's positions was taken for the order in which things were written. Between epochs it is not.

Change: within an epoch the revision decides as before. A server that was removed stays so until it reports anew, one that the store merely lacks can return with the same report (entry.lost). An evacuation that is missing holds for 3 s. The position only decides where no writer's order is known.

--- a/internal/catalogue/mirror.go
+++ b/internal/catalogue/mirror.go
@@ -11,21 +11,6 @@
 // longest flow of the platform, 60 s, by a margin.
 const Retention = 90 * time.Second
 
-// entry holds the newest record of an entity and what the mirror derives from its
-// records.
-type entry struct {
-	record Record
-	// readAt is when the record was read. removed is equal to readAt if the record is a
-	// removal, and 0 otherwise.
-	readAt  int64
-	removed int64
-	// created is the position at which the entity was created.
-	created Position
-	// server and configuration are the newest ones that could be decoded.
-	server        *Server
-	configuration *Configuration
-}
-
 // Mirror is the instance's copy of the store. It is safe for concurrent use. Snapshot
 // takes no lock.
 type Mirror struct {
@@ -63,8 +48,9 @@
 	if d.Epoch != m.position.Epoch {
 		m.beginEpoch(d.Epoch)
 	}
+	var implied []Record
 	if d.Complete {
-		d.Records = append(slices.Clone(d.Records), m.impliedRemovals(d)...)
+		implied = m.impliedRemovals(d)
 	}
 	m.recordUnseen(d)
 	readAt := now - int64(age)
@@ -73,6 +59,10 @@
 			changed = append(changed, r)
 		}
 	}
+	for _, r := range implied {
+		m.entries[r.ID].removeImplied(r, readAt)
+		changed = append(changed, r)
+	}
 	dropped := m.dropExpired(now)
 	advanced := d.Position() != m.Snapshot().Position
 	m.position = d.Position()
@@ -87,8 +77,9 @@
 	return d.Epoch == m.position.Epoch && d.Since <= m.position.Revision && !d.Unseen.contains(m.position.Revision)
 }
 
-// beginEpoch prepares the mirror for a complete delta of a later epoch: its revisions say
-// nothing about those of the epoch before.
+// beginEpoch prepares the mirror for a complete delta of a later epoch, whose revisions
+// say nothing about those of the epoch before. Entities are kept: the delta may lack what
+// the store has lost.
 func (m *Mirror) beginEpoch(epoch uint64) {
 	m.position = Position{Epoch: epoch}
 	m.droppedRevision, m.unseen = 0, RevisionRange{}
@@ -110,7 +101,8 @@
 }
 
 // impliedRemovals returns a removal for each entity that a complete delta does not
-// contain, or of which it contains only an earlier removal.
+// contain, or of which it contains only an earlier removal. The configuration is never
+// removed; a store without one has lost it.
 func (m *Mirror) impliedRemovals(d Delta) []Record {
 	present := make(map[ID]bool, len(d.Records))
 	for _, r := range d.Records {
@@ -119,7 +111,7 @@
 	}
 	var removals []Record
 	for id, e := range m.entries {
-		if !present[id] && !e.record.Removed && e.record.position().Compare(d.Position()) <= 0 {
+		if id.Kind != KindConfiguration && !present[id] && !e.record.Removed && e.record.position().Compare(d.Position()) <= 0 {
 			removals = append(removals, Record{ID: id, Epoch: d.Epoch, Revision: d.Revision, Removed: true})
 		}
 	}
@@ -130,29 +122,31 @@
 // put stores a record if it is newer than the stored one, and reports whether it is.
 func (m *Mirror) put(r Record, readAt int64) bool {
 	e, known := m.entries[r.ID]
-	if known && r.position().Compare(e.record.position()) <= 0 {
+	if known && !e.supersededBy(r) {
 		return false
 	}
 	if !known {
 		e = &entry{}
 		m.entries[r.ID] = e
 	}
-	if r.Created != 0 {
-		e.created = Position{Epoch: r.Epoch, Revision: r.Created}
-	}
-	e.record, e.readAt, e.removed = r, readAt, 0
-	if r.Removed {
-		e.removed = readAt
-	}
-	if r.Server != nil {
-		e.server = r.Server
-	}
-	if r.Configuration != nil {
-		e.configuration = r.Configuration
-	}
+	e.set(r, readAt)
 	return true
 }
 
+// Kept returns the number of entities that the mirror has kept from an earlier epoch,
+// removed ones excluded: the store has lost them, or holds an earlier state of them.
+func (m *Mirror) Kept() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, e := range m.entries {
+		if e.record.Epoch != m.position.Epoch && !e.record.Removed || e.lost {
+			n++
+		}
+	}
+	return n
+}
+
 // dropExpired drops records that were removed more than Retention ago, and reports
 // whether there were any.
 func (m *Mirror) dropExpired(now int64) bool {
@@ -188,7 +182,7 @@
 		d.Unseen = m.unseen
 	}
 	for _, e := range m.entries {
-		if d.Complete || e.record.position().Compare(after) > 0 {
+		if !e.lost && (d.Complete || e.record.position().Compare(after) > 0) {
 			d.Records = append(d.Records, e.asOf(asOf))
 		}
 	}
@@ -209,18 +203,6 @@
 		after.Revision < m.droppedRevision || m.unseen.contains(after.Revision)
 }
 
-// asOf returns the record with the warm-up time that remains at a time.
-func (e *entry) asOf(asOf int64) Record {
-	r := e.record
-	if r.Server == nil || r.Server.Warmup == 0 {
-		return r
-	}
-	server := *r.Server
-	server.Warmup = max(0, server.Warmup-time.Duration(asOf-e.readAt))
-	r.Server = &server
-	return r
-}
-
 func (m *Mirror) buildSnapshot() *Snapshot {
 	s := newSnapshot(m.position)
 	var servers []*Backend
@@ -235,8 +217,8 @@
 				s.addConfiguration(e.configuration)
 			}
 		case KindEvacuation:
-			if !e.record.Removed {
-				s.evacuated[e.record.Name] = true
+			if until := e.evacuatedUntil(); until != 0 {
+				s.evacuated[e.record.Name] = until
 			}
 		}
 	}
@@ -246,12 +228,3 @@
 	}
 	return s
 }
-
-func (e *entry) backend() *Backend {
-	b := &Backend{Server: *e.server, Name: e.record.Name, Revision: e.record.Revision, Removed: e.removed, created: e.created}
-	b.Unreadable = e.record.Server == nil && !e.record.Removed
-	if b.Warmup > 0 {
-		b.WarmAt = e.readAt + int64(b.Warmup)
-	}
-	return b
-}
--- a/internal/catalogue/record.go
+++ b/internal/catalogue/record.go
@@ -58,11 +58,24 @@
 	DataCentre string         `json:"dataCentre"`
 	Slots      int            `json:"slots"`
 	Draining   bool           `json:"draining,omitempty"`
+	// Started is when the server started, as Unix time in milliseconds, and Report the
+	// number of its report since then. Both are 0 if the server does not state its start.
+	Started int64  `json:"started,omitempty"`
+	Report  uint64 `json:"report,omitempty"`
 	// Warmup is the remaining warm-up time of the server, counted from when the
 	// record was read.
 	Warmup time.Duration `json:"warmup,omitempty"`
 }
 
+// compareReport compares two reports of a server in the order in which it wrote them. It
+// returns false if that order is unknown.
+func (s *Server) compareReport(t *Server) (order int, known bool) {
+	if s.Started == 0 || t.Started == 0 {
+		return 0, false
+	}
+	return cmp.Or(cmp.Compare(s.Started, t.Started), cmp.Compare(s.Report, t.Report)), true
+}
+
 // Destination is the address and port that callers connect to.
 type Destination struct {
 	Address netip.Addr `json:"address"`
--- a/internal/catalogue/snapshot.go
+++ b/internal/catalogue/snapshot.go
@@ -40,7 +40,8 @@
 	backends     map[string][]*Backend
 	serviceNames []string
 	byCookie     map[uint32]*Backend
-	evacuated    map[string]bool
+	// evacuated holds the end of each evacuation, by data centre.
+	evacuated map[string]int64
 	// ambiguous is the number of ambiguous servers.
 	ambiguous int
 }
@@ -59,8 +60,8 @@
 // for Retention, since their flows may last that long.
 func (s *Snapshot) ByCookie(c uint32) *Backend { return s.byCookie[c] }
 
-// Evacuated reports whether a data centre must not get new flows.
-func (s *Snapshot) Evacuated(dataCentre string) bool { return s.evacuated[dataCentre] }
+// Evacuated reports whether a data centre must not get new flows at the given time.
+func (s *Snapshot) Evacuated(dataCentre string, now int64) bool { return now < s.evacuated[dataCentre] }
 
 // ServiceNames returns the names of the services that have backend servers.
 func (s *Snapshot) ServiceNames() []string { return s.serviceNames }
@@ -75,7 +76,7 @@
 		services:  map[string]*Service{},
 		backends:  map[string][]*Backend{},
 		byCookie:  map[uint32]*Backend{},
-		evacuated: map[string]bool{},
+		evacuated: map[string]int64{},
 	}
 }
 
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -144,7 +144,7 @@
 
 func (s Selector) tier(snap *catalogue.Snapshot, b *catalogue.Backend, v View, now int64) Tier {
 	switch {
-	case b.Draining, b.Ambiguous, b.Unreadable, snap.Evacuated(b.DataCentre):
+	case b.Draining, b.Ambiguous, b.Unreadable, snap.Evacuated(b.DataCentre, now):
 		return Unusable
 	case b.Removed != 0 && now-b.Removed > int64(RemovedGracePeriod):
 		return Unusable
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -55,9 +55,9 @@
 }
 
 type metrics struct {
-	changedRecords, refused   tally.Counter
-	readDuration, lag         tally.Histogram
-	storeEpoch, storeRevision tally.Gauge
+	changedRecords, refused         tally.Counter
+	readDuration, lag               tally.Histogram
+	storeEpoch, storeRevision, kept tally.Gauge
 }
 
 // New returns a Watcher that has not read the store yet.
@@ -72,6 +72,7 @@
 			lag:            scope.Histogram("change_lag_seconds", tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 2, 12)),
 			storeEpoch:     scope.Gauge("store_epoch"),
 			storeRevision:  scope.Gauge("store_revision"),
+			kept:           scope.Gauge("kept"),
 		},
 	}
 }
@@ -221,6 +222,7 @@
 	changed, ok := w.Mirror.Apply(d, w.Clock(), 0)
 	if ok {
 		w.report(changed, "store", 0)
+		w.reportKept(d.Epoch, before.Epoch)
 		return nil
 	}
 	current := w.Mirror.Snapshot().Position
@@ -231,6 +233,15 @@
 	return Refused.New("store at epoch %d, revision %d; catalogue at epoch %d, revision %d", d.Epoch, d.Revision, current.Epoch, current.Revision)
 }
 
+// reportKept logs how much of the catalogue is kept from before a restore of the store.
+func (w *Watcher) reportKept(epoch, before uint64) {
+	kept := w.Mirror.Kept()
+	w.metrics.kept.Update(float64(kept))
+	if before != 0 && epoch != before {
+		w.Log.Info("Catalogue follows the restored store.", "epoch", epoch, "kept", kept)
+	}
+}
+
 // observe records the position that was read from the store, and logs a new epoch.
 func (w *Watcher) observe(p catalogue.Position) {
 	w.metrics.storeEpoch.Update(float64(p.Epoch))
