Notice in a watch of a key that the store has begun a new epoch

After a restore it returned a value only if its revision was lower or higher than the one that was seen; a version that was accepted at that very revision was never returned, and one that was not was noticed by a read each 25 s at best.

Positions of keys now carry the epoch, a value of another epoch counts as replaced, and the key is read before each poll instead of after it, so that a restore is noticed as soon as the store answers again.

TestWatchAfterRestore: without the comparison of epochs it hangs in fake time (tried); with it each case returns within 1 s. Not changed: a compare-and-swap is still conditioned on the key's revision alone, as the store's protocol has no epoch there.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -102,7 +102,7 @@
 	if m.values[key].Revision != old {
 		return 0, store.Conflict.New("%s", key)
 	}
-	m.values[key] = store.Value{Revision: old + 1, Data: data}
+	m.values[key] = store.Value{Position: store.Position{Revision: old + 1}, Data: data}
 	if m.loseAnswers > 0 {
 		m.loseAnswers--
 		return 0, store.OutcomeUnknown.New("%s", key)
--- a/internal/confstore/read.go
+++ b/internal/confstore/read.go
@@ -16,9 +16,9 @@
 type Snapshot struct {
 	// State is nil before the first version.
 	State *config.State
-	// Head is the stored head, and Revision the revision of its key.
+	// Head is the stored head, and Position that of its last change.
 	Head     Head
-	Revision store.Revision
+	Position store.Position
 }
 
 // Version returns the version of the snapshot, zero before the first.
@@ -54,7 +54,7 @@
 // Watch waits for a head newer than that of known and returns its version, as
 // Read does.
 func (r *Repository) Watch(ctx context.Context, known Snapshot) (Snapshot, error) {
-	value, err := r.store.Watch(ctx, headKey, known.Revision)
+	value, err := r.store.Watch(ctx, headKey, known.Position)
 	if err != nil {
 		return Snapshot{}, err
 	}
@@ -81,7 +81,7 @@
 // assemble builds the version of one head. It reports false if a value is not
 // the one that the head names.
 func (r *Repository) assemble(ctx context.Context, known Snapshot, value store.Value) (Snapshot, bool, error) {
-	s := Snapshot{Revision: value.Revision}
+	s := Snapshot{Position: value.Position}
 	if err := json.Unmarshal(value.Data, &s.Head); err != nil {
 		return s, false, Error.New("decode head: %w", err)
 	}
--- a/internal/confstore/write.go
+++ b/internal/confstore/write.go
@@ -37,13 +37,13 @@
 	if err := r.Trail().Append(ctx, base.Head.Entry); err != nil && !audit.Tampered.Has(err) {
 		return Snapshot{}, unchangedError(err)
 	}
-	revision, err := r.swapHead(ctx, base.Revision, head)
+	revision, err := r.swapHead(ctx, base.Position.Revision, head)
 	if err != nil {
 		return Snapshot{}, err
 	}
 	// The head contains the entry, so the next writer appends it if this fails.
 	_ = r.Trail().Append(ctx, head.Entry)
-	return Snapshot{State: next, Head: head, Revision: revision}, nil
+	return Snapshot{State: next, Head: head, Position: store.Position{Epoch: base.Position.Epoch, Revision: revision}}, nil
 }
 
 // unchangedError returns the error of a write that precedes the swap of the
@@ -66,11 +66,11 @@
 func (r *Repository) buildHead(ctx context.Context, base Snapshot, next *config.State) (Head, []blob, error) {
 	head := Head{Header: next.StateHeader}
 	kept, changed := partition(base, next)
-	encoded, groups, err := encodeValues(base.Revision, changed)
+	encoded, groups, err := encodeValues(base.Position.Revision, changed)
 	if err != nil {
 		return head, nil, err
 	}
-	numbers, err := r.allocate(ctx, len(encoded), base.Head, base.Revision)
+	numbers, err := r.allocate(ctx, len(encoded), base.Head, base.Position.Revision)
 	if err != nil {
 		return head, nil, err
 	}
@@ -80,7 +80,7 @@
 		for _, record := range group {
 			valueNumbers[record.Name] = numbers[i]
 		}
-		blobs = append(blobs, blob{number: numbers[i], base: base.Revision, data: encoded[i]})
+		blobs = append(blobs, blob{number: numbers[i], base: base.Position.Revision, data: encoded[i]})
 		head.Values = append(head.Values, ValueRef{Number: numbers[i], Digest: digest(encoded[i])})
 	}
 	for _, ref := range kept {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -26,10 +26,18 @@
 // write to it; zero means that the key has no value.
 type Revision uint64
 
-// Value is the value of a key and the revision at which it was written.
-type Value struct {
+// Position is a revision within an epoch of the service. A service that has been restored
+// from a backup begins a new epoch, in which revisions after the backup are given out
+// again.
+type Position struct {
+	Epoch    uint64
 	Revision Revision
-	Data     []byte
+}
+
+// Value is the value of a key and the position at which it was written.
+type Value struct {
+	Position
+	Data []byte
 }
 
 // Store is the platform's key-value service as balsamfork uses it. Its methods are safe
@@ -41,9 +49,9 @@
 	// the new revision, or Conflict. After OutcomeUnknown the write may have taken effect.
 	CompareAndSwap(ctx context.Context, key string, old Revision, data []byte) (Revision, error)
 	// Watch waits for a value newer than after and returns it. From time to time it also
-	// reads the key: if the store has lost data, so that the value is older than after, it
-	// returns the older value.
-	Watch(ctx context.Context, key string, after Revision) (Value, error)
+	// reads the key: if the store has lost data, so that the value is older than after or
+	// of another epoch, it returns that value.
+	Watch(ctx context.Context, key string, after Position) (Value, error)
 }
 
 // Service makes single calls to the key-value service, one attempt each. Its errors are
@@ -52,6 +60,6 @@
 	Get(ctx context.Context, key string) (Value, error)
 	CompareAndSwap(ctx context.Context, key string, old Revision, data []byte) (Revision, error)
 	// Poll waits up to the given time for a write to a key after a revision. It returns
-	// the value found, or the zero value, and the revision up to which it has checked.
-	Poll(ctx context.Context, key string, after Revision, wait time.Duration) (Value, Revision, error)
+	// the value found, or the zero value, and the position up to which it has checked.
+	Poll(ctx context.Context, key string, after Revision, wait time.Duration) (Value, Position, error)
 }
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -132,15 +132,20 @@
 	})
 }
 
-// Watch implements store.Store with long polls.
-func (c *Client) Watch(ctx context.Context, key string, after store.Revision) (store.Value, error) {
+// Watch implements store.Store with long polls. It reads the key before each of them, so
+// that it notices a restore of the service at once when the service is back.
+func (c *Client) Watch(ctx context.Context, key string, after store.Position) (store.Value, error) {
 	checked := after
 	for {
-		value, until, err := c.poll(ctx, key, checked)
-		if err != nil || value.Revision > after {
+		if value, replaced := c.replacedValue(ctx, key, after); replaced {
+			return value, nil
+		}
+		value, until, err := c.poll(ctx, key, checked.Revision)
+		if err != nil {
 			return value, err
 		}
-		if value, older := c.olderValue(ctx, key, after); older {
+		sameEpoch := after.Revision == 0 || until.Epoch == after.Epoch
+		if sameEpoch && value.Revision > after.Revision {
 			return value, nil
 		}
 		checked = until
@@ -149,31 +154,31 @@
 
 // poll makes one long poll. It reports the outcome to the circuit breaker only afterwards,
 // so that the breaker does not stay half-open for the duration of the poll.
-func (c *Client) poll(ctx context.Context, key string, after store.Revision) (store.Value, store.Revision, error) {
+func (c *Client) poll(ctx context.Context, key string, after store.Revision) (store.Value, store.Position, error) {
 	if c.breaker.State() == gobreaker.StateOpen {
 		c.rejected.Inc(1)
-		return store.Value{}, 0, store.Unavailable.New("%s: circuit breaker is open", key)
+		return store.Value{}, store.Position{}, store.Unavailable.New("%s: circuit breaker is open", key)
 	}
 	if err := c.limits.reads.Wait(ctx); err != nil {
-		return store.Value{}, 0, store.Unavailable.Wrap(err)
+		return store.Value{}, store.Position{}, store.Unavailable.Wrap(err)
 	}
 	value, until, err := c.service.Poll(ctx, key, after, watchWait)
 	if ctx.Err() != nil {
-		return store.Value{}, 0, store.Unavailable.Wrap(ctx.Err())
+		return store.Value{}, store.Position{}, store.Unavailable.Wrap(ctx.Err())
 	}
 	_, _ = c.breaker.Execute(func() (any, error) { return nil, err })
 	return value, until, err
 }
 
-// olderValue returns the value of a key, and true, if its revision is lower than one that
-// was seen. In this case the store has lost data, and polling alone would return nothing
-// until the revision of the key exceeds the one that was seen.
-func (c *Client) olderValue(ctx context.Context, key string, seen store.Revision) (store.Value, bool) {
-	if seen == 0 {
+// replacedValue returns the value of a key, and true, if it is older than one that was
+// seen or of another epoch. In this case the store has lost data, and polling alone would
+// return nothing until the revision of the key exceeds the one that was seen.
+func (c *Client) replacedValue(ctx context.Context, key string, seen store.Position) (store.Value, bool) {
+	if seen.Revision == 0 {
 		return store.Value{}, false
 	}
 	value, err := c.Get(ctx, key)
-	return value, err == nil && value.Revision < seen
+	return value, err == nil && (value.Epoch != seen.Epoch || value.Revision < seen.Revision)
 }
 
 // protectedCall makes one call within a rate limit and through the circuit breaker.
--- a/internal/storeclient/client_test.go
+++ b/internal/storeclient/client_test.go
@@ -81,7 +81,7 @@
 		for range 600 {
 			_, err := c.CompareAndSwap(t.Context(), "k", 0, nil)
 			is.True(store.Unavailable.Has(err)) // rejected before it took effect
-			_, err = c.Watch(t.Context(), "k", 0)
+			_, err = c.Watch(t.Context(), "k", store.Position{})
 			is.True(store.Unavailable.Has(err))
 			time.Sleep(100 * time.Millisecond)
 		}
@@ -104,7 +104,7 @@
 			time.Sleep(3 * watchWait)
 			_, _ = c.CompareAndSwap(ctx, "k", 0, []byte("a"))
 		}()
-		value, err := c.Watch(ctx, "k", 0)
+		value, err := c.Watch(ctx, "k", store.Position{})
 		is.NoErr(err)
 		is.Equal(string(value.Data), "a")
 		is.True(server.Counts().Reads <= 4) // one for each long poll
@@ -112,11 +112,41 @@
 			time.Sleep(time.Second)
 			server.SetDown(true)
 		}()
-		_, err = c.Watch(ctx, "k", value.Revision)
+		_, err = c.Watch(ctx, "k", value.Position)
 		is.True(store.Unavailable.Has(err))
 	})
 }
 
+// TestWatchAfterRestore guards against a value that a watch never returns because the
+// service was restored from a backup and has given out its revision before.
+func TestWatchAfterRestore(t *testing.T) {
+	for writes := range 4 { // up to one revision more than the one that was seen
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			server := platformtest.NewStore()
+			c := newClient(server, "http://store", 1)
+			server.Put("k", "a")
+			backup := server.Backup()
+			server.Put("other", "b")
+			server.Put("k", "c")
+			seen, err := c.Get(t.Context(), "k")
+			is.NoErr(err)
+			server.SetDown(true)
+			server.Restore(backup)
+			for range writes {
+				server.Put("k", "d")
+			}
+			server.SetDown(false)
+			began := time.Now()
+			value, err := c.Watch(t.Context(), "k", seen.Position)
+			is.NoErr(err)
+			is.Equal(value.Epoch, uint64(2))
+			is.True(string(value.Data) != "c")
+			is.True(time.Since(began) < time.Second)
+		})
+	}
+}
+
 // TestBoundRates lets the clients of fleets of several sizes call continuously
 // for a minute of fake time and counts the calls of each second.
 func TestBoundRates(t *testing.T) {
@@ -163,7 +193,7 @@
 	c := newClient(nil, server.URL, 1)
 	revision, err := c.CompareAndSwap(t.Context(), "a/b c", 0, []byte{0, 1})
 	is.NoErr(err)
-	value, err := c.Watch(t.Context(), "a/b c", revision-1)
+	value, err := c.Watch(t.Context(), "a/b c", store.Position{Epoch: 1, Revision: revision - 1})
 	is.NoErr(err)
 	is.Equal(value.Data, []byte{0, 1})
 	handler.LoseResponses(1)
