Recover the product's configuration after a restore of the store

Callers and operators of balsamforkd would see: a version that was confirmed after a restore is not in force until further versions have passed the number of the last lost one, and what was lost stays in force at the instances but not in the store, until an operator runs balsamfork restore.

Change: a watcher that sees the epoch rise between two of its reads proposes a version (config.Recover) on which store and instances agree: the content in force if the store has only lost versions; if others were accepted since, their content, under a number that no lost version had.

Left to balsamfork restore: a store that is empty, and a restore during which every watcher was restarted.

--- a/internal/confsync/confsync_test.go
+++ b/internal/confsync/confsync_test.go
@@ -277,13 +277,21 @@
 }
 
 func (n *node) checkOrder(rt *rapid.T) {
+	if err := n.orderError(); err != nil {
+		rt.Fatal(err)
+	}
+}
+
+// orderError returns an error if the instance has returned to an older version.
+func (n *node) orderError() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for i := 1; i < len(n.adopted); i++ {
 		if n.adopted[i] <= n.adopted[i-1] {
-			rt.Fatalf("%s went from version %d to %d", n.id, n.adopted[i-1], n.adopted[i])
+			return fmt.Errorf("%s went from version %d to %d", n.id, n.adopted[i-1], n.adopted[i])
 		}
 	}
+	return nil
 }
 
 // injectFault injects one fault and returns the instances that it stopped.
--- a/internal/confsync/doc.go
+++ b/internal/confsync/doc.go
@@ -8,4 +8,7 @@
 // the next message. The other instances read the store only while all peers are
 // silent or while they have no configuration yet. An instance never returns to
 // an older version.
+//
+// A watcher that finds that the store was restored from a backup writes a version
+// to it on which the store and the instances agree again.
 package confsync
--- a/internal/confsync/holder.go
+++ b/internal/confsync/holder.go
@@ -43,6 +43,7 @@
 	pulls             tally.Counter
 	pullFailures      tally.Counter
 	storeReadFailures tally.Counter
+	recoveryFailures  tally.Counter
 	version           tally.Gauge
 }
 
@@ -54,6 +55,7 @@
 		pulls:             scope.Counter("config_pulls"),
 		pullFailures:      scope.Counter("config_pull_failures"),
 		storeReadFailures: scope.Counter("config_store_read_failures"),
+		recoveryFailures:  scope.Counter("config_recovery_failures"),
 		version:           scope.Gauge("config_version"),
 	}
 }
--- a/internal/confsync/storeloop.go
+++ b/internal/confsync/storeloop.go
@@ -53,6 +53,9 @@
 			continue
 		}
 		retry.Reset()
+		if restoredSince(known, snapshot) {
+			s.recoverVersion(ctx, snapshot)
+		}
 		known = snapshot
 		s.activate(ctx, snapshot.State, fromStore)
 	}
--- a/internal/confsync/syncer.go
+++ b/internal/confsync/syncer.go
@@ -26,7 +26,8 @@
 	MethodVersion = "config.version"
 )
 
-// Store reads the configuration from the store.
+// Store reads the configuration from the store, and writes it after a restore of the
+// store.
 type Store interface {
 	// Read returns the newest version and reads only the records that known
 	// lacks.
@@ -34,6 +35,8 @@
 	// Watch waits for a head newer than that of known and returns its version,
 	// as Read does.
 	Watch(ctx context.Context, known confstore.Snapshot) (confstore.Snapshot, error)
+	// Propose writes the version that a proposal derives.
+	Propose(ctx context.Context, propose config.Proposal, change config.Change) (confstore.Outcome, error)
 }
 
 // Limiter divides the read rate of the store among the instances.
@@ -56,6 +59,7 @@
 
 // Syncer keeps the newest configuration in force at one instance.
 type Syncer struct {
+	self        fleet.ID
 	store       Store
 	limits      Limiter
 	peers       peer.Caller
@@ -81,6 +85,7 @@
 		o.Log = slog.New(slog.DiscardHandler)
 	}
 	s := &Syncer{
+		self:        o.Self,
 		store:       o.Store,
 		limits:      o.Limits,
 		peers:       o.Peers,
--- a/internal/storeclient/client_test.go
+++ b/internal/storeclient/client_test.go
@@ -137,8 +137,10 @@
 				server.Put("k", "d")
 			}
 			server.SetDown(false)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
 			began := time.Now()
-			value, err := c.Watch(t.Context(), "k", seen.Position)
+			value, err := c.Watch(ctx, "k", seen.Position)
 			is.NoErr(err)
 			is.Equal(value.Epoch, uint64(2))
 			is.True(string(value.Data) != "c")
