--- a/internal/confsync/confsync_test.go
+++ b/internal/confsync/confsync_test.go
@@ -233,8 +233,8 @@
 }
 
 // TestFaults injects random faults, alone and in pairs: the store down, slow,
-// losing answers or returning stale values, instances killed and restarted, a
-// data centre cut off from the others, from the store or from both. No instance
+// losing answers or returning stale values, restored from an earlier copy, instances
+// killed and restarted, a data centre cut off from the others, from the store or from both. No instance
 // may return to an older version, and all must have the newest version soon
 // after the last fault.
 func TestFaults(t *testing.T) {
@@ -249,6 +249,7 @@
 			}
 			b.startAll()
 			time.Sleep(3 * time.Second)
+			b.backup = b.store.Backup()
 			var checked []*node
 			for step := range rapid.IntRange(1, 12).Draw(rt, "steps") {
 				for range rapid.IntRange(1, 2).Draw(rt, "faults") {
@@ -297,7 +298,7 @@
 // injectFault injects one fault and returns the instances that it stopped.
 func (b *testBed) injectFault(rt *rapid.T) []*node {
 	id := b.instances[rapid.IntRange(0, len(b.instances)-1).Draw(rt, "instance")].ID
-	switch rapid.IntRange(0, 6).Draw(rt, "fault") {
+	switch rapid.IntRange(0, 8).Draw(rt, "fault") {
 	case 0:
 		b.store.SetDown(rapid.Bool().Draw(rt, "down"))
 	case 1:
@@ -311,6 +312,10 @@
 		b.kill(id)
 		b.start(id)
 		return []*node{old}
+	case 5:
+		b.backup = b.store.Backup()
+	case 6:
+		b.store.Restore(b.backup)
 	default:
 		b.setPartition(id, rapid.IntRange(0, 2).Draw(rt, "side"), rapid.Bool().Draw(rt, "store"))
 	}
--- a/internal/confsync/fleet_test.go
+++ b/internal/confsync/fleet_test.go
@@ -36,7 +36,9 @@
 // testBed is a fleet that shares one fake store, on an in-memory network.
 type testBed struct {
 	store *platformtest.Store
-	ctx   context.Context
+	// backup is the copy from which the store is restored.
+	backup platformtest.Backup
+	ctx    context.Context
 
 	mu        sync.Mutex
 	instances []fleet.Instance
