Restore the store during the soak of flowd

Restores come on a schedule of their own, one each 3 s in the mean, from copies up to 3 s old; what is lost is written again within 2 s. The schedules of other faults, and so the regression seeds, stay as they are.

--- a/cmd/balsamfork-flowd/soak_test.go
+++ b/cmd/balsamfork-flowd/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"os"
@@ -109,6 +110,8 @@
 			}
 		}
 	}
+	s.faults.Add(1)
+	go s.injectRestores(span)
 	s.injectFaults(span)
 	s.faults.Wait()
 	s.recordDisturbance()
@@ -327,6 +330,36 @@
 	s.recordDisturbance()
 }
 
+const (
+	// meanRestorePause is the mean time between restores of the store. backupAge is the
+	// greatest age of the copy that is restored, restoreTime how long the store is down for
+	// it, and rewriteTime the time after which all that was lost is written again.
+	meanRestorePause = 3 * time.Second
+	backupAge        = 3 * time.Second
+	restoreTime      = 400 * time.Millisecond
+	rewriteTime      = 2 * time.Second
+)
+
+// injectRestores restores the store from earlier copies for the given time. It has random
+// numbers of its own, so that the seeds of other faults keep their schedules.
+func (s *soakRun) injectRestores(span time.Duration) {
+	defer s.faults.Done()
+	random := rand.New(rand.NewPCG(s.seed, math.MaxUint64))
+	for end := time.Now().Add(span); time.Now().Before(end); {
+		time.Sleep(meanRestorePause/2 + time.Duration(random.Int64N(int64(meanRestorePause))))
+		backup := s.store.Backup()
+		time.Sleep(time.Duration(random.Int64N(int64(backupAge))))
+		s.recordDisturbance()
+		s.store.SetFailure(platformtest.Busy)
+		time.Sleep(restoreTime)
+		lost := s.store.Restore(backup)
+		s.store.SetFailure(platformtest.None)
+		time.Sleep(time.Duration(random.Int64N(int64(rewriteTime))))
+		s.store.WriteAgain(lost, backup)
+		s.recordDisturbance()
+	}
+}
+
 func (s *soakRun) compact(fault) {
 	s.recordDisturbance()
 	s.store.Compact()
