--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -10,7 +10,7 @@
 )
 
 const firstLog = `edge-1 | {"time":"2026-12-04T06:00:00.000Z","level":"INFO","msg":"Catalogue changed.","instance":"e1","part":"catalogue","revision":9,"server":"i-1","state":"ready","source":"store","age_ms":0}
-{"time":"2026-12-04T06:00:01.000Z","level":"INFO","msg":"Flow decided.","instance":"e1","part":"flows","flow":"100.64.0.7:4001","to":"198.18.0.1:443","copy":0,"action":"forward","reason":"placed","revision":9,"age_ms":120,"version":7,"service":"desk","tier":"local","server":"i-1","load":0.25}
+{"time":"2026-12-04T06:00:01.000Z","level":"INFO","msg":"Flow decided.","instance":"e1","part":"flows","flow":"100.64.0.7:4001","to":"198.18.0.1:443","copy":0,"action":"forward","reason":"placed","epoch":2,"revision":9,"age_ms":120,"version":7,"service":"desk","tier":"local","server":"i-1","load":0.25}
 {"time":"2026-12-04T06:00:01.100Z","level":"INFO","msg":"Flow decided.","instance":"e1","part":"flows","flow":"100.64.0.7:4002","to":"198.18.0.1:443","copy":0,"action":"forward","reason":"placed","server":"i-2"}
 {"time":"2026-12-04T06:00:01.150Z","level":"WARN","msg":"Backend server is suspected.","instance":"e1","part":"flows","server":"i-1","evidence":"own traffic","accounts":2,"silent_ms":900}
 {"time":"2026-12-04T06:00:01.160Z","level":"WARN","msg":"Backend server is suspected.","instance":"e1","part":"flows","server":"i-9","evidence":"peers"}
@@ -44,7 +44,7 @@
 	var out bytes.Buffer
 	r.Text(&out)
 	is.Equal(out.String(), `  06:00:00.000 e1: Catalogue changed., server i-1, state ready, from store, revision 9, age ms 0
-06:00:01.000 e1: forward, placed, to i-1, tier local, load 0.25, configuration 7, revision 9, known ms ago: 120
+06:00:01.000 e1: forward, placed, to i-1, tier local, load 0.25, configuration 7, epoch 2, revision 9, known ms ago: 120
   06:00:01.150 e1: Backend server is suspected., server i-1, evidence own traffic, accounts 2, silent ms 900
 06:00:01.200 e2: forward, moved, copy 1, to i-2, unanswered before by i-1
 gap: 06:00:02.000 e1 left out 12 lines.
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -42,6 +42,7 @@
 	DataCentre     string   `json:"data_centre"`
 	Error          string   `json:"error"`
 	Version        *int64   `json:"version"`
+	Epoch          *uint64  `json:"epoch"`
 	Revision       *uint64  `json:"revision"`
 	AgeMS          *int64   `json:"age_ms"`
 	AfterMS        *float64 `json:"after_ms"`
--- a/internal/flowpath/log.go
+++ b/internal/flowpath/log.go
@@ -16,6 +16,7 @@
 		slog.Int("copy", packet.Copy),
 		slog.String("action", v.Action.String()),
 		slog.String("reason", v.Reason.String()),
+		slog.Uint64("epoch", state.Snapshot.Epoch),
 		slog.Uint64("revision", state.Snapshot.Revision),
 		slog.Int64("age_ms", (now-state.Known)/int64(time.Millisecond)),
 	}
