Check in the soak that the last configuration is in force after restores

Each configuration of the soak has a route of its own and drops that of the one before. A restore loses a configuration, which is written again or followed by another at the same revision. After the faults, flows to the last route must open at every caller, and flows to the one before must not.

--- a/cmd/balsamfork-flowd/deployment_test.go
+++ b/cmd/balsamfork-flowd/deployment_test.go
@@ -138,10 +138,21 @@
 	sheetsAddress = netip.MustParseAddrPort("198.18.0.2:443")
 )
 
-// configure writes the next version of the configuration.
+// versionStep is the difference between the versions of two configurations.
+const versionStep = 3
+
+// configure writes the next version of the configuration. It adds a route of its own and
+// removes that of the version before.
 func (d *deployment) configure() {
-	d.version += 3
-	d.store.Configure(d.version, platformtest.Route{To: deskAddress, Service: "desk"}, platformtest.Route{To: sheetsAddress, Service: "sheets"})
+	d.version += versionStep
+	d.store.Configure(d.version, platformtest.Route{To: deskAddress, Service: "desk"}, platformtest.Route{To: sheetsAddress, Service: "sheets"},
+		platformtest.Route{To: versionAddress(d.version), Service: "desk"})
+}
+
+// versionAddress returns the address of the route that only one version of the
+// configuration has.
+func versionAddress(version int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(1 + version>>8), byte(version)}), 443)
 }
 
 // addServer starts a backend server, which is cold for the warm-up time, and registers
--- a/cmd/balsamfork-flowd/soak_test.go
+++ b/cmd/balsamfork-flowd/soak_test.go
@@ -96,11 +96,13 @@
 	time.Sleep(2 * time.Second)
 	stop := make(chan struct{})
 	var traffic sync.WaitGroup
+	var callers []*platformtest.Caller
 	for c := range dataCentres {
 		for n := range callersPerDataCentre {
 			caller, err := platformtest.NewCaller(netip.AddrPortFrom(s.address(30+c, n), packetPort), s.route(dataCentreName(c)))
 			s.must(err)
 			defer caller.Close()
+			callers = append(callers, caller)
 			for k := range 4 {
 				traffic.Add(1)
 				go func() {
@@ -118,6 +120,9 @@
 	time.Sleep(recoveryTime)
 	s.mustServe.Store(true)
 	time.Sleep(2 * time.Second)
+	for _, caller := range callers {
+		s.checkRoutes(caller)
+	}
 	close(stop)
 	traffic.Wait()
 	s.checkDrains()
@@ -185,6 +190,24 @@
 	}
 }
 
+// checkRoutes checks that flows to the route of the last configuration open, and that
+// those to the route of the one before, which the last has removed, do not.
+func (s *soakRun) checkRoutes(caller *platformtest.Caller) {
+	const tries = 5 // flows are spread over the instances by their ports
+	for range tries {
+		flow, outcome := caller.Open(versionAddress(s.version))
+		if flow == nil {
+			s.failf("the route of version %d is not served: outcome %d", s.version, outcome)
+			continue
+		}
+		flow.Close()
+		if flow, _ = caller.Open(versionAddress(s.version - versionStep)); flow != nil {
+			s.failf("the route of version %d is served after version %d", s.version-versionStep, s.version)
+			flow.Close()
+		}
+	}
+}
+
 // checkDrains checks that servers got no new flows later than drainTimeout after the
 // start of their drain.
 func (s *soakRun) checkDrains() {
@@ -340,8 +363,9 @@
 	rewriteTime      = 2 * time.Second
 )
 
-// injectRestores restores the store from earlier copies for the given time. It has random
-// numbers of its own, so that the seeds of other faults keep their schedules.
+// injectRestores restores the store from earlier copies for the given time. A
+// configuration is lost by each restore, and written again or followed by another one. It
+// has random numbers of its own, so that the seeds of other faults keep their schedules.
 func (s *soakRun) injectRestores(span time.Duration) {
 	defer s.faults.Done()
 	random := rand.New(rand.NewPCG(s.seed, math.MaxUint64))
@@ -349,11 +373,16 @@
 		time.Sleep(meanRestorePause/2 + time.Duration(random.Int64N(int64(meanRestorePause))))
 		backup := s.store.Backup()
 		time.Sleep(time.Duration(random.Int64N(int64(backupAge))))
+		s.reconfigure(fault{})
+		time.Sleep(restoreTime)
 		s.recordDisturbance()
 		s.store.SetFailure(platformtest.Busy)
 		time.Sleep(restoreTime)
 		lost := s.store.Restore(backup)
 		s.store.SetFailure(platformtest.None)
+		if random.IntN(2) == 0 {
+			s.reconfigure(fault{})
+		}
 		time.Sleep(time.Duration(random.Int64N(int64(rewriteTime))))
 		s.store.WriteAgain(lost, backup)
 		s.recordDisturbance()
