Reset flows of a missing server only by a catalogue read after the grace period

The server had registered again within 2 s of the store's return; the catalogue of the instance was 0.9 and 1.5 s old and from before that.

Cause, the class of the incident once more: a decision by what was known at one time, taken for what is true now. The grace period of 2.2 s was counted by the clock, so that it left 0.2 s for reading. Now it is counted to the last confirmation of the catalogue.

TestFlowIsNotResetByAnOutdatedCatalogue failed before. TestFlowOfARemovedServerIsResetAfterTheGracePeriod expected the reset with a catalogue that was 2.3 s old, which was the fault; it now confirms the catalogue first and is otherwise as strict.

--- a/internal/flowpath/decider_test.go
+++ b/internal/flowpath/decider_test.go
@@ -256,11 +256,28 @@
 	h.known = h.now
 	is.Equal(h.send(1, b.Cookie, 1, 100).Action, Forward) // the entry may only have expired
 	h.now += 2300 * ms
+	h.known = h.now
 	v := h.send(1, b.Cookie, 1, 100)
 	is.Equal(v.Action, Reset)
 	is.Equal(v.Reason, ServerGone)
 }
 
+// TestFlowIsNotResetByAnOutdatedCatalogue guards against resets of open flows at a server
+// that has registered again within the grace period, as after a restore of the store, by an
+// instance whose catalogue is from before that.
+func TestFlowIsNotResetByAnOutdatedCatalogue(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(3, nil)
+	b := h.open(1, 0).Backend
+	h.send(1, b.Cookie, 1, 0)
+	h.apply(catalogue.Record{ID: catalogue.ID{Kind: catalogue.KindServer, Name: b.Name}, Revision: 101, Removed: true})
+	h.known = h.now + 2100*ms
+	h.now += 2900 * ms
+	is.Equal(h.send(1, b.Cookie, 1, 100).Action, Forward)
+	h.known = h.now // the server is still missing
+	is.Equal(h.send(1, b.Cookie, 1, 100).Reason, ServerGone)
+}
+
 // TestUnknownCookie covers a flow that was opened at a server that had just
 // registered, and whose next packet reached an instance with a catalogue 0.4 s old
 // (hunt-293b-3 of kernhaven-orders-grown).
--- a/internal/flowpath/established.go
+++ b/internal/flowpath/established.go
@@ -24,7 +24,7 @@
 	if backend == nil {
 		return d.decideUnknownCookie(p, state, now)
 	}
-	if backend.Removed != 0 && now-backend.Removed > int64(selection.RemovedGracePeriod) {
+	if departed(backend, state) {
 		return Verdict{Action: Reset, Reason: ServerGone, Backend: backend}
 	}
 	d.updateFlow(p, e, hash, backend, now)
@@ -34,6 +34,12 @@
 	return Verdict{Action: Forward, Reason: reason, Backend: backend}
 }
 
+// departed reports whether a server's record is missing in a catalogue read after the
+// grace period, in which lost records return. An older catalogue does not show it.
+func departed(b *catalogue.Backend, state CatalogueState) bool {
+	return b.Removed != 0 && state.Known-b.Removed > int64(selection.RemovedGracePeriod)
+}
+
 // isDead reports whether a server is certain to be dead, so that its callers should
 // reconnect to another one. Only local servers are judged: a remote one may be alive
 // behind a network partition.
