Keep the warm-up of a server whose report is passed on after a restore

An instance that had the server's report from before a restore took the same report from a peer: it kept the time of its own read, but the peer had passed on what remained of the warm-up, so that the time since the first read was subtracted twice.

A report that is repeated in another epoch now keeps both the time at which it was read and the warm-up at that time.

TestRestoredWarmUpIsNotRepeated has the case and failed before (warm 1 s early).

--- a/internal/catalogue/entry.go
+++ b/internal/catalogue/entry.go
@@ -58,12 +58,13 @@
 	return 0, false
 }
 
-// set replaces the record of the entry. A report that a server has written before keeps
-// the time at which it was read first, from which its warm-up counts.
+// set replaces the record of the entry. A report that was read in an earlier epoch stays
+// as it was then, since the server's warm-up counts from that time.
 func (e *entry) set(r Record, readAt int64) {
-	if order, known := e.compareWriting(r); !known || order != 0 || e.record.Removed {
-		e.readAt = readAt
+	if e.repeatedBy(r) {
+		r.Server, readAt = e.record.Server, e.readAt
 	}
+	e.readAt = readAt
 	if r.Created != 0 {
 		e.created = Position{Epoch: r.Epoch, Revision: r.Created}
 	}
@@ -79,6 +80,16 @@
 	}
 }
 
+// repeatedBy reports whether a record of another epoch has the report of a server that
+// the record of the entry has.
+func (e *entry) repeatedBy(r Record) bool {
+	if r.Epoch == e.record.Epoch || r.Server == nil || e.record.Server == nil {
+		return false
+	}
+	order, known := r.Server.compareReport(e.record.Server)
+	return known && order == 0
+}
+
 // removeImplied sets a removal that follows from the absence of the entity in a complete
 // delta.
 func (e *entry) removeImplied(r Record, readAt int64) {
--- a/internal/catalogue/restore_test.go
+++ b/internal/catalogue/restore_test.go
@@ -92,6 +92,17 @@
 	m.Apply(complete(Position{1, 5}, report("s1", Position{1, 5}, 7, 3, cold)), int64(time.Second), 0)
 	m.Apply(complete(Position{2, 4}, report("s1", Position{2, 4}, 7, 3, cold)), int64(2*time.Second), 0)
 	is.Equal(findBackend(m, "s1").WarmAt, int64(3*time.Second)) // written again
+
+	reader, peer := NewMirror(), NewMirror()
+	for _, m := range []*Mirror{reader, peer} {
+		m.Apply(complete(Position{1, 5}, report("s1", Position{1, 5}, 7, 3, cold)), int64(time.Second), 0)
+	}
+	reader.Apply(complete(Position{2, 4}, report("s1", Position{2, 4}, 7, 3, cold)), int64(2*time.Second), 0)
+	peer.Apply(reader.Since(peer.Snapshot().Position, int64(2*time.Second)), int64(2*time.Second), 0)
+	is.Equal(findBackend(peer, "s1").WarmAt, int64(3*time.Second)) // passed on with what remains of the warm-up
+	started := NewMirror()
+	started.Apply(peer.Since(Position{}, int64(2*time.Second)), int64(2*time.Second), 0)
+	is.Equal(findBackend(started, "s1").WarmAt, int64(3*time.Second))
 	m.Apply(complete(Position{3, 4}, report("s1", Position{3, 4}, 7, 1, nil)), int64(2*time.Second), 0)
 	is.Equal(findBackend(m, "s1").WarmAt, int64(3*time.Second)) // from before the server turned cold
 }
