--- a/internal/catalogue/restore_test.go
+++ b/internal/catalogue/restore_test.go
@@ -215,10 +215,21 @@
 type restoreModel struct {
 	store   *restorableStore
 	mirrors []*Mirror
-	sent    []Delta
+	sent    []sentDelta
 	starts  int64
+	// now is the time, and coldUntil the end of the warm-up of a server by its start.
+	now       int64
+	coldUntil map[int64]int64
 }
 
+// sentDelta is a delta as it was passed on, and the time as of which it is valid.
+type sentDelta struct {
+	Delta
+	asOf int64
+}
+
+const modelWarmup = 2 * time.Second
+
 // change lets the operator write a configuration, or a server register, report or leave.
 func (m *restoreModel) change(t *rapid.T) {
 	if len(m.store.lost) > 0 && rapid.IntRange(0, 2).Draw(t, "rewrite") > 0 {
@@ -239,7 +250,8 @@
 	switch {
 	case !found || r.Removed:
 		m.starts++
-		m.store.write(report(name, Position{}, m.starts, 1, nil))
+		m.coldUntil[m.starts] = m.now + int64(modelWarmup)
+		m.store.write(report(name, Position{}, m.starts, 1, func(s *Server) { s.Warmup = modelWarmup }))
 	case rapid.Bool().Draw(t, "leaves"):
 		m.store.write(Record{ID: r.ID, Removed: true})
 	default:
@@ -251,20 +263,22 @@
 
 // step changes the store, or lets a mirror read or receive something.
 func (m *restoreModel) step(t *rapid.T) {
+	m.now += int64(rapid.IntRange(1, 300).Draw(t, "ms")) * int64(time.Millisecond)
 	mirror := m.mirrors[rapid.IntRange(0, len(m.mirrors)-1).Draw(t, "mirror")]
 	switch rapid.IntRange(0, 7).Draw(t, "action") {
 	case 0, 1:
 		m.change(t)
 	case 2:
-		mirror.Apply(m.store.all(), 1, 0)
+		mirror.Apply(m.store.all(), m.now, 0)
 	case 3, 4:
 		m.read(mirror)
 	case 5:
 		other := m.mirrors[rapid.IntRange(0, len(m.mirrors)-1).Draw(t, "asking mirror")]
-		m.sent = append(m.sent, mirror.Since(other.Snapshot().Position, 1))
+		m.sent = append(m.sent, sentDelta{mirror.Since(other.Snapshot().Position, m.now), m.now})
 	case 6:
 		if len(m.sent) > 0 {
-			mirror.Apply(m.sent[rapid.IntRange(0, len(m.sent)-1).Draw(t, "delivered")], 1, 0)
+			d := m.sent[rapid.IntRange(0, len(m.sent)-1).Draw(t, "delivered")]
+			mirror.Apply(d.Delta, m.now, time.Duration(m.now-d.asOf))
 		}
 	case 7:
 		if rapid.IntRange(0, 2).Draw(t, "restore") == 0 {
@@ -277,20 +291,20 @@
 func (m *restoreModel) read(mirror *Mirror) {
 	at := mirror.Snapshot().Position
 	if at.Epoch != m.store.epoch || at.Revision > m.store.position().Revision {
-		mirror.Apply(m.store.all(), 1, 0)
+		mirror.Apply(m.store.all(), m.now, 0)
 		return
 	}
-	mirror.Apply(m.store.since(at.Revision), 1, 0)
+	mirror.Apply(m.store.since(at.Revision), m.now, 0)
 }
 
 // TestMirrorsFollowARestoredStore restores a store at random moments to random earlier
 // revisions, while mirrors read it and one another, late and repeatedly. No mirror
 // returns to an older configuration, uses a server again that it knows to be draining,
-// or one that it knows to have left; once what was lost is written again, each mirror
+// one that it knows to have left, or a cold one as a warm one; once what was lost is written again, each mirror
 // holds what the store holds.
 func TestMirrorsFollowARestoredStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &restoreModel{store: newRestorableStore(), mirrors: []*Mirror{NewMirror(), NewMirror(), NewMirror()}}
+		m := &restoreModel{store: newRestorableStore(), mirrors: []*Mirror{NewMirror(), NewMirror(), NewMirror()}, coldUntil: map[int64]int64{}}
 		for range 150 {
 			before, left := make([]*Snapshot, len(m.mirrors)), make([][]Server, len(m.mirrors))
 			for i, mirror := range m.mirrors {
@@ -300,6 +314,7 @@
 			for i, mirror := range m.mirrors {
 				checkNotOlder(t, before[i], mirror.Snapshot())
 				checkDeparted(t, left[i], mirror.Snapshot())
+				m.checkWarmUps(t, mirror.Snapshot())
 			}
 		}
 		for len(m.store.lost) > 0 {
@@ -334,6 +349,15 @@
 	}
 }
 
+// checkWarmUps fails if a server whose first report a mirror holds is warm too early.
+func (m *restoreModel) checkWarmUps(t *rapid.T, snap *Snapshot) {
+	for _, b := range snap.Backends("desk") {
+		if b.Removed == 0 && b.Report == 1 && m.now < m.coldUntil[b.Started] && !b.Cold(m.now) {
+			t.Fatalf("server %+v is warm at %v, not at %v", b, time.Duration(m.now), time.Duration(m.coldUntil[b.Started]))
+		}
+	}
+}
+
 // checkNotOlder fails if a snapshot undoes what an earlier one of the same mirror knew.
 func checkNotOlder(t *rapid.T, before, after *Snapshot) {
 	if before.Configuration != nil && (after.Configuration == nil || after.Configuration.Version < before.Configuration.Version) {
