Keep the metric of kept entries up to date at instances that do not read

catalogue_kept was set only by an instance's own reads, so one that had read at the restore and then yielded would have shown entries as kept for ever; and it counted servers that are missing, which is no task of the operator. It now follows deltas of peers too, and counts entries of which the store holds an earlier state.

--- a/internal/catalogue/mirror.go
+++ b/internal/catalogue/mirror.go
@@ -133,14 +133,14 @@
 	return true
 }
 
-// Kept returns the number of entities that the mirror has kept from an earlier epoch,
-// removed ones excluded: the store has lost them, or holds an earlier state of them.
+// Kept returns the number of entities whose state the mirror has kept from an earlier
+// epoch, since the store holds an earlier one.
 func (m *Mirror) Kept() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	n := 0
 	for _, e := range m.entries {
-		if e.record.Epoch != m.position.Epoch && !e.record.Removed || e.lost {
+		if e.record.Epoch != m.position.Epoch && !e.record.Removed {
 			n++
 		}
 	}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -51,7 +51,9 @@
 	reads    singleflight.Group
 	// storeEpoch is the epoch that was last read from the store, 0 before the first read.
 	storeEpoch uint64
-	metrics    metrics
+	// kept is the last number of records that the mirror had kept from an earlier epoch.
+	kept    atomic.Int64
+	metrics metrics
 }
 
 type metrics struct {
@@ -84,12 +86,13 @@
 // ApplyDelta applies a delta of the given age that a peer passed on, and reports
 // whether it is contiguous with what is known.
 func (w *Watcher) ApplyDelta(d catalogue.Delta, age time.Duration) bool {
-	now := w.Clock()
+	now, before := w.Clock(), w.Mirror.Snapshot().Position
 	changed, ok := w.Mirror.Apply(d, now, age)
 	if !ok {
 		return false
 	}
 	w.report(changed, "peer", age)
+	w.reportKept(d.Epoch, before.Epoch)
 	w.advanceKnown(now - int64(age))
 	return true
 }
@@ -233,11 +236,17 @@
 	return Refused.New("store at epoch %d, revision %d; catalogue at epoch %d, revision %d", d.Epoch, d.Revision, current.Epoch, current.Revision)
 }
 
-// reportKept logs how much of the catalogue is kept from before a restore of the store.
+// reportKept logs how much of the catalogue is kept when a delta leads to a new epoch, and
+// keeps the metric up to date until nothing is.
 func (w *Watcher) reportKept(epoch, before uint64) {
+	restored := before != 0 && epoch != before
+	if !restored && w.kept.Load() == 0 {
+		return
+	}
 	kept := w.Mirror.Kept()
+	w.kept.Store(int64(kept))
 	w.metrics.kept.Update(float64(kept))
-	if before != 0 && epoch != before {
+	if restored {
 		w.Log.Info("Catalogue follows the restored store.", "epoch", epoch, "kept", kept)
 	}
 }
