--- a/internal/confsync/confsync_test.go
+++ b/internal/confsync/confsync_test.go
@@ -420,7 +420,8 @@
 		b.startAll()
 		time.Sleep(5 * time.Second)
 		h := &b.nodes["dc0-00"].sync.holder
-		newer, intact := *h.state, *h.state
+		state, _ := h.current()
+		newer, intact := *state, *state
 		newer.Version, newer.Format, newer.ReadableFrom = 3, config.StoredFormat+1, config.StoredFormat+1
 		intact.Version = 2
 		is.True(!h.adopt(&newer, fromPeer))
@@ -433,6 +434,8 @@
 			is.True(!h.adopt(&newer, fromStore))
 			is.True(!h.wants(v))
 		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
 		is.True(len(h.refused) <= maxRefused)
 	})
 }
