--- a/internal/catalogue/restore_test.go
+++ b/internal/catalogue/restore_test.go
@@ -75,10 +75,10 @@
 		report("new", Position{2, 7}, 9, 1, nil),
 		report("draining", Position{2, 8}, 8, 1, nil),
 	}}, 11, 0)
-	is.True(findPresent(m, "again") != nil)         // it has written since
-	is.True(findPresent(m, "new") != nil)           // the same report, written again
-	is.True(!findPresent(m, "draining").Draining)   // another start of the server
-	is.Equal(m.Snapshot().Position, Position{2, 8}) //
+	is.True(findPresent(m, "again") != nil)       // it has written since
+	is.True(findPresent(m, "new") != nil)         // the same report, written again
+	is.True(!findPresent(m, "draining").Draining) // another start of the server
+	is.Equal(m.Snapshot().Position, Position{2, 8})
 	is.True(m.HasChangesSince(Position{Epoch: 2, Revision: 5}))
 	is.True(!m.HasChangesSince(Position{Epoch: 1, Revision: 8}))
 }
--- a/internal/config/recover.go
+++ b/internal/config/recover.go
@@ -6,7 +6,9 @@
 // instances agree again, given the version in force at an instance. A store that has only
 // lost versions gets the content of the version in force. If others were accepted in the
 // store since the restore, their content is kept, under a number that no lost version had.
-// Nothing changes if the store is ahead of the instance or has the same version.
+// Nothing changes if the store is ahead of the instance or has the same version. The
+// version in force must not be nil. Errors are Invalid if it is damaged, and Newer if a
+// newer release has written it or the stored one.
 func Recover(inForce *State) Proposal {
 	return func(old *State, change Change) (*State, *Diff, error) {
 		if err := inForce.Check(); err != nil {
