Review, case 4: new flows go to an evacuated zone on reused ports

Cause: the entry of an opening packet that a frozen instance has forwarded too late waits for its handshake for good. When the caller uses the port again, the new flow counts as a copy of the old one and goes to the old server, without a look at evacuations.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,4 +5,4 @@
 [ -x target/review-standin ] && [ -x target/balsamfork-flowd ] || exit 2
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec target/review-standin -scenario reborn -trouble=$trouble -record review/4/record.txt
+exec target/review-standin -scenario evacuate -trouble=$trouble -record review/4/record.txt
--- a/review/standin/judge.go
+++ b/review/standin/judge.go
@@ -15,6 +15,7 @@
 	flowReorder     = 2 * time.Second
 	maxFlowAge      = 60 * time.Second
 	idleTimeout     = 15 * time.Second
+	evacuateTime    = 5 * time.Second
 	// strays is the number of packets at other servers from which a flow counts as lost.
 	strays = 3
 )
@@ -47,6 +48,8 @@
 	// disturbed holds the end of the last disturbance of each instance and server, or the far future
 	// while it lasts. Planned work is no disturbance.
 	disturbed map[netip.Addr]time.Time
+	// evacuated holds when the evacuation of each zone was acknowledged.
+	evacuated map[string]time.Time
 	sent      int
 	answered  int
 	runs      int
@@ -59,7 +62,7 @@
 	}
 	return &judge{
 		out: bufio.NewWriter(file), file: file, began: time.Now(), flows: map[flowKey]*flowRecord{},
-		disturbed: map[netip.Addr]time.Time{},
+		disturbed: map[netip.Addr]time.Time{}, evacuated: map[string]time.Time{},
 	}, nil
 }
 
@@ -132,6 +135,32 @@
 	delete(j.flows, k)
 }
 
+// evacuate records that the evacuation of a zone has been acknowledged.
+func (j *judge) evacuate(zone string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.evacuated[zone] = time.Now()
+	j.write("evacuation of %s acknowledged", zone)
+}
+
+// took judges by the rule EVAC that a server has taken an opening packet from an instance.
+func (j *judge) took(k flowKey, s *server, instance netip.Addr) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	at, found := j.evacuated[s.zone]
+	now := time.Now()
+	if !found || now.Sub(at) <= evacuateTime {
+		return
+	}
+	if !j.inTouch(instance, now) {
+		j.excused++
+		j.write("excused: flow %v -> %v: opened through %v, not in touch, at %v, evacuated", k.source, k.destination, instance, s)
+		return
+	}
+	j.breach("EVAC: flow %v -> %v: opened through %v at %v, %.1f s after the evacuation was acknowledged",
+		k.source, k.destination, instance, s, now.Sub(at).Seconds())
+}
+
 // exempt reports whether a flow is too old or has been idle for too long to count.
 func (r *flowRecord) exempt(now time.Time) bool {
 	return now.Sub(r.openedAt) > maxFlowAge || now.Sub(r.lastAt) > idleTimeout
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -111,7 +111,7 @@
 	ordersASecond  = 83.1
 	sheetsASecond  = 24.9
 	firstUserPort  = uint16(40000)
-	portsForOrders = uint16(100)
+	portsForOrders = uint16(85)
 	storePort      = uint16(8169)
 	firstOrderPort = uint16(1024)
 )
--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -12,6 +12,7 @@
 	"cut-server":  cutServer,
 	"ports-again": portsAgain,
 	"freeze":      freeze,
+	"evacuate":    evacuate,
 	"reborn":      reborn,
 }
 
@@ -150,6 +151,42 @@
 	time.Sleep(1300 * time.Millisecond)
 }
 
+// evacuate empties a zone some time after instances of it were frozen for a moment each.
+func evacuate(d *deployment) {
+	d.startFeeds(feed{requests: 5, pause: time.Second, ports: 1000})
+	d.startOrders()
+	end := time.Now().Add(107 * time.Second)
+	time.Sleep(6 * time.Second)
+	zone := len(zones) - 1
+	first := len(d.instances) - instancesIn[zone]
+	for _, n := range d.random.Perm(instancesIn[zone])[:frozen] {
+		d.freezeOne(d.instances[first+n], d.trouble)
+		time.Sleep(6 * time.Second)
+	}
+	time.Sleep(time.Until(end) - 35*time.Second)
+	d.store.Put("op/evacuate/"+zones[zone], map[string]any{})
+	d.judge.evacuate(zones[zone])
+	time.Sleep(time.Until(end))
+}
+
+// frozen is the number of instances that are frozen before the evacuation.
+const frozen = 3
+
+// freezeOne stops an instance for 2.5 s, or only waits.
+func (d *deployment) freezeOne(i *instance, trouble bool) {
+	if trouble {
+		d.judge.note("SIGSTOP to %s", i.name)
+		d.judge.disturb(i.address)
+		i.signal(syscall.SIGSTOP)
+	}
+	time.Sleep(2500 * time.Millisecond)
+	if trouble {
+		i.signal(syscall.SIGCONT)
+		d.judge.calm(i.address)
+		d.judge.note("SIGCONT to %s", i.name)
+	}
+}
+
 // freeze stops one instance for 2.5 s at a time, and lets it run again.
 func freeze(d *deployment) {
 	d.startFeeds(feed{requests: 2, pause: 8 * time.Second, ports: 1000})
@@ -158,17 +195,7 @@
 	time.Sleep(8 * time.Second)
 	for time.Until(end) > 15*time.Second {
 		i := d.instances[instancesIn[0]+d.random.IntN(len(d.instances)-instancesIn[0])]
-		if d.trouble {
-			d.judge.note("SIGSTOP to %s", i.name)
-			d.judge.disturb(i.address)
-			i.signal(syscall.SIGSTOP)
-		}
-		time.Sleep(2500 * time.Millisecond)
-		if d.trouble {
-			i.signal(syscall.SIGCONT)
-			d.judge.calm(i.address)
-			d.judge.note("SIGCONT to %s", i.name)
-		}
+		d.freezeOne(i, d.trouble)
 		time.Sleep(7 * time.Second)
 	}
 	time.Sleep(time.Until(end))
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -159,7 +159,7 @@
 	f := s.flows[key]
 	switch {
 	case p.flags&flagOpen != 0:
-		s.accept(key, f, p)
+		s.accept(key, f, p, instance)
 	case f == nil:
 		if p.flags&flagReset == 0 {
 			s.send(key, packet{flags: flagReset, seq: p.ack, echo: p.echo})
@@ -182,11 +182,12 @@
 }
 
 // accept answers an opening packet.
-func (s *server) accept(key flowKey, f *serverFlow, p *packet) {
-	if f == nil || f.state == ended {
+func (s *server) accept(key flowKey, f *serverFlow, p *packet, instance netip.Addr) {
+	if f == nil || f.state == ended || f.state == halfOpen && f.ack != p.seq+1 {
 		f = &serverFlow{seq: rand.Uint32(), ack: p.seq + 1}
 		f.seq++
 		s.flows[key] = f
+		s.judge.took(key, s, instance)
 		if time.Now().Before(s.warmAt) {
 			s.coldOpenings = append(s.coldOpenings, time.Now())
 		}
