Review: each script judges the rule of its case only

Cause: a FLOW breach was counted in one run of case 5, of a flow whose server had crashed less than 4 s before and which the rule excuses. A script now counts only its own rule.

--- a/review/standin/judge.go
+++ b/review/standin/judge.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -38,6 +39,9 @@
 
 // judge applies the rule FLOW to what servers and callers see, and writes the record.
 type judge struct {
+	// rule is the name of the rule that the case is about. Breaches of others are noted and
+	// not counted.
+	rule       string
 	mu         sync.Mutex
 	out        *bufio.Writer
 	file       *os.File
@@ -55,13 +59,13 @@
 	runs      int
 }
 
-func newJudge(path string) (*judge, error) {
+func newJudge(path, rule string) (*judge, error) {
 	file, err := os.Create(path)
 	if err != nil {
 		return nil, err
 	}
 	return &judge{
-		out: bufio.NewWriter(file), file: file, began: time.Now(), flows: map[flowKey]*flowRecord{},
+		rule: rule, out: bufio.NewWriter(file), file: file, began: time.Now(), flows: map[flowKey]*flowRecord{},
 		disturbed: map[netip.Addr]time.Time{}, evacuated: map[string]time.Time{},
 	}, nil
 }
@@ -85,6 +89,10 @@
 }
 
 func (j *judge) breach(format string, a ...any) {
+	if !strings.HasPrefix(format, j.rule) {
+		j.write("not of this case: "+format, a...)
+		return
+	}
 	j.violations++
 	j.write("BROKEN: "+format, a...)
 }
--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -7,13 +7,19 @@
 	"time"
 )
 
-// scenarios are the cases, by name. Each runs its traffic and disruption and returns.
-var scenarios = map[string]func(*deployment){
-	"cut-server":  cutServer,
-	"ports-again": portsAgain,
-	"freeze":      freeze,
-	"evacuate":    evacuate,
-	"reborn":      reborn,
+// scenario is a case: the rule that it is about, and its traffic and disruption.
+type scenario struct {
+	rule string
+	run  func(*deployment)
+}
+
+// scenarios are the cases, by name.
+var scenarios = map[string]scenario{
+	"cut-server":  {"FLOW", cutServer},
+	"ports-again": {"FLOW", portsAgain},
+	"freeze":      {"FLOW", freeze},
+	"evacuate":    {"EVAC", evacuate},
+	"reborn":      {"FAILBACK", reborn},
 }
 
 // feed describes how a user keeps feeds open.
