Begin the shares of a cold server's limit anew with each warm-up

Seen: in the model, without network, 150 and 415 instances that had placed flows at a cold server sent it more than its limit in the first second of its next warm-up, all within some milliseconds of the news.

Cause: an instance keeps, for each server, when it may next send it a flow. The time was kept after the warm-up and had long passed when the server was cold again, after a restart under its id or an evacuation, so every instance sent one at once. The random first moment holds for the first warm-up only.

Evidence: TestSecondWarmUp failed with 150 and 415 instances, for restarts and for the same start; it passes now. 13 instances cannot exceed its limit.

Why this works: a share belongs to one warm-up, and the next begins with a random moment, as the first does.

--- a/internal/flowpath/warmup.go
+++ b/internal/flowpath/warmup.go
@@ -35,7 +35,8 @@
 // of their limits. An instance admits one flow to a server, and the next only after a
 // full interval of its share, so that the sum over all instances stays within the
 // limit in any second. The first flow to a server waits for a random part of the
-// interval; otherwise all instances would send one at once.
+// interval; otherwise all instances would send one at once. The same holds for each later
+// warm-up of the server: shares that are left over would be used at once.
 type warmupBudget struct {
 	limits     WarmupLimits
 	instances  int
@@ -45,10 +46,12 @@
 
 // admission tracks when the next flow to a server may be admitted: remaining is the
 // fraction of the interval that was left at updatedAt. It is a fraction because the
-// interval changes with the number of instances.
+// interval changes with the number of instances. The admission belongs to the warm-up that
+// ends at warmAt.
 type admission struct {
 	remaining float64
 	updatedAt int64
+	warmAt    int64
 }
 
 func newWarmupBudget(limits WarmupLimits, random *rand.Rand) *warmupBudget {
@@ -69,11 +72,11 @@
 	}
 	interval := float64(time.Second) * float64(instances) / meanRate(limit)
 	next, found := w.admissions[b.Cookie]
-	if !found {
+	if !found || next.warmAt < now {
 		next = admission{remaining: w.random.Float64(), updatedAt: now}
 	}
 	next.remaining -= float64(now-next.updatedAt) / interval
-	next.updatedAt = now
+	next.updatedAt, next.warmAt = now, b.WarmAt
 	admitted := next.remaining <= 0
 	if admitted {
 		next.remaining = 1
