End the verdict on a server when it starts again under its id

Seen: in the test, a server that counted as dead got the packets of its new flows reset after it had started again, or got no flows for up to 8 s. A peer that had not learned of the restart could renew the verdict with its reports.

Cause: failures, verdicts and the load of a server are kept by its cookie, which depends on its id alone and survives a restart. A report named the cookie only.

Servers that do not state their start are treated as before.

--- a/internal/catalogue/snapshot.go
+++ b/internal/catalogue/snapshot.go
@@ -1,6 +1,9 @@
 package catalogue
 
 import (
+	"iter"
+	"maps"
+
 	"balsamfork/internal/cookie"
 )
 
@@ -63,6 +66,9 @@
 // Evacuated reports whether a data centre must not get new flows at the given time.
 func (s *Snapshot) Evacuated(dataCentre string, now int64) bool { return now < s.evacuated[dataCentre] }
 
+// Servers returns the backend servers that ByCookie finds.
+func (s *Snapshot) Servers() iter.Seq[*Backend] { return maps.Values(s.byCookie) }
+
 // ServiceNames returns the names of the services that have backend servers.
 func (s *Snapshot) ServiceNames() []string { return s.serviceNames }
 
--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -1,6 +1,7 @@
 package flowpath
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -144,6 +145,10 @@
 	localInstances int
 	outstanding    map[uint32]int
 	loadCountedAt  int64
+	// starts holds the start of each server by its cookie, and observed is the snapshot
+	// that they are from.
+	starts   map[uint32]int64
+	observed *catalogue.Snapshot
 	// lastDrained is when the socket was last empty, and resumedAt the end of the last
 	// pause.
 	lastDrained, resumedAt int64
@@ -168,6 +173,7 @@
 		warmup:         newWarmupBudget(limits, random),
 		localInstances: defaultLocalInstances,
 		outstanding:    map[uint32]int{},
+		starts:         map[uint32]int64{},
 		waitedOpenings: waitedOpenings{},
 	}
 }
@@ -179,8 +185,33 @@
 	d.localInstances = max(1, local)
 }
 
-// PeerReport processes another instance's report on a server.
+// Observe discards what is known of servers that have started again: failures, load and
+// shares of limits are those of their earlier starts.
+func (d *Decider) Observe(snap *catalogue.Snapshot) {
+	if snap == d.observed {
+		return
+	}
+	d.observed = snap
+	for b := range snap.Servers() {
+		started, known := d.starts[b.Cookie]
+		if known && started == b.Started {
+			continue
+		}
+		d.starts[b.Cookie] = b.Started
+		if known {
+			d.suspicion.Remove(b.Cookie)
+			d.warmup.remove(b.Cookie)
+			delete(d.outstanding, b.Cookie)
+		}
+	}
+}
+
+// PeerReport processes another instance's report on a server. A report on another start of
+// the server than the observed one is ignored.
 func (d *Decider) PeerReport(r suspicion.Report, now int64) suspicion.Finding {
+	if r.Started != 0 && r.Started != d.starts[r.Server] {
+		return suspicion.Finding{}
+	}
 	switch r.Kind {
 	case suspicion.Handshake:
 		d.suspicion.RecordHandshake(r.Server, r.DataCentre, now)
@@ -213,6 +244,7 @@
 	keep := func(cookie uint32) bool { return snap.ByCookie(cookie) != nil }
 	d.suspicion.Retain(keep)
 	d.warmup.prune(keep)
+	maps.DeleteFunc(d.starts, func(cookie uint32, _ int64) bool { return !keep(cookie) })
 }
 
 // Contact records that an instance of a data centre has answered this one.
@@ -220,6 +252,7 @@
 
 // Decide returns the verdict on one packet.
 func (d *Decider) Decide(p *Packet, state CatalogueState, now int64) Verdict {
+	d.Observe(state.Snapshot)
 	d.held = p.Arrived != now
 	d.waited = d.hasWaited(p)
 	if !d.waited {
--- a/internal/flowpath/evidence.go
+++ b/internal/flowpath/evidence.go
@@ -54,10 +54,15 @@
 	if b == nil {
 		return
 	}
-	f := d.suspicion.RecordFailure(suspicion.Report{Kind: kind, Server: b.Cookie, DataCentre: b.DataCentre}, now)
+	f := d.suspicion.RecordFailure(reportOn(b, kind), now)
 	d.observer.RecordFailure(b, kind, f)
 }
 
+// reportOn returns a report of this instance on a server.
+func reportOn(b *catalogue.Backend, kind suspicion.Kind) suspicion.Report {
+	return suspicion.Report{Kind: kind, Server: b.Cookie, DataCentre: b.DataCentre, Started: b.Started}
+}
+
 // recordRequest records that a request is in progress. It waits for data in return
 // only if the caller's acknowledgements will pass through this instance: while
 // instances start, the fabric moves flows between them.
--- a/internal/flowpath/peerupdate.go
+++ b/internal/flowpath/peerupdate.go
@@ -48,6 +48,7 @@
 	if n := p.instances.Load(); n != nil {
 		p.decider.SetInstances(n.all, n.local)
 	}
+	p.decider.Observe(p.CatalogueState().Snapshot)
 	for {
 		select {
 		case n := <-p.peerUpdate:
@@ -92,7 +93,7 @@
 func (p *Path) RecordFailure(b *catalogue.Backend, kind suspicion.Kind, f suspicion.Finding) {
 	p.metrics.failureCounter(kind).Inc(1)
 	p.handleFinding(b, kind, f, "own traffic")
-	p.Report(suspicion.Report{Kind: kind, Server: b.Cookie, DataCentre: b.DataCentre})
+	p.Report(reportOn(b, kind))
 }
 
 // Refuted implements Observer.
@@ -101,7 +102,7 @@
 	if ended {
 		p.Log.Info("Backend server is responding again.", "server", b.Name, "data_centre", b.DataCentre, "sign", by)
 	}
-	p.Report(suspicion.Report{Kind: by, Server: b.Cookie, DataCentre: b.DataCentre})
+	p.Report(reportOn(b, by))
 }
 
 // handleFinding logs a new suspicion, and requests contact with a data centre that has
--- a/internal/flowpath/restart_test.go
+++ b/internal/flowpath/restart_test.go
@@ -8,8 +8,15 @@
 	"github.com/matryer/is"
 
 	"balsamfork/internal/catalogue"
+	"balsamfork/internal/selection"
+	"balsamfork/internal/suspicion"
 )
 
+// startedAt makes servers state when they started, in Unix milliseconds.
+func startedAt(at int64) func(*catalogue.Server) {
+	return func(s *catalogue.Server) { s.Started, s.Report = at, 1 }
+}
+
 // restart registers a server again under its id, with a later start, and returns it.
 func (h *harness) restart(b *catalogue.Backend, warmup time.Duration) *catalogue.Backend {
 	return h.register(b, b.Started+1000, warmup)
@@ -23,6 +30,40 @@
 	return h.mirror.Snapshot().ByCookie(b.Cookie)
 }
 
+// TestVerdictEndsWithRestart guards against a server that counts as dead, suspected or
+// unreachable for failures of an earlier start under its id.
+func TestVerdictEndsWithRestart(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1, startedAt(1000))
+	h.awaitResets()
+	b := h.open(1, 0).Backend
+	h.send(1, b.Cookie, 1, 0)
+	h.declareDead(b)
+	is.Equal(h.send(1, b.Cookie, 1, 100).Reason, ServerDead)
+	b = h.restart(b, 0)
+	is.Equal(h.open(2, 0).Tier, selection.Local)
+	h.send(2, b.Cookie, 1, 0)
+	is.Equal(h.send(2, b.Cookie, 1, 100).Action, Forward)
+	is.True(!h.Suspected(b, h.now))
+}
+
+// TestReportOnAnEarlierStart guards against reports of peers that have not learned of a
+// restart yet: they say nothing about the server that has started since.
+func TestReportOnAnEarlierStart(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1, startedAt(1000))
+	h.awaitResets()
+	b := h.open(1, 0).Backend
+	h.send(1, b.Cookie, 1, 0)
+	earlier := *b
+	b = h.restart(b, 0)
+	for source := range uint64(4) {
+		is.Equal(h.peerFailure(&earlier, source), suspicion.Finding{})
+	}
+	is.True(!h.Suspected(b, h.now))
+	is.True(h.peerFailure(b, 1) != suspicion.Finding{})
+}
+
 // TestSecondWarmUp guards against shares of a cold server's limit that are left from an
 // earlier warm-up: all instances would use theirs at the same moment. The news of the second
 // warm-up reaches all instances within a millisecond.
--- a/internal/flowpath/unresponsive_test.go
+++ b/internal/flowpath/unresponsive_test.go
@@ -27,7 +27,9 @@
 
 // peerFailure passes a peer's report of a missing handshake to the decider.
 func (h *harness) peerFailure(b *catalogue.Backend, source uint64) suspicion.Finding {
-	r := suspicion.Report{Kind: suspicion.NoHandshake, Source: source, Server: b.Cookie, DataCentre: b.DataCentre}
+	r := reportOn(b, suspicion.NoHandshake)
+	r.Source = source
+	h.Observe(h.mirror.Snapshot())
 	return h.PeerReport(r, h.now)
 }
 
--- a/internal/flowpath/warmup.go
+++ b/internal/flowpath/warmup.go
@@ -94,6 +94,9 @@
 	return min(maxUtilisation*limit, root*root)
 }
 
+// remove removes a server.
+func (w *warmupBudget) remove(cookie uint32) { delete(w.admissions, cookie) }
+
 // prune removes the servers for which keep returns false.
 func (w *warmupBudget) prune(keep func(cookie uint32) bool) {
 	for cookie := range w.admissions {
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -73,6 +73,9 @@
 	// Server is the cookie of the server, DataCentre the data centre that it is in.
 	Server     uint32
 	DataCentre string
+	// Started is when the server started, as in catalogue.Server; 0 if it does not state
+	// that.
+	Started int64
 }
 
 // Finding is the result of recording a failure.
@@ -272,6 +275,9 @@
 	return d != nil && d.until > now
 }
 
+// Remove removes a server.
+func (t *Table) Remove(id uint32) { delete(t.servers, id) }
+
 // Retain removes all servers except those for which keep returns true.
 func (t *Table) Retain(keep func(id uint32) bool) {
 	for id := range t.servers {
