Leave flows of an earlier start out of what is known of a server

Seen: in the test, requests in progress when a server crashed and started again counted as load of the new start for 3 s, and 0.8 s later as requests that it did not answer: two of them suspect it, so that it gets no flows for 2 to 8 s. An acknowledgement of data from before the restart refuted failures after it.

Cause: entries of the flow table name their server by its cookie, which survives a restart. The server resets these flows itself, and the instance sees no more of them.

Evidence: TestRequestsOfAnEarlierStart and TestAcknowledgementOfAnEarlierStart failed and pass now.

Why this works: an entry names the start of its server that was known when the flow was placed. Packets of flows of an earlier start are forwarded, since the server answers them with its own reset, and are not evaluated. The instance does not reset them: a flow that opened before the news of the restart names the earlier start and may be open at the later one.

--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -274,7 +274,11 @@
 
 func (d *Decider) refreshLoad(now int64) {
 	clear(d.outstanding)
-	d.flows.CountOutstanding(now, func(c uint32) { d.outstanding[c]++ })
+	d.flows.CountOutstanding(now, func(cookie uint32, started int64) {
+		if started == d.starts[cookie] {
+			d.outstanding[cookie]++
+		}
+	})
 	d.loadCountedAt = now
 }
 
--- a/internal/flowpath/established.go
+++ b/internal/flowpath/established.go
@@ -27,7 +27,8 @@
 	if departed(backend, state) {
 		return Verdict{Action: Reset, Reason: ServerGone, Backend: backend}
 	}
-	if e != nil {
+	ended := e != nil && heldByEarlierStart(e, backend)
+	if e != nil && !ended {
 		d.recordProgress(p, e, backend, now)
 	}
 	if now-max(state.Since, d.resumedAt) > int64(catalogueSettlingTime) && d.isDead(backend, now) {
@@ -36,10 +37,19 @@
 		}
 		return Verdict{Action: Reset, Reason: ServerDead, Backend: backend}
 	}
-	d.recordForwarded(p, e, hash, backend, now)
+	if !ended {
+		d.recordForwarded(p, e, hash, backend, now)
+	}
 	return Verdict{Action: Forward, Reason: reason, Backend: backend}
 }
 
+// heldByEarlierStart reports whether the flow of an entry ended with an earlier start of a
+// server. Its packets are forwarded, since the server resets it, but show nothing about the
+// start that is in use now.
+func heldByEarlierStart(e *flowtable.Entry, b *catalogue.Backend) bool {
+	return e.Cookie == b.Cookie && e.Started != b.Started
+}
+
 // findEntry returns the entry of an established packet's flow, or nil. It removes the
 // entry of an earlier flow with the same addresses and ports: this one was opened through
 // another instance.
@@ -82,7 +92,7 @@
 // received from the flow's server.
 func (d *Decider) recordProgress(p *Packet, e *flowtable.Entry, b *catalogue.Backend, now int64) {
 	if e.State == flowtable.Opening {
-		e.State, e.Cookie, e.OpenedHere = flowtable.Open, b.Cookie, true
+		e.State, e.Cookie, e.Started, e.OpenedHere = flowtable.Open, b.Cookie, b.Started, true
 		e.Acknowledged = p.Acknowledged
 		d.recordHandshake(b, now)
 	}
@@ -98,7 +108,7 @@
 func (d *Decider) recordForwarded(p *Packet, e *flowtable.Entry, hash uint64, b *catalogue.Backend, now int64) {
 	if e == nil {
 		e = d.flows.Add(hash, now)
-		e.State, e.Cookie = flowtable.Open, b.Cookie
+		e.State, e.Cookie, e.Started = flowtable.Open, b.Cookie, b.Started
 		e.Acknowledged, e.Sequence = p.Acknowledged, p.Sequence
 	}
 	gap := now - e.Last
--- a/internal/flowpath/evidence.go
+++ b/internal/flowpath/evidence.go
@@ -17,7 +17,7 @@
 		}
 		e := d.flows.Find(o.flow, now)
 		if e != nil && e.State == flowtable.Opening && e.Sent == o.sent {
-			d.recordFailure(snap.ByCookie(e.Cookie), suspicion.NoHandshake, now)
+			d.recordFailure(serverOf(e, snap), suspicion.NoHandshake, now)
 		}
 	}
 }
@@ -32,11 +32,21 @@
 		}
 		e := d.flows.Find(r.flow, now)
 		if e != nil && e.AwaitingAnswer && e.RequestSent == r.sent && d.suspicion.LastData(e.Cookie) < r.sent {
-			d.recordFailure(snap.ByCookie(e.Cookie), suspicion.NoData, now)
+			d.recordFailure(serverOf(e, snap), suspicion.NoData, now)
 		}
 	}
 }
 
+// serverOf returns the server of an entry, or nil if it has left the catalogue or has
+// started again since.
+func serverOf(e *flowtable.Entry, snap *catalogue.Snapshot) *catalogue.Backend {
+	b := snap.ByCookie(e.Cookie)
+	if b == nil || heldByEarlierStart(e, b) {
+		return nil
+	}
+	return b
+}
+
 // isCurrent reports whether the packet that is being decided shows the present state of
 // its flow's server. One that has waited shows a past one.
 func (d *Decider) isCurrent() bool { return !d.held && !d.waited }
@@ -48,8 +58,7 @@
 	return d.isCurrent() && now-d.lastDrained <= int64(maxReadDelay)
 }
 
-// recordFailure records a missing response of a server that is still in the
-// catalogue.
+// recordFailure records a missing response of a server, unless it is nil.
 func (d *Decider) recordFailure(b *catalogue.Backend, kind suspicion.Kind, now int64) {
 	if b == nil {
 		return
--- a/internal/flowpath/opening.go
+++ b/internal/flowpath/opening.go
@@ -73,7 +73,7 @@
 		return d.rejectOrHold(v, state, now)
 	}
 	v.Backend = choice.Backend
-	e.State, e.Cookie, e.Sent, e.Last = flowtable.Opening, v.Backend.Cookie, now, now
+	e.State, e.Cookie, e.Started, e.Sent, e.Last = flowtable.Opening, v.Backend.Cookie, v.Backend.Started, now, now
 	d.outstanding[e.Cookie]++
 	if d.readsPromptly(now) {
 		d.handshakes.add(hash, now)
--- a/internal/flowpath/restart_test.go
+++ b/internal/flowpath/restart_test.go
@@ -64,6 +64,52 @@
 	is.True(h.peerFailure(b, 1) != suspicion.Finding{})
 }
 
+// TestRequestsOfAnEarlierStart guards against requests in progress that end with a restart
+// of their server: it resets their flows and answers none of them, and they are no failures
+// of the server that has started.
+func TestRequestsOfAnEarlierStart(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1, startedAt(1000))
+	h.awaitResets()
+	var b *catalogue.Backend
+	for port := uint16(1); port <= 4; port++ {
+		b = h.open(port, 0).Backend
+		h.send(port, b.Cookie, 1, 0)
+	}
+	h.now += 10 * ms
+	h.send(1, b.Cookie, 1, 100)
+	h.send(2, b.Cookie, 1, 100)
+	h.open(5, 0) // its handshake does not come
+	b = h.restart(b, 0)
+	h.send(3, b.Cookie, 1, 100)
+	h.send(4, b.Cookie, 1, 100)
+	is.Equal(h.Load(b), 0.0)
+	for range 20 {
+		h.now += 100 * ms
+		h.send(99, 0, 1, 0)
+	}
+	is.Equal(len(h.stalled), 0)
+	is.Equal(len(h.unanswered), 0)
+	is.Equal(h.Load(b), 0.0)
+	is.True(!h.Suspected(b, h.now))
+}
+
+// TestAcknowledgementOfAnEarlierStart guards against a caller's acknowledgement of data
+// from before a restart that counts as a sign of life of the server that has started.
+func TestAcknowledgementOfAnEarlierStart(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(1, startedAt(1000))
+	h.awaitResets()
+	b := h.open(1, 0).Backend
+	h.send(1, b.Cookie, 1, 0)
+	h.now += 10 * ms
+	b = h.restart(b, 0)
+	h.peerFailure(b, 1)
+	h.now += ms
+	h.send(1, b.Cookie, 2, 0)
+	is.Equal(len(h.refuted), 0)
+}
+
 // TestSecondWarmUp guards against shares of a cold server's limit that are left from an
 // earlier warm-up: all instances would use theirs at the same moment. The news of the second
 // warm-up reaches all instances within a millisecond.
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -37,8 +37,11 @@
 type Entry struct {
 	key   uint64
 	State State
-	// Cookie is the cookie of the backend server that receives the flow's packets.
-	Cookie uint32
+	// Cookie is the cookie of the backend server that receives the flow's packets, and
+	// Started the start of it that was known when it got the first of them, as in
+	// catalogue.Server.
+	Cookie  uint32
+	Started int64
 	// UnansweredCookie is the cookie of the server that did not answer the opening packet.
 	UnansweredCookie uint32
 	// added is when the entry was created, in nanoseconds.
@@ -130,14 +133,14 @@
 func (t *Table) Remove(e *Entry) { *e = Entry{} }
 
 // CountOutstanding calls count for each flow that waits for its handshake or
-// an answer, with the cookie of its server.
-func (t *Table) CountOutstanding(now int64, count func(cookie uint32)) {
+// an answer, with the cookie and the start of its server.
+func (t *Table) CountOutstanding(now int64, count func(cookie uint32, started int64)) {
 	for i := range t.entries {
 		e := &t.entries[i]
 		opening := e.State == Opening && now-e.Sent < int64(OpeningTimeout)
 		awaitingAnswer := e.AwaitingAnswer && now-e.Last < int64(requestTimeout)
 		if opening || awaitingAnswer {
-			count(e.Cookie)
+			count(e.Cookie, e.Started)
 		}
 	}
 }
