Place copies of opening packets anew after a restart of their server

Cause: a copy goes to the server of the first packet if it has answered others since, also if another start of it has. A late copy of a flow that had opened did the same.

Evidence: TestCopyAfterRestart failed in both cases and passes now.

Why this works: the start that got the first packet can no longer answer it, so the flow is placed as a new one, without excluding the server: if it is the only one, its limit decides. A late copy of an open flow is dropped, since no other server may answer it.

--- a/internal/flowpath/opening.go
+++ b/internal/flowpath/opening.go
@@ -85,9 +85,13 @@
 // decideCopy returns the verdict on a copy of an opening packet that its server has not
 // answered. If the server has answered others since, a packet was lost; otherwise
 // another server is tried. Copies that were read together have waited in this
-// instance, so the server has had no time to answer yet.
+// instance, so the server has had no time to answer yet. If the server has started again
+// since, the start that got the first packet answers none, and the flow is placed anew.
 func (d *Decider) decideCopy(v Verdict, e *flowtable.Entry, hash uint64, state CatalogueState, now int64) Verdict {
 	backend := state.Snapshot.ByCookie(e.Cookie)
+	if backend != nil && heldByEarlierStart(e, backend) {
+		return d.placeFlow(v, e, hash, cookie.None, state, now)
+	}
 	accepts := backend != nil && d.selector.Accepts(state.Snapshot, backend, now)
 	alive := d.suspicion.LastHandshake(e.Cookie) > e.Sent
 	early := now-e.Sent < int64(handshakeTimeout)
@@ -114,7 +118,7 @@
 // already. No other server may answer it, since that would replace the caller's cookie.
 func (d *Decider) decideLateCopy(v Verdict, e *flowtable.Entry, state CatalogueState, now int64) Verdict {
 	v.Action, v.Reason = Drop, Repeated
-	if backend := state.Snapshot.ByCookie(e.Cookie); backend != nil && d.selector.Accepts(state.Snapshot, backend, now) {
+	if backend := serverOf(e, state.Snapshot); backend != nil && d.selector.Accepts(state.Snapshot, backend, now) {
 		v.Action, v.Backend = Forward, backend
 	}
 	return v
--- a/internal/flowpath/restart_test.go
+++ b/internal/flowpath/restart_test.go
@@ -110,6 +110,29 @@
 	is.Equal(len(h.refuted), 0)
 }
 
+// TestCopyAfterRestart guards against copies of an opening packet that a server gets as new
+// flows once it has started again: the start that got the first packet cannot answer them.
+func TestCopyAfterRestart(t *testing.T) {
+	for name, answered := range map[string]bool{"the first packet was not answered": false, "the flow had opened": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(2, startedAt(1000))
+			h.awaitResets()
+			b := h.open(1, 0).Backend
+			if answered {
+				h.send(1, b.Cookie, 1, 0)
+			}
+			h.now += 200 * ms
+			restarted := h.restart(b, 2*time.Second)
+			h.Observe(h.mirror.Snapshot())
+			h.PeerReport(reportOn(restarted, suspicion.Handshake), h.now)
+			v := h.open(1, 1)
+			is.True(v.Backend == nil || v.Backend.Name != b.Name)
+			is.Equal(v.Action == Drop, answered)
+		})
+	}
+}
+
 // TestSecondWarmUp guards against shares of a cold server's limit that are left from an
 // earlier warm-up: all instances would use theirs at the same moment. The news of the second
 // warm-up reaches all instances within a millisecond.
