Let instances wait for changes of servers, and read them at once

Servers that start again under their ids after 0.1 s got up to 22 flows a second while cold; the limit is 5. Requests then wait in a server that is slow.

Cause: placement gives a cold server no flow while a warm one is usable, but an instance learns of the restart with the next read of the regular reader, up to 0.5 s later, or 1.2 to 2.2 s later without that reader. Until then callers whose flows the crash has ended return at once, to the servers that have just started.

So the interval between reads is what counts; the way between the peers and the placement are not.

Change: the regular reader keeps a watch on the servers' keys that waits for a change, and reads the store as always when it answers: the age of the catalogue and what is believed rest on the reads as before. Two other instances, in other data centres, do the same, so that a reader that is lost, paused, cut off or turned away delays nothing: the regular reader names them twice a second, they stay named for 5 s, longer than another reader needs to take over, and one that does not answer is replaced. They leave a change to the regular reader for 20 ms. Nothing is elected and no instance is set aside. Waits that end are limited to 5 a second, after 10.

Weighed and not taken: a long poll of each instance costs calls with the size of the fleet; a shorter interval costs calls all the time and ends with the reader.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -48,6 +48,11 @@
 	Regular() bool
 	// Yield stops the regular reads, as another instance does them.
 	Yield()
+	// Name makes this instance wait for changes of the store for some seconds, beside the
+	// regular reader.
+	Name()
+	// Awaiting reports whether this instance waits for changes, and the store lets it.
+	Awaiting() bool
 }
 
 // Options holds the configuration and dependencies of an Exchange.
@@ -90,6 +95,7 @@
 	server      net.Listener
 	pulling     atomic.Bool
 	probes      probes
+	standIns    standIns
 	answerCache answerCache
 	// announced is the position of the last digest that was announced to the data centre,
 	// nil before the first.
@@ -148,21 +154,28 @@
 // SetSeeds sets the instances that are contacted until they are known as peers.
 func (e *Exchange) SetSeeds(seeds []netip.Addr) { e.seeds.Store(&seeds) }
 
-// Announce sends a digest, with the changes since the last one announced, to all
-// instances of the data centre and to some of each other data centre, which relay it
-// there.
-func (e *Exchange) Announce() {
+// Announce sends a digest to all instances of the data centre and to some of each other
+// data centre, which relay it there. It has the changes since a position that the others
+// are likely to have: that of the last digest announced, or, if this instance is not a
+// regular reader, that before its last read.
+func (e *Exchange) Announce(lastRead catalogue.Position) {
 	m := e.digest()
 	if m.Revision == 0 {
 		return
 	}
 	position := m.position()
 	before := e.announced.Swap(&position)
+	if !m.Regular && lastRead.Revision != 0 {
+		before = &lastRead
+	}
 	if before != nil && before.Compare(position) < 0 {
 		known, _ := e.Catalogue.Known()
 		delta := e.Mirror.Since(*before, known)
 		m.Delta = &delta
 	}
+	if m.Regular {
+		e.nameStandIns()
+	}
 	e.sendAll(m, append(e.peers.local(), e.unknownSeeds()...))
 	m.Relay = true
 	e.sendAll(m, e.peers.remote())
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -28,6 +28,10 @@
 	known   int64
 	reports []suspicion.Report
 	regular atomic.Bool
+	// named counts how often the instance was asked to wait for changes, and turnedAway
+	// says that the store does not let it.
+	named      atomic.Int64
+	turnedAway atomic.Bool
 	// resumed is the end of a simulated pause.
 	resumed atomic.Int64
 	// contacts holds the data centres that have answered.
@@ -64,6 +68,10 @@
 
 func (i *instance) Yield() { i.regular.Store(false) }
 
+func (i *instance) Name() { i.named.Add(1) }
+
+func (i *instance) Awaiting() bool { return !i.turnedAway.Load() }
+
 func (i *instance) reportCount() int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -137,7 +145,7 @@
 func (i *instance) readStore(revision uint64, servers int) {
 	i.mirror.Apply(catalogue.Delta{Complete: true, Revision: revision, Records: records(revision, servers, 0)}, clock(), 0)
 	i.advanceKnown(clock())
-	i.Announce()
+	i.Announce(catalogue.Position{})
 }
 
 // records returns servers with random numbers, which compress as poorly as real ones.
@@ -214,7 +222,7 @@
 			a.mirror.Apply(catalogue.Delta{Complete: true, Revision: 2, Records: records(2, c.servers, 10*time.Second)}, readAt, 0)
 			a.advanceKnown(readAt)
 			is.New(t).Equal(pulled(t, a.mirror, 1), c.pulled)
-			a.Announce()
+			a.Announce(catalogue.Position{})
 			eventually(t, "nothing was received", func() bool { return len(b.mirror.Snapshot().Backends("desk")) == c.servers })
 			early := a.mirror.Snapshot().Backends("desk")[0].WarmAt - b.mirror.Snapshot().Backends("desk")[0].WarmAt
 			if early > int64(100*time.Millisecond) {
@@ -380,7 +388,7 @@
 	}
 	eventually(t, "instances don't know one another", func() bool { return reader.peers.size() == len(others)+1 })
 	reader.readStore(900, 800)
-	reader.Announce()
+	reader.Announce(catalogue.Position{})
 	for _, i := range others {
 		eventually(t, "the catalogue has not arrived", func() bool { return i.mirror.Snapshot().Revision == 900 })
 		is.Equal(i.count("pulls_answered"), int64(0))
@@ -416,7 +424,7 @@
 		_, ok := a.mirror.Apply(delta, clock(), 0)
 		is.True(ok)
 		a.advanceKnown(clock())
-		a.Announce()
+		a.Announce(catalogue.Position{})
 		for _, i := range all {
 			eventually(t, "the restored catalogue has not arrived", func() bool { return i.mirror.Snapshot().Position == restored })
 		}
@@ -442,5 +450,5 @@
 	b.mu.Lock()
 	b.known = clock() - int64(outdatedAge) - 1 // the store cannot be read
 	b.mu.Unlock()
-	eventually(t, "the catalogue is not pulled", func() bool { a.Announce(); return b.mirror.Snapshot().Revision == 900 })
+	eventually(t, "the catalogue is not pulled", func() bool { a.Announce(catalogue.Position{}); return b.mirror.Snapshot().Revision == 900 })
 }
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -42,6 +42,10 @@
 	Regular bool `json:"regular,omitempty"`
 	// Delta holds the changes that led to that position, if they are small enough.
 	Delta *catalogue.Delta `json:"delta,omitempty"`
+	// Name asks the receiver to wait for changes of the store beside the sender, a regular
+	// reader. Awaiting confirms that.
+	Name     bool `json:"name,omitempty"`
+	Awaiting bool `json:"awaiting,omitempty"`
 	// Relay asks the receiver to forward the digest within its data centre.
 	Relay bool `json:"relay,omitempty"`
 	// Ping asks for an answer with Pong set, to check whether a data centre can be
--- a/internal/exchange/peers.go
+++ b/internal/exchange/peers.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -109,6 +110,33 @@
 	return out
 }
 
+// spread returns up to n random peers other than the given ones. Those of data centres
+// that have none of these, nor this instance, come first, those of the data centres to
+// avoid last.
+func (p *peers) spread(other []netip.Addr, n int, avoid func(dataCentre string) bool) []Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	used := map[string]bool{p.self.DataCentre: true}
+	for _, address := range other {
+		used[p.table[address].dataCentre] = true
+	}
+	var first, second, last []Peer
+	for address, s := range p.table {
+		switch {
+		case slices.Contains(other, address):
+		case avoid(s.dataCentre):
+			last = append(last, Peer{Address: address, DataCentre: s.dataCentre})
+		case used[s.dataCentre]:
+			second = append(second, Peer{Address: address, DataCentre: s.dataCentre})
+		default:
+			used[s.dataCentre] = true
+			first = append(first, Peer{Address: address, DataCentre: s.dataCentre})
+		}
+	}
+	all := slices.Concat(first, second, last)
+	return all[:min(n, len(all))]
+}
+
 // local returns the peers of this instance's data centre.
 func (p *peers) local() []netip.Addr {
 	p.mu.Lock()
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -89,6 +89,14 @@
 		e.sendAll(message{From: e.peers.self, Pong: true}, []netip.Addr{m.From.Address})
 		return
 	}
+	if m.Name {
+		e.answerName(m.From)
+		return
+	}
+	if m.Awaiting {
+		e.standIns.confirm(m.From, now)
+		return
+	}
 	if m.Hello {
 		e.answerHello(m.From)
 	}
--- a/internal/flowd/module.go
+++ b/internal/flowd/module.go
@@ -80,7 +80,7 @@
 // hooks holds functions through which components call each other where their
 // dependencies form a cycle. connect sets them when all components have been built.
 type hooks struct {
-	catalogueRead      func()
+	catalogueRead      func(before catalogue.Position)
 	localPeers         func() int
 	probeDataCentre    func(dataCentre string)
 	reportServer       func(suspicion.Report)
@@ -98,7 +98,7 @@
 		Mirror: m,
 		Plan:   plan,
 		Clock:  processClock.Now,
-		OnRead: func() { h.catalogueRead() },
+		OnRead: func(before catalogue.Position) { h.catalogueRead(before) },
 		Peers:  func() int { return h.localPeers() },
 		Log:    telemetry.WithPart(log, "catalogue"),
 		Scope:  scope,
@@ -113,7 +113,7 @@
 		DataCentre: s.DataCentre,
 		Mirror:     m,
 		Catalogue:  w,
-		Reader:     plan,
+		Reader:     reader{plan, w},
 		OnReport:   func(r suspicion.Report) { h.peerReported(r) },
 		OnContact:  func(dataCentre string) { h.dataCentreAnswered(dataCentre) },
 		OnResize:   func(all, local int) { h.instancesChanged(all, local) },
@@ -131,6 +131,16 @@
 	return e, nil
 }
 
+// reader implements exchange.Reader.
+type reader struct {
+	*watch.Plan
+	watcher *watch.Watcher
+}
+
+func (r reader) Name() { r.Plan.Name(processClock.Now()) }
+
+func (r reader) Awaiting() bool { return r.watcher.Awaiting() }
+
 func newPath(s platform.Settings, m *catalogue.Mirror, w *watch.Watcher, h *hooks, pauses *pause.Detector, sockets *openSockets, log *slog.Logger, scope tally.Scope) (*flowpath.Path, error) {
 	p, err := flowpath.Open(flowpath.Options{
 		Codec:      platform.Codec{},
@@ -166,9 +176,9 @@
 
 // connect sets the hooks and registers the start and stop of the components.
 func connect(lc fx.Lifecycle, h *hooks, w *watch.Watcher, e *exchange.Exchange, p *flowpath.Path, pauses *pause.Detector, log *slog.Logger) {
-	h.catalogueRead = func() {
+	h.catalogueRead = func(before catalogue.Position) {
 		p.CatalogueRefreshed()
-		e.Announce()
+		e.Announce(before)
 	}
 	h.localPeers = e.LocalPeers
 	h.reportServer = e.Report
@@ -182,6 +192,7 @@
 		OnStart: func(context.Context) error {
 			go pauses.Run(ctx)
 			go w.Run(ctx)
+			go w.Await(ctx)
 			go e.Run()
 			go e.Receive()
 			go e.Serve()
--- /dev/null
+++ b/internal/watch/await.go
@@ -0,0 +1,81 @@
+package watch
+
+import (
+	"context"
+	"time"
+
+	"balsamfork/internal/catalogue"
+)
+
+const (
+	// awaitTimeout is how long the store is asked to wait for a change. A connection that
+	// has gone silent is not used for longer.
+	awaitTimeout = 5 * time.Second
+	// awaitSpacing is the minimum time between two waits: servers that start together
+	// register within a short time.
+	awaitSpacing = 20 * time.Millisecond
+	// awaitInterval and awaitBurst limit the waits that end with a change, in a series of
+	// changes: the mean time between them, and how many may follow one another at once.
+	awaitInterval = 200 * time.Millisecond
+	awaitBurst    = 10
+	// standInDelay is how long an instance that is not the regular reader leaves a change
+	// to it: several times the time that it takes to read and announce one.
+	standInDelay = 20 * time.Millisecond
+)
+
+// Await waits for changes of backend servers, and reads the store at each, until the
+// context ends. A server that starts again is cold, and gets its usual flows until that is
+// known. The regular reader does this, and a few instances that it has named: one of them
+// that is lost or paused delays nothing.
+func (w *Watcher) Await(ctx context.Context) {
+	for ctx.Err() == nil {
+		position := w.Mirror.Snapshot().Position
+		if position.Revision == 0 || !w.Plan.Awaits(w.Clock()) {
+			w.awaitFailed.Store(false)
+			select {
+			case <-ctx.Done():
+			case <-w.Plan.started:
+			}
+			continue
+		}
+		w.metrics.awaits.Inc(1)
+		changed, err := w.Source.AwaitServers(ctx, position.Revision, awaitTimeout)
+		w.awaitFailed.Store(err != nil && !catalogue.HistoryGone.Has(err))
+		switch {
+		case catalogue.HistoryGone.Has(err):
+			w.readOnce(ctx, w.Plan.Regular())
+			sleep(ctx, minBackoff)
+		case err != nil:
+			sleep(ctx, minBackoff)
+		case changed.Revision != 0:
+			w.readChange(ctx, changed)
+			sleep(ctx, max(awaitSpacing, w.awaitBudget.Reserve().Delay()))
+		}
+	}
+}
+
+// readChange reads the store until the mirror has a change, unless the regular reader
+// has announced it meanwhile.
+func (w *Watcher) readChange(ctx context.Context, changed catalogue.Position) {
+	regular := w.Plan.Regular()
+	if !regular {
+		sleep(ctx, standInDelay)
+	}
+	// A read in progress may have begun before the change.
+	for range 2 {
+		if w.Mirror.Snapshot().Position.Compare(changed) >= 0 {
+			return
+		}
+		w.readOnce(ctx, regular)
+	}
+}
+
+// Awaiting reports whether this instance waits for changes, and the store lets it.
+func (w *Watcher) Awaiting() bool { return w.Plan.Awaits(w.Clock()) && !w.awaitFailed.Load() }
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/watch/await_test.go
@@ -0,0 +1,188 @@
+package watch
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"balsamfork/internal/catalogue"
+)
+
+// awaitedStore is a store whose revision the test advances. Waits end at once if there is a
+// change, or at the next one.
+type awaitedStore struct {
+	calls    atomic.Int64
+	revision atomic.Uint64
+	changed  chan struct{}
+	failing  atomic.Bool
+	// gone says that the history is gone.
+	gone atomic.Bool
+}
+
+func newAwaitedStore() *awaitedStore {
+	s := &awaitedStore{changed: make(chan struct{}, 1)}
+	s.revision.Store(1)
+	return s
+}
+
+func (s *awaitedStore) change() {
+	s.revision.Add(1)
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (s *awaitedStore) position() catalogue.Position {
+	return catalogue.Position{Epoch: 1, Revision: s.revision.Load()}
+}
+
+func (s *awaitedStore) Position(context.Context) (catalogue.Position, error) {
+	s.calls.Add(1)
+	return s.position(), nil
+}
+
+func (s *awaitedStore) Changes(_ context.Context, after uint64) (catalogue.Delta, error) {
+	s.calls.Add(1)
+	d := catalogue.Delta{Epoch: 1, Since: after, Revision: s.revision.Load()}
+	for r := after + 1; r <= d.Revision; r++ {
+		d.Records = append(d.Records, catalogue.Record{ID: catalogue.ID{Kind: catalogue.KindOther, Name: "s"}, Epoch: 1, Revision: r})
+	}
+	return d, nil
+}
+
+func (s *awaitedStore) All(context.Context) (catalogue.Delta, error) {
+	return catalogue.Delta{Complete: true, Epoch: 1, Revision: s.revision.Load()}, nil
+}
+
+func (s *awaitedStore) AwaitServers(ctx context.Context, after uint64, _ time.Duration) (catalogue.Position, error) {
+	if s.failing.Load() {
+		return catalogue.Position{}, errUnavailable
+	}
+	if s.gone.Load() {
+		return catalogue.Position{}, catalogue.HistoryGone.New("dropped")
+	}
+	for s.revision.Load() <= after {
+		select {
+		case <-ctx.Done():
+			return catalogue.Position{}, ctx.Err()
+		case <-s.changed:
+		}
+	}
+	return s.position(), nil
+}
+
+// startAwaiting returns a watcher that has read the store and waits for changes.
+func startAwaiting(t *testing.T, s *awaitedStore) *Watcher {
+	began := time.Now().Add(-time.Hour)
+	w := New(Options{
+		Source: s, Mirror: catalogue.NewMirror(), Plan: NewPlan(rand.New(rand.NewPCG(1, 2))), Clock: func() int64 { return int64(time.Since(began)) },
+		OnRead: func(catalogue.Position) {}, Peers: func() int { return 1 }, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+	})
+	w.Refresh(t.Context())
+	ended := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { w.Await(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	return w
+}
+
+func (w *Watcher) reaches(p catalogue.Position, within time.Duration) bool {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if w.Mirror.Snapshot().Position == p {
+			return true
+		}
+	}
+	return false
+}
+
+// TestChangeIsReadAtOnce guards against a server that has started again under its id and
+// gets its usual flows while cold, until the next regular read. A named instance reads the
+// change as well as the regular reader does, which may be lost.
+func TestChangeIsReadAtOnce(t *testing.T) {
+	for name, start := range map[string]func(w *Watcher){
+		"regular reader": func(w *Watcher) { w.Plan.RecordSuccess(w.Clock(), true) },
+		"named":          func(w *Watcher) { w.Plan.Name(w.Clock()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newAwaitedStore()
+			w := startAwaiting(t, s)
+			s.change()
+			is.True(!w.reaches(s.position(), 50*time.Millisecond)) // neither
+			start(w)
+			for range 3 {
+				is.True(w.reaches(s.position(), regularInterval/5))
+				s.change()
+			}
+		})
+	}
+}
+
+// TestStandInLeavesChangesToTheReader guards against a call of the store by each waiting
+// instance for a change that the regular reader has announced.
+func TestStandInLeavesChangesToTheReader(t *testing.T) {
+	is := is.New(t)
+	s := newAwaitedStore()
+	w := startAwaiting(t, s)
+	w.Plan.Name(w.Clock())
+	before := s.calls.Load()
+	time.Sleep(10 * time.Millisecond)
+	s.change()
+	d, err := s.Changes(t.Context(), 1)
+	is.NoErr(err)
+	is.True(w.ApplyDelta(d, 0))
+	time.Sleep(10 * standInDelay)
+	is.Equal(s.calls.Load(), before+1) // that of the test
+}
+
+// TestAwaitingIsLimited lets servers change all the time: the reads that follow are limited.
+func TestAwaitingIsLimited(t *testing.T) {
+	is := is.New(t)
+	s := newAwaitedStore()
+	w := startAwaiting(t, s)
+	w.Plan.RecordSuccess(w.Clock(), true)
+	before, began := s.calls.Load(), time.Now()
+	for time.Since(began) < time.Second {
+		s.change()
+		time.Sleep(time.Millisecond)
+	}
+	const callsPerRead = 2
+	reads := int64(awaitBurst+time.Since(began)/awaitInterval) + 1
+	is.True(s.calls.Load()-before <= reads*callsPerRead)
+	is.True(w.reaches(s.position(), 2*awaitInterval))
+}
+
+// TestFailedWaitIsReported lets the store turn the instance away: the regular reader learns
+// of it and names another. Dropped history is no failure.
+func TestFailedWaitIsReported(t *testing.T) {
+	is := is.New(t)
+	s := newAwaitedStore()
+	s.failing.Store(true)
+	w := startAwaiting(t, s)
+	is.True(!w.Awaiting())
+	w.Plan.Name(w.Clock())
+	time.Sleep(minBackoff / 2)
+	is.True(!w.Awaiting())
+	s.failing.Store(false)
+	s.gone.Store(true)
+	time.Sleep(2 * minBackoff)
+	is.True(w.Awaiting())
+}
+
+// TestNamingExpires guards against a growing number of waiting instances.
+func TestNamingExpires(t *testing.T) {
+	is := is.New(t)
+	p := NewPlan(rand.New(rand.NewPCG(1, 1)))
+	p.RecordSuccess(1, true)
+	is.True(!p.Awaits(2))
+	p.Name(2)
+	is.True(p.Awaits(2 + int64(maxTakeoverDelay)))
+	is.True(!p.Awaits(2 + int64(namedPeriod)))
+}
--- a/internal/watch/describe.go
+++ b/internal/watch/describe.go
@@ -11,7 +11,11 @@
 	out := []any{"epoch", r.Epoch, "revision", r.Revision}
 	switch r.Kind {
 	case catalogue.KindServer:
-		return append(out, "server", r.Name, "state", serverState(r))
+		out = append(out, "server", r.Name, "state", serverState(r))
+		if r.Server != nil {
+			out = append(out, "started", r.Server.Started)
+		}
+		return out
 	case catalogue.KindEvacuation:
 		return append(out, "data_centre", r.Name, "evacuated", !r.Removed)
 	}
--- a/internal/watch/plan.go
+++ b/internal/watch/plan.go
@@ -28,6 +28,10 @@
 	// gone.
 	sharedRetryInterval = 100 * time.Millisecond
 	maxSharedRetryDelay = 10 * time.Second
+	// namedPeriod is how long an instance waits for changes after a regular reader has
+	// named it. It covers the loss of that reader: another takes over within
+	// maxTakeoverDelay, and names instances itself.
+	namedPeriod = 5 * time.Second
 )
 
 // Plan schedules this instance's reads of the store. Times are nanoseconds of the
@@ -44,14 +48,18 @@
 	// backoff is the delay after the last failure, by which reads that packets trigger
 	// are delayed too. retryDelay is that of the next planned read.
 	backoff, retryDelay time.Duration
-	random              *rand.Rand
+	// namedUntil is the end of the last namedPeriod. started receives a value when this
+	// instance may have to start waiting for changes.
+	namedUntil int64
+	started    chan struct{}
+	random     *rand.Rand
 }
 
 // NewPlan returns a Plan with a random takeover delay, for an instance that has not
 // read yet.
 func NewPlan(random *rand.Rand) *Plan {
 	takeoverDelay := minTakeoverDelay + time.Duration(random.Int64N(int64(maxTakeoverDelay-minTakeoverDelay)))
-	return &Plan{takeoverDelay: takeoverDelay, random: random}
+	return &Plan{takeoverDelay: takeoverDelay, started: make(chan struct{}, 1), random: random}
 }
 
 // NextRead returns the time of the next read, given the time at which the catalogue
@@ -83,6 +91,30 @@
 	p.regularRead = 0
 }
 
+// Name makes this instance wait for changes of the store for namedPeriod, beside the
+// regular reader.
+func (p *Plan) Name(now int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.namedUntil = now + int64(namedPeriod)
+	p.notify()
+}
+
+// Awaits reports whether this instance waits for changes of the store: it is a regular
+// reader, or has been named by one.
+func (p *Plan) Awaits(now int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.regularRead != 0 || now < p.namedUntil
+}
+
+func (p *Plan) notify() {
+	select {
+	case p.started <- struct{}{}:
+	default:
+	}
+}
+
 // MayRead reports whether a packet may trigger a read at the given time.
 func (p *Plan) MayRead(now int64) bool {
 	p.mu.Lock()
@@ -100,6 +132,7 @@
 	defer p.mu.Unlock()
 	if planned && p.lastRead != 0 {
 		p.regularRead = began
+		p.notify()
 	}
 	p.lastRead, p.failedAt, p.backoff, p.retryDelay = began, 0, 0, 0
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/singleflight"
+	"golang.org/x/time/rate"
 
 	"balsamfork/internal/catalogue"
 )
@@ -21,6 +22,10 @@
 	Changes(ctx context.Context, after uint64) (catalogue.Delta, error)
 	// All returns all records with linearizable reads.
 	All(ctx context.Context) (catalogue.Delta, error)
+	// AwaitServers waits until a backend server changes after a revision, up to a time,
+	// and returns the position of a change that it has seen, or the zero position. It may
+	// miss changes, and returns catalogue.HistoryGone if the store has dropped some.
+	AwaitServers(ctx context.Context, after uint64, wait time.Duration) (catalogue.Position, error)
 }
 
 // Options are the dependencies of a Watcher.
@@ -32,8 +37,8 @@
 	Peers func() int
 	// Clock returns the time of the monotonic clock in nanoseconds.
 	Clock func() int64
-	// OnRead is called after each successful read.
-	OnRead func()
+	// OnRead is called after each successful read, with the position before it.
+	OnRead func(before catalogue.Position)
 	Log    *slog.Logger
 	Scope  tally.Scope
 }
@@ -52,12 +57,16 @@
 	// storeEpoch is the epoch that was last read from the store, 0 before the first read.
 	storeEpoch uint64
 	// kept is the last number of records that the mirror had kept from an earlier epoch.
-	kept    atomic.Int64
-	metrics metrics
+	kept atomic.Int64
+	// awaitBudget limits the reads that follow from waiting for changes.
+	awaitBudget *rate.Limiter
+	// awaitFailed says that the last wait for changes failed.
+	awaitFailed atomic.Bool
+	metrics     metrics
 }
 
 type metrics struct {
-	changedRecords, refused         tally.Counter
+	changedRecords, refused, awaits tally.Counter
 	readDuration, lag               tally.Histogram
 	storeEpoch, storeRevision, kept tally.Gauge
 }
@@ -66,10 +75,12 @@
 func New(o Options) *Watcher {
 	scope := o.Scope.SubScope("catalogue")
 	return &Watcher{
-		Options: o,
+		Options:     o,
+		awaitBudget: rate.NewLimiter(rate.Every(awaitInterval), awaitBurst),
 		metrics: metrics{
 			changedRecords: scope.Counter("changes"),
 			refused:        scope.Counter("reads_refused"),
+			awaits:         scope.Counter("awaits"),
 			readDuration:   scope.Histogram("reading_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)),
 			lag:            scope.Histogram("change_lag_seconds", tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 2, 12)),
 			storeEpoch:     scope.Gauge("store_epoch"),
@@ -154,8 +165,8 @@
 }
 
 func (w *Watcher) readNow(ctx context.Context, planned bool) {
-	began := w.Clock()
-	if err := w.read(ctx, w.Mirror.Snapshot().Position); err != nil {
+	began, before := w.Clock(), w.Mirror.Snapshot().Position
+	if err := w.read(ctx, before); err != nil {
 		w.Plan.RecordFailure(w.Clock(), w.Peers())
 		w.logFailure(began, err)
 		return
@@ -164,7 +175,7 @@
 	w.logRecovery()
 	w.advanceKnown(began)
 	w.metrics.readDuration.RecordDuration(time.Duration(w.Clock() - began))
-	w.OnRead()
+	w.OnRead(before)
 }
 
 // read updates the mirror from its position to the store's.
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -101,6 +101,23 @@
 	return d, nil
 }
 
+// AwaitServers returns the last change after a revision that the watch does not miss. If
+// there is none, it waits until the context ends.
+func (f *fakeStore) AwaitServers(ctx context.Context, after uint64, _ time.Duration) (catalogue.Position, error) {
+	if f.unavailable {
+		return catalogue.Position{}, errUnavailable
+	}
+	d, err := f.Changes(ctx, after)
+	if err == nil && len(d.Records) == 0 {
+		<-ctx.Done()
+		return catalogue.Position{}, ctx.Err()
+	}
+	if err != nil {
+		return catalogue.Position{}, err
+	}
+	return catalogue.Position{Epoch: f.epoch, Revision: d.Records[len(d.Records)-1].Revision}, nil
+}
+
 type testWatcher struct {
 	*Watcher
 	now int64
@@ -113,7 +130,7 @@
 		Mirror: catalogue.NewMirror(),
 		Plan:   NewPlan(rand.New(rand.NewPCG(seed, 0))),
 		Clock:  func() int64 { return w.now },
-		OnRead: func() {},
+		OnRead: func(catalogue.Position) {},
 		Peers:  func() int { return 1 },
 		Log:    slog.New(slog.DiscardHandler),
 		Scope:  tally.NoopScope,
