Count failures of a server from the time of their packets

By reading: an instance without traffic records a missing handshake with its next packets, up to 1.5 s after the opening packet.

Cause: what is seen counts from when it is noticed, not from when it happened.

TestLateReport is new: failures that arrive late and out of order.

Why this works: each failure carries how long ago its packet was forwarded, also in reports to peers, and the verdict ends 3 s after the latest of these. A failure whose packet is older than the server's last answer shows nothing and is ignored. The time between failures is now that between their packets, as they were recorded 120 ms (handshakes) and 0.8 s (data) after them, it is the same for packets noticed in time.

--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -112,9 +112,9 @@
 
 // Observer is notified of what the traffic reveals about servers.
 type Observer interface {
-	// RecordFailure is called when a response of a server is missing, with the
-	// resulting finding.
-	RecordFailure(b *catalogue.Backend, kind suspicion.Kind, f suspicion.Finding)
+	// RecordFailure is called when a response of a server is missing, with the report on
+	// it and the resulting finding.
+	RecordFailure(b *catalogue.Backend, r suspicion.Report, f suspicion.Finding)
 	// Refuted is called when a server with missing responses on record has
 	// shown that it is alive. By is the kind of the evidence; ended says whether it
 	// ends a suspicion.
@@ -218,6 +218,7 @@
 	case suspicion.Data:
 		d.suspicion.RecordData(r.Server, r.DataCentre, now)
 	case suspicion.NoHandshake, suspicion.NoData:
+		r.Age = max(0, r.Age)
 		if now-d.resumedAt >= int64(reportResumeDelay) {
 			return d.suspicion.RecordFailure(r, now)
 		}
--- a/internal/flowpath/decider_test.go
+++ b/internal/flowpath/decider_test.go
@@ -81,8 +81,8 @@
 	return h
 }
 
-func (h *harness) RecordFailure(b *catalogue.Backend, kind suspicion.Kind, _ suspicion.Finding) {
-	if kind == suspicion.NoData {
+func (h *harness) RecordFailure(b *catalogue.Backend, r suspicion.Report, _ suspicion.Finding) {
+	if r.Kind == suspicion.NoData {
 		h.stalled = append(h.stalled, b.Name)
 		return
 	}
--- a/internal/flowpath/evidence.go
+++ b/internal/flowpath/evidence.go
@@ -1,6 +1,8 @@
 package flowpath
 
 import (
+	"time"
+
 	"balsamfork/internal/catalogue"
 	"balsamfork/internal/flowtable"
 	"balsamfork/internal/suspicion"
@@ -17,7 +19,7 @@
 		}
 		e := d.flows.Find(o.flow, now)
 		if e != nil && e.State == flowtable.Opening && e.Sent == o.sent {
-			d.recordFailure(serverOf(e, snap), suspicion.NoHandshake, now)
+			d.recordFailure(serverOf(e, snap), suspicion.NoHandshake, o.sent, now)
 		}
 	}
 }
@@ -32,7 +34,7 @@
 		}
 		e := d.flows.Find(r.flow, now)
 		if e != nil && e.AwaitingAnswer && e.RequestSent == r.sent && d.suspicion.LastData(e.Cookie) < r.sent {
-			d.recordFailure(serverOf(e, snap), suspicion.NoData, now)
+			d.recordFailure(serverOf(e, snap), suspicion.NoData, r.sent, now)
 		}
 	}
 }
@@ -58,13 +60,15 @@
 	return d.isCurrent() && now-d.lastDrained <= int64(maxReadDelay)
 }
 
-// recordFailure records a missing response of a server, unless it is nil.
-func (d *Decider) recordFailure(b *catalogue.Backend, kind suspicion.Kind, now int64) {
+// recordFailure records that a server has not answered a packet that was sent to it at a
+// time, unless the server is nil.
+func (d *Decider) recordFailure(b *catalogue.Backend, kind suspicion.Kind, sent, now int64) {
 	if b == nil {
 		return
 	}
-	f := d.suspicion.RecordFailure(reportOn(b, kind), now)
-	d.observer.RecordFailure(b, kind, f)
+	r := reportOn(b, kind)
+	r.Age = time.Duration(now - sent)
+	d.observer.RecordFailure(b, r, d.suspicion.RecordFailure(r, now))
 }
 
 // reportOn returns a report of this instance on a server.
@@ -91,7 +95,7 @@
 // answered since the flow's previous packet, gap nanoseconds ago.
 func (d *Decider) recordRetransmission(b *catalogue.Backend, gap, now int64) {
 	if d.isCurrent() && gap <= int64(maxRetransmissionGap) && d.suspicion.Silent(b.Cookie, now) {
-		d.recordFailure(b, suspicion.NoHandshake, now)
+		d.recordFailure(b, suspicion.NoHandshake, now-gap, now)
 	}
 }
 
--- a/internal/flowpath/peerupdate.go
+++ b/internal/flowpath/peerupdate.go
@@ -90,10 +90,10 @@
 }
 
 // RecordFailure implements Observer.
-func (p *Path) RecordFailure(b *catalogue.Backend, kind suspicion.Kind, f suspicion.Finding) {
-	p.metrics.failureCounter(kind).Inc(1)
-	p.handleFinding(b, kind, f, "own traffic")
-	p.Report(reportOn(b, kind))
+func (p *Path) RecordFailure(b *catalogue.Backend, r suspicion.Report, f suspicion.Finding) {
+	p.metrics.failureCounter(r.Kind).Inc(1)
+	p.handleFinding(b, r.Kind, f, "own traffic")
+	p.Report(r)
 }
 
 // Refuted implements Observer.
--- a/internal/suspicion/circuit.go
+++ b/internal/suspicion/circuit.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// failure is a request or an opening packet that was not answered.
+// failure is a request or an opening packet that was not answered, and at the time when it
+// was forwarded: what it shows about the server is from then.
 type failure struct {
 	source uint64
 	at     int64
@@ -12,7 +13,7 @@
 // several failures without a success between them. When the suspicion ends, it is
 // half-open and allows trials.
 type circuit struct {
-	// failures holds the last failures, the newest first. Those not later than
+	// failures holds the newest failures, the newest first. Those not later than
 	// lastSuccess, the time of the last success, don't count.
 	failures    [deadThreshold]failure
 	lastSuccess int64
@@ -25,16 +26,33 @@
 }
 
 // recordFailure records a failure and reports whether it makes the server suspected.
-func (c *circuit) recordFailure(source uint64, now int64) bool {
-	copy(c.failures[1:], c.failures[:])
-	c.failures[0] = failure{source: source, at: now}
-	if c.until > now || !c.tripped && c.countFailures(c.lastSuccess, now, failureWindow) < suspicionThreshold {
+func (c *circuit) recordFailure(f failure, now int64) bool {
+	if !c.insert(f) || c.until > now {
+		return false
+	}
+	if !c.tripped && c.countFailures(c.lastSuccess, c.failures[0].at, failureWindow) < suspicionThreshold {
 		return false
 	}
 	c.trip(now)
 	return true
 }
 
+// insert adds a failure to the newest ones. It returns false if the failure shows nothing
+// new: a later packet was answered, or all failures held are newer.
+func (c *circuit) insert(f failure) bool {
+	if f.at <= c.lastSuccess {
+		return false
+	}
+	for i := range c.failures {
+		if f.at >= c.failures[i].at {
+			copy(c.failures[i+1:], c.failures[i:])
+			c.failures[i] = f
+			return true
+		}
+	}
+	return false
+}
+
 // trip starts a suspicion. If there was no success since the last one started, it
 // lasts twice as long as that one, up to maxSuspicion.
 func (c *circuit) trip(now int64) {
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -76,6 +76,8 @@
 	// Started is when the server started, as in catalogue.Server; 0 if it does not state
 	// that.
 	Started int64
+	// Age is how long before the report the packet was forwarded that was not answered.
+	Age time.Duration
 }
 
 // Finding is the result of recording a failure.
@@ -122,14 +124,16 @@
 	return &Table{servers: map[uint32]*server{}, dataCentres: map[string]*dataCentre{}}
 }
 
-// RecordFailure records a failure.
+// RecordFailure records a failure, which counts from the time when its packet was
+// forwarded: it may be reported late.
 func (t *Table) RecordFailure(r Report, now int64) Finding {
 	s := t.server(r.Server, r.DataCentre)
 	c := &s.handshakes
 	if r.Kind == NoData {
 		c = &s.requests
 	}
-	f := Finding{Suspected: c.recordFailure(r.Source, now), Failures: c.countFailures(c.lastSuccess, now, deadWindow)}
+	failed := failure{source: r.Source, at: now - int64(r.Age)}
+	f := Finding{Suspected: c.recordFailure(failed, now), Failures: c.countFailures(c.lastSuccess, now, deadWindow)}
 	if c.lastSuccess != 0 {
 		f.Silent = time.Duration(now - c.lastSuccess)
 	}
--- a/internal/suspicion/suspicion_test.go
+++ b/internal/suspicion/suspicion_test.go
@@ -163,6 +163,26 @@
 	is.True(!s.Dead(1, at+6000*ms)) // a single failure does not renew it
 }
 
+// TestLateReport covers failures that are recorded long after their packets were forwarded,
+// and out of order: they count from the time of their packets.
+func TestLateReport(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	at := 5000 * ms
+	late := func(source uint64, age time.Duration) Finding {
+		return s.RecordFailure(Report{Kind: NoHandshake, Server: 1, Source: source, Age: age}, at)
+	}
+	s.RecordHandshake(1, "", at-2000*ms)
+	is.Equal(late(1, 2*time.Second).Failures, 0) // the server has answered later packets
+	is.Equal(late(1, time.Second).Failures, 1)
+	is.True(late(1, 1200*time.Millisecond).Suspected)
+	late(2, 500*time.Millisecond)
+	is.Equal(late(2, 900*time.Millisecond).Failures, deadThreshold)
+	is.True(s.Dead(1, at-500*ms+int64(deadDuration)))
+	is.True(!s.Dead(1, at-500*ms+int64(deadDuration)+1))
+	is.Equal(late(2, 1900*time.Millisecond).Failures, deadThreshold) // newer ones are known
+}
+
 // TestDataShowsServerAliveButNotReachable covers a partition: servers on the other side
 // send data to callers directly while opening packets don't reach them.
 func TestDataShowsServerAliveButNotReachable(t *testing.T) {
