Derive how long a server counts as dead from the stability window

Cause: 3 s stood for the deployments whose flows must hold again 4 s after a disturbance (stability_window_ms). Others allow 5 or 6 s, and with a shorter window the verdict would have outlasted it and reset flows that live.

Evidence: TestVerdictFitsTheWindow, with windows of 0.5, 4 and 6 s; before, the verdict took 3 s for all of them.

Why this works: the verdict ends 1 s, for packets and reports in flight, before the flows must hold. It stays 3 s where the window is 4 s.

--- a/internal/flowd/module.go
+++ b/internal/flowd/module.go
@@ -146,8 +146,8 @@
 		Codec:      platform.Codec{},
 		Listen:     s.Packets,
 		DataCentre: s.DataCentre,
-		MaxFlowAge: s.MaxFlowAge,
-		Limits:     flowpath.WarmupLimits{Factor: s.WarmupFactor, Slack: s.WarmupSlack},
+		Flows:      flowpath.FlowLimits{MaxAge: s.MaxFlowAge, StabilityWindow: s.StabilityWindow},
+		Warmup:     flowpath.WarmupLimits{Factor: s.WarmupFactor, Slack: s.WarmupSlack},
 		CatalogueState: func() flowpath.CatalogueState {
 			known, since := w.Known()
 			return flowpath.CatalogueState{Snapshot: m.Snapshot(), Known: known, Since: since, Failing: w.Failing()}
--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -160,17 +160,24 @@
 	startedAt int64
 }
 
-// NewDecider returns a decider for an instance of a data centre, and for flows that last
-// up to maxFlowAge. The random source must differ between instances.
-func NewDecider(dataCentre string, maxFlowAge time.Duration, limits WarmupLimits, random *rand.Rand, observer Observer) *Decider {
+// FlowLimits are the bounds that a deployment sets for flows: MaxAge is the longest time
+// that a flow may last, and StabilityWindow the time after a disturbance from which the
+// flows that it affected must hold again.
+type FlowLimits struct {
+	MaxAge, StabilityWindow time.Duration
+}
+
+// NewDecider returns a decider for an instance of a data centre. The random source must
+// differ between instances.
+func NewDecider(dataCentre string, flows FlowLimits, warmup WarmupLimits, random *rand.Rand, observer Observer) *Decider {
 	return &Decider{
 		observer:       observer,
 		selector:       selection.Selector{DataCentre: dataCentre},
-		flows:          flowtable.New(maxFlowAge),
+		flows:          flowtable.New(flows.MaxAge),
 		handshakes:     responseQueue{timeout: handshakeTimeout},
 		requests:       responseQueue{timeout: dataTimeout},
-		suspicion:      suspicion.New(),
-		warmup:         newWarmupBudget(limits, random),
+		suspicion:      suspicion.New(flows.StabilityWindow),
+		warmup:         newWarmupBudget(warmup, random),
 		localInstances: defaultLocalInstances,
 		outstanding:    map[uint32]int{},
 		starts:         map[uint32]int64{},
--- a/internal/flowpath/decider_test.go
+++ b/internal/flowpath/decider_test.go
@@ -66,7 +66,7 @@
 // servers of it.
 func newHarness(n int, change func(*catalogue.Server)) *harness {
 	h := &harness{mirror: catalogue.NewMirror(), known: start, since: start, now: start}
-	h.Decider = NewDecider("a", time.Minute, WarmupLimits{Factor: 1.5, Slack: 5}, rand.New(rand.NewPCG(1, harnessCount.Add(1))), h)
+	h.Decider = NewDecider("a", FlowLimits{MaxAge: time.Minute, StabilityWindow: 4 * time.Second}, WarmupLimits{Factor: 1.5, Slack: 5}, rand.New(rand.NewPCG(1, harnessCount.Add(1))), h)
 	h.readAt = h.now
 	records := []catalogue.Record{{
 		ID: catalogue.ID{Kind: catalogue.KindConfiguration}, Revision: 1,
--- a/internal/flowpath/path.go
+++ b/internal/flowpath/path.go
@@ -47,9 +47,8 @@
 	Listen netip.AddrPort
 	// DataCentre is the data centre of this instance.
 	DataCentre string
-	// MaxFlowAge is the longest time that a flow may last.
-	MaxFlowAge time.Duration
-	Limits     WarmupLimits
+	Flows      FlowLimits
+	Warmup     WarmupLimits
 	// CatalogueState returns the catalogue snapshot and its age.
 	CatalogueState func() CatalogueState
 	// Refresh reads the catalogue from the store, and returns when this is done.
@@ -115,7 +114,7 @@
 		peerUpdate:  make(chan peerUpdate, maxPeerUpdates),
 		closed:      make(chan struct{}),
 	}
-	p.decider = NewDecider(o.DataCentre, o.MaxFlowAge, o.Limits, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), p)
+	p.decider = NewDecider(o.DataCentre, o.Flows, o.Warmup, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), p)
 	if err := conn.SetReadBuffer(socketBuffer); err != nil {
 		o.Log.Warn("Failed to set the receive buffer size of the packet socket.", "error", err)
 	}
--- a/internal/flowpath/path_test.go
+++ b/internal/flowpath/path_test.go
@@ -72,7 +72,7 @@
 	}
 	caller, _ := listen(t)
 	path, err := flowpath.Open(flowpath.Options{
-		Codec: platform.Codec{}, Listen: netip.MustParseAddrPort("127.0.0.1:0"), DataCentre: "a", MaxFlowAge: time.Minute,
+		Codec: platform.Codec{}, Listen: netip.MustParseAddrPort("127.0.0.1:0"), DataCentre: "a", Flows: flowpath.FlowLimits{MaxAge: time.Minute, StabilityWindow: 4 * time.Second},
 		CatalogueState: func() flowpath.CatalogueState {
 			return flowpath.CatalogueState{Snapshot: mirror.Snapshot(), Known: known.Load(), Since: known.Load()}
 		},
--- a/internal/flowpath/peerupdate_test.go
+++ b/internal/flowpath/peerupdate_test.go
@@ -28,7 +28,7 @@
 			h := newHarness(1, nil)
 			path, err := Open(Options{
 				Codec:  noCodec{},
-				Listen: netip.MustParseAddrPort("127.0.0.1:0"), DataCentre: "a", MaxFlowAge: time.Minute,
+				Listen: netip.MustParseAddrPort("127.0.0.1:0"), DataCentre: "a", Flows: FlowLimits{MaxAge: time.Minute, StabilityWindow: 4 * time.Second},
 				CatalogueState: func() CatalogueState { return CatalogueState{Snapshot: h.mirror.Snapshot()} },
 				RequestContact: func(string) {},
 				Clock:          func() int64 { return h.now },
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -29,10 +29,9 @@
 	// four losses in a row without an answer between have a probability of 10^-8.
 	deadThreshold = 4
 	deadWindow    = 3 * time.Second
-	// deadDuration is how long a server counts as dead after its last failure. Without
-	// an end the verdict would outlast a network partition: a server whose packets are
-	// all reset cannot show that it is alive.
-	deadDuration = 3 * time.Second
+	// verdictMargin is how much sooner a verdict ends than a server's flows must hold
+	// again. It covers packets and reports in flight.
+	verdictMargin = time.Second
 	// minSuspicion and maxSuspicion limit how long a suspicion lasts before the server
 	// is tried again. The duration doubles each time the server still doesn't answer.
 	// The store drops the entry of a dead server within about 5 s.
@@ -115,13 +114,22 @@
 
 // Table holds the failures and successes of all backend servers and data centres.
 type Table struct {
+	// verdict is how long a server counts as dead after its last failure. Without an end
+	// the verdict would outlast a network partition: a server whose packets are all reset
+	// cannot show that it is alive.
+	verdict     time.Duration
 	servers     map[uint32]*server
 	dataCentres map[string]*dataCentre
 }
 
-// New returns an empty table.
-func New() *Table {
-	return &Table{servers: map[uint32]*server{}, dataCentres: map[string]*dataCentre{}}
+// New returns an empty table. The open flows of a server must hold again stabilityWindow
+// after a disturbance of it.
+func New(stabilityWindow time.Duration) *Table {
+	return &Table{
+		verdict:     max(0, stabilityWindow-verdictMargin),
+		servers:     map[uint32]*server{},
+		dataCentres: map[string]*dataCentre{},
+	}
 }
 
 // RecordFailure records a failure, which counts from the time when its packet was
@@ -143,14 +151,14 @@
 
 // Dead reports whether it is certain that a server answers no instance: opening packets
 // of at least two instances failed deadThreshold times since it was last alive, the last
-// of them within deadDuration.
+// of them within the duration of a verdict.
 func (t *Table) Dead(id uint32, now int64) bool {
 	s := t.servers[id]
 	if s == nil || !s.handshakes.tripped {
 		return false
 	}
 	newest := s.handshakes.failures[0]
-	if now-newest.at > int64(deadDuration) {
+	if now-newest.at > int64(t.verdict) {
 		return false
 	}
 	if s.handshakes.countFailures(s.lastAlive, newest.at, deadWindow) < deadThreshold {
--- a/internal/suspicion/suspicion_test.go
+++ b/internal/suspicion/suspicion_test.go
@@ -7,11 +7,14 @@
 	"github.com/matryer/is"
 )
 
-const ms = int64(time.Millisecond)
+const (
+	ms              = int64(time.Millisecond)
+	stabilityWindow = 4 * time.Second
+)
 
 func TestOneFailureDoesNotMakeAServerSuspected(t *testing.T) {
 	is := is.New(t)
-	s := New()
+	s := New(stabilityWindow)
 	is.True(!s.RecordFailure(Report{Kind: NoHandshake, Server: 1, DataCentre: "a"}, 100*ms).Suspected)
 	is.True(!s.Suspected(1, 101*ms))
 }
@@ -33,7 +36,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			s := New()
+			s := New(stabilityWindow)
 			start := 1000 * ms
 			s.RecordFailure(c.first, start)
 			if c.answered != 0 {
@@ -49,7 +52,7 @@
 // suspicion ends, one unanswered trial renews it for twice as long.
 func TestSuspicionDoublesWhileAServerIsSilent(t *testing.T) {
 	is := is.New(t)
-	s := New()
+	s := New(stabilityWindow)
 	at := 1000 * ms
 	s.RecordFailure(Report{Kind: NoHandshake, Server: 1}, at)
 	for _, duration := range []time.Duration{minSuspicion, 2 * minSuspicion, 4 * minSuspicion, maxSuspicion} {
@@ -67,7 +70,7 @@
 
 func TestHandshakeEndsASuspicion(t *testing.T) {
 	is := is.New(t)
-	s := New()
+	s := New(stabilityWindow)
 	s.RecordFailure(Report{Kind: NoHandshake, Server: 1}, 1000*ms)
 	s.RecordFailure(Report{Kind: NoHandshake, Server: 1}, 1000*ms)
 	is.Equal(s.RecordHandshake(1, "a", 1100*ms), Refutation{Refutes: true, Ended: true})
@@ -80,7 +83,7 @@
 // answered.
 func TestPartitionedDataCentreIsUnreachable(t *testing.T) {
 	is := is.New(t)
-	s := New()
+	s := New(stabilityWindow)
 	at := 1000 * ms
 	s.RecordHandshake(1, "b", at)
 	s.RecordHandshake(2, "b", at)
@@ -100,7 +103,7 @@
 
 func TestAnswerOfAnyServerMakesADataCentreReachable(t *testing.T) {
 	is := is.New(t)
-	s := New()
+	s := New(stabilityWindow)
 	at := 1000 * ms
 	for server := range uint32(2) {
 		s.RecordFailure(Report{Kind: NoHandshake, Server: server, DataCentre: "b"}, at)
@@ -128,7 +131,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			s := New()
+			s := New(stabilityWindow)
 			at := 1000 * ms
 			for i, source := range c.sources {
 				s.RecordFailure(Report{Kind: NoHandshake, Server: 1, Source: source}, at)
@@ -149,25 +152,41 @@
 // extends the verdict.
 func TestDeadEnds(t *testing.T) {
 	is := is.New(t)
-	s := New()
+	s := New(stabilityWindow)
 	at := 1000 * ms
 	for source := range uint64(deadThreshold) {
 		s.RecordFailure(Report{Kind: NoHandshake, Server: 1, Source: source}, at)
 	}
-	is.True(s.Dead(1, at+int64(deadDuration)))
-	is.True(!s.Dead(1, at+int64(deadDuration)+1))
+	is.True(s.Dead(1, at+int64(s.verdict)))
+	is.True(!s.Dead(1, at+int64(s.verdict)+1))
 	s.RecordFailure(Report{Kind: NoHandshake, Server: 1}, at+2000*ms)
-	is.True(s.Dead(1, at+2000*ms+int64(deadDuration)))
-	is.True(!s.Dead(1, at+2000*ms+int64(deadDuration)+1))
+	is.True(s.Dead(1, at+2000*ms+int64(s.verdict)))
+	is.True(!s.Dead(1, at+2000*ms+int64(s.verdict)+1))
 	s.RecordFailure(Report{Kind: NoHandshake, Server: 1}, at+6000*ms)
 	is.True(!s.Dead(1, at+6000*ms)) // a single failure does not renew it
 }
 
+// TestVerdictFitsTheWindow guards against a verdict that outlasts the time after which the
+// flows of a server that was cut off must hold, and against one that is needlessly short.
+func TestVerdictFitsTheWindow(t *testing.T) {
+	for _, window := range []time.Duration{500 * time.Millisecond, 4 * time.Second, 6 * time.Second} {
+		is := is.New(t)
+		s := New(window)
+		at := 1000 * ms
+		for source := range uint64(deadThreshold) {
+			s.RecordFailure(Report{Kind: NoHandshake, Server: 1, Source: source}, at)
+		}
+		is.True(s.Dead(1, at))
+		is.Equal(s.Dead(1, at+int64(window/2)), window > verdictMargin)
+		is.True(!s.Dead(1, at+int64(window)))
+	}
+}
+
 // TestLateReport covers failures that are recorded long after their packets were forwarded,
 // and out of order: they count from the time of their packets.
 func TestLateReport(t *testing.T) {
 	is := is.New(t)
-	s := New()
+	s := New(stabilityWindow)
 	at := 5000 * ms
 	late := func(source uint64, age time.Duration) Finding {
 		return s.RecordFailure(Report{Kind: NoHandshake, Server: 1, Source: source, Age: age}, at)
@@ -178,8 +197,8 @@
 	is.True(late(1, 1200*time.Millisecond).Suspected)
 	late(2, 500*time.Millisecond)
 	is.Equal(late(2, 900*time.Millisecond).Failures, deadThreshold)
-	is.True(s.Dead(1, at-500*ms+int64(deadDuration)))
-	is.True(!s.Dead(1, at-500*ms+int64(deadDuration)+1))
+	is.True(s.Dead(1, at-500*ms+int64(s.verdict)))
+	is.True(!s.Dead(1, at-500*ms+int64(s.verdict)+1))
 	is.Equal(late(2, 1900*time.Millisecond).Failures, deadThreshold) // newer ones are known
 }
 
@@ -187,7 +206,7 @@
 // send data to callers directly while opening packets don't reach them.
 func TestDataShowsServerAliveButNotReachable(t *testing.T) {
 	is := is.New(t)
-	s := New()
+	s := New(stabilityWindow)
 	at := 1000 * ms
 	for server := uint32(1); server <= 2; server++ {
 		for source := range uint64(deadThreshold) {
@@ -212,7 +231,7 @@
 // requests: only data, not handshakes, ends the suspicion.
 func TestServerThatAcceptsFlowsOnly(t *testing.T) {
 	is := is.New(t)
-	s := New()
+	s := New(stabilityWindow)
 	at := 1000 * ms
 	is.True(!s.RecordFailure(Report{Kind: NoData, Server: 1, DataCentre: "a"}, at).Suspected)
 	is.Equal(s.RecordFailure(Report{Kind: NoData, Server: 1, DataCentre: "a", Source: 5}, at+ms), Finding{Suspected: true, Failures: 2})
