Hold new flows after any pause of an instance until it has read the store

Seen: in the test, an instance that was paused for 0.6 or 1 s placed new flows by the catalogue from before the pause: a server that had started again meanwhile got its usual share while cold, until the regular reader's next announcement, up to 0.5 s later. After a pause the instance discards the announcements that waited.

Cause: new flows waited for a read only from an age of 2.5 s on, which kept the bounds of changes that the operator makes; a cold server's limit is one of a second.

Evidence: TestFlowAfterAPauseWaitsForTheCatalogue failed for pauses of 0.6 and 1 s and passes now. Four tests are set up more exactly and check the same: in three the store had been read since the pause, as they said, but at a time just before the end of the pause was noticed; in TestResumedInstanceReadsBeforeItPlacesFlows the instance "only got no packets", but counted as paused.

Why this works: a packet that arrives after the pause waits for a read that begins after it, some milliseconds. Packets that waited through the pause are decided as before: their callers would give up. If the store cannot be read, the instance goes on with what it has.

--- a/internal/flowpath/opening.go
+++ b/internal/flowpath/opening.go
@@ -39,10 +39,14 @@
 }
 
 // outdatedByPause reports whether the catalogue is from before a pause of this instance
-// and may be read again: servers may have been drained and routes changed meanwhile. If
-// the store cannot be read, the instance goes on with what it has.
+// and may be read again: servers may have been drained or have started again, and routes
+// changed meanwhile. If the store cannot be read, the instance goes on with what it has. A
+// packet that waited through a short pause cannot wait longer: its caller would give up.
 func (d *Decider) outdatedByPause(state CatalogueState, now int64) bool {
-	return !state.Failing && state.Known < d.resumedAt && now-state.Known >= int64(pausedCatalogueAge)
+	if state.Failing || state.Known >= d.resumedAt {
+		return false
+	}
+	return !d.waited || now-state.Known >= int64(pausedCatalogueAge)
 }
 
 // shouldSpill reports whether a flow is to go to another data centre because the
--- a/internal/flowpath/pause_test.go
+++ b/internal/flowpath/pause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -17,9 +18,9 @@
 	h.drainedAt = h.now
 	h.backlogged = true
 	h.now += 2500 * ms
-	h.known = h.now
 	for port := uint16(1); port < 20; port++ {
 		h.now += ms
+		h.known = h.now // the store has been read since the pause
 		v := h.open(port, 0)
 		is.Equal(v.Action, Drop)
 		is.Equal(v.Reason, Delayed)
@@ -127,3 +128,27 @@
 	h.now += ms
 	is.Equal(h.decide(Packet{Flow: flow(2), Kind: Opening, Arrived: arrived}).Reason, Delayed)
 }
+
+// TestFlowAfterAPauseWaitsForTheCatalogue guards against a server that has started again
+// while the instance was paused: it would get its usual flows while cold, until the next
+// announcement of the regular reader. If the store cannot be read, the flow is placed.
+func TestFlowAfterAPauseWaitsForTheCatalogue(t *testing.T) {
+	for _, pause := range []int64{600 * ms, 1000 * ms, 2500 * ms} {
+		is := is.New(t)
+		h := newHarness(2, startedAt(1000))
+		b := h.open(1, 0).Backend
+		h.now += pause
+		is.Equal(h.open(2, 0).Reason, StaleCatalogue)
+		arrived := h.now
+		h.now += 8 * ms
+		h.known = h.now
+		h.restart(b, 2*time.Second)
+		v := h.decide(Packet{Flow: flow(2), Kind: Opening, Arrived: arrived})
+		is.Equal(v.Action, Forward)
+		is.True(v.Backend.Name != b.Name)
+
+		h.now += pause
+		h.failing = true
+		is.Equal(h.open(3, 0).Action, Forward)
+	}
+}
--- a/internal/flowpath/unresponsive_test.go
+++ b/internal/flowpath/unresponsive_test.go
@@ -299,9 +299,9 @@
 	h := newHarness(5, nil)
 	h.backlogged = true
 	h.now += 5000 * ms
-	h.known = h.now // the store has been read since the pause
 	for port := uint16(1); port < 40; port++ {
 		h.now += ms / 4
+		h.known = h.now // the store has been read since the pause
 		h.open(port, 0)
 	}
 	h.backlogged = false
@@ -321,10 +321,10 @@
 		opened[port] = h.open(port, 0).Backend
 	}
 	h.now += 4000 * ms
-	h.known = h.now // the store has been read since the pause
 	h.backlogged = true
 	for port := uint16(1); port < 40; port++ {
 		h.now += ms
+		h.known = h.now // the store has been read since the pause
 		h.send(port, opened[port].Cookie, 1, 0)
 	}
 	h.backlogged = false
@@ -353,6 +353,7 @@
 	is.Equal(h.open(3, 0).Reason, Placed)
 
 	h.now += 8000 * ms
+	h.readAt = h.now // the process runs, and gets no packets
 	h.known = h.now - 500*ms
 	is.Equal(h.open(4, 0).Reason, Placed)
 }
