Show that an earlier start of a server does not return

Cause: a server that has started again counts as warm if its earlier start comes back with a peer's records, or from a restored store.

Evidence: TestEarlierStartDoesNotReturn passes on the code before as well: a mirror takes nothing that is older than its own position, and between epochs the later start wins. It is here so that this stays.

--- a/internal/catalogue/restore_test.go
+++ b/internal/catalogue/restore_test.go
@@ -394,3 +394,34 @@
 		}
 	}
 }
+
+// TestEarlierStartDoesNotReturn guards against a server that started again and counts as
+// warm since a peer that lags, or a store restored from before, holds its earlier start.
+func TestEarlierStartDoesNotReturn(t *testing.T) {
+	const now = int64(time.Minute)
+	started := func(at int64, warmup time.Duration) func(*Server) {
+		return func(s *Server) { s.Started, s.Report, s.Warmup = at, 1, warmup }
+	}
+	earlier := server("s1", 4, started(1000, 0))
+	lagging := NewMirror()
+	lagging.Apply(Delta{Complete: true, Revision: 8, Records: []Record{earlier}}, now, 0)
+	restored := earlier
+	restored.Epoch = 1
+	for name, d := range map[string]Delta{
+		"all that a peer knows":     lagging.Since(Position{}, now),
+		"a peer's changes":          lagging.Since(Position{Revision: 3}, now),
+		"a store that was restored": {Complete: true, Epoch: 1, Revision: 5, Records: []Record{restored}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := NewMirror()
+			m.Apply(Delta{Complete: true, Revision: 8, Records: []Record{earlier}}, now, 0)
+			later := server("s1", 9, started(2000, 2*time.Second))
+			m.Apply(Delta{Since: 8, Revision: 9, Records: []Record{later}}, now, 0)
+			m.Apply(d, now, 0)
+			b := findBackend(m, "s1")
+			is.Equal(b.Started, int64(2000))
+			is.True(b.Cold(now + int64(time.Second)))
+		})
+	}
+}
