--- a/cmd/balsamfork-flowd/deployment_test.go
+++ b/cmd/balsamfork-flowd/deployment_test.go
@@ -53,7 +53,24 @@
 	process       *exec.Cmd
 	exited        chan error
 	mu            sync.Mutex
-	inRotation    atomic.Bool
+	// disturbedUntil is the Unix time of the end of the last fault, in nanoseconds.
+	disturbedUntil atomic.Int64
+	inRotation     atomic.Bool
+}
+
+// unlock ends a fault of the instance.
+func (i *instance) unlock() {
+	i.disturbedUntil.Store(time.Now().UnixNano())
+	i.mu.Unlock()
+}
+
+// disturbedSince reports whether a fault has affected the instance since a time.
+func (i *instance) disturbedSince(at time.Time) bool {
+	if !i.mu.TryLock() {
+		return true
+	}
+	i.mu.Unlock()
+	return i.disturbedUntil.Load() > at.UnixNano()
 }
 
 // deployment is a simulated platform with backend servers, and instances as processes.
@@ -65,8 +82,10 @@
 	instances []*instance
 	mu        sync.Mutex
 	servers   []*platformtest.Server
-	nextID    uint64
-	version   int
+	// ended holds the servers that were silenced or stopped.
+	ended   []*platformtest.Server
+	nextID  uint64
+	version int
 	// partitioned is indexed by the data centre of instances and that of servers; it
 	// says that packets from the former to the latter are lost.
 	partitioned [dataCentres][dataCentres]atomic.Bool
@@ -188,10 +207,18 @@
 
 // removeServer stops a server and removes its entry from the store.
 func (d *deployment) removeServer(s *platformtest.Server) {
+	d.recordEnd(s)
 	s.Stop()
 	d.store.Deregister(s)
 }
 
+// recordEnd records that a server stops responding.
+func (d *deployment) recordEnd(s *platformtest.Server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ended = append(d.ended, s)
+}
+
 func (d *deployment) newInstance(c, n int, store string) *instance {
 	proxy, err := platformtest.NewProxy(store)
 	d.must(err)
--- a/cmd/balsamfork-flowd/soak_test.go
+++ b/cmd/balsamfork-flowd/soak_test.go
@@ -78,6 +78,10 @@
 	faults    sync.WaitGroup
 	mu        sync.Mutex
 	failures  []string
+	// losses counts the requests without an answer by what was disturbed.
+	losses map[string]int
+	// partitionEnded is the Unix time when a partition last ended, in nanoseconds.
+	partitionEnded atomic.Int64
 	// drainStarts maps the drained servers whose bound is checked to the start of
 	// the drain.
 	drainStarts map[*platformtest.Server]time.Time
@@ -91,6 +95,7 @@
 		seed:        seed,
 		random:      rand.New(rand.NewPCG(seed, 0)),
 		drainStarts: map[*platformtest.Server]time.Time{},
+		losses:      map[string]int{},
 	}
 	time.Sleep(2 * time.Second)
 	stop := make(chan struct{})
@@ -116,6 +121,7 @@
 	s.injectFaults(span)
 	s.faults.Wait()
 	s.checkRecovery(callers)
+	s.restartServers()
 	close(stop)
 	traffic.Wait()
 	s.checkDrains()
@@ -171,6 +177,8 @@
 // checkOutcome checks the conditions that every request must meet.
 func (s *soakRun) checkOutcome(flow *platformtest.Flow, outcome platformtest.Outcome) {
 	switch outcome {
+	case platformtest.Lost:
+		s.recordLoss(flow)
 	case platformtest.WrongAnswer:
 		s.failf("flow %v got the answer to a request of another flow", flow.Local)
 	case platformtest.Reset:
@@ -217,6 +225,7 @@
 	s.t.Logf("seed %d: answered %d, refused %d, unopened %d, reset %d, lost %d, wrong answer %d", seed,
 		s.outcomes[platformtest.Answered].Load(), s.outcomes[platformtest.Refused].Load(), s.outcomes[platformtest.Unopened].Load(),
 		s.outcomes[platformtest.Reset].Load(), s.outcomes[platformtest.Lost].Load(), s.outcomes[platformtest.WrongAnswer].Load())
+	s.t.Logf("seed %d: lost with %v", seed, s.losses)
 	for n, text := range s.failures {
 		if n < 5 {
 			s.t.Error(text)
@@ -284,7 +293,7 @@
 
 func (s *soakRun) kill(f fault) {
 	i := s.lockInstance(f)
-	defer i.mu.Unlock()
+	defer i.unlock()
 	s.recordDisturbance()
 	_ = s.stopProcess(i, syscall.SIGKILL)
 	time.Sleep(f.length)
@@ -294,7 +303,7 @@
 
 func (s *soakRun) terminate(f fault) {
 	i := s.lockInstance(f)
-	defer i.mu.Unlock()
+	defer i.unlock()
 	if err := s.stopProcess(i, syscall.SIGTERM); err != nil {
 		s.failf("%s did not stop gracefully: %v", i.name, err)
 	}
@@ -303,7 +312,7 @@
 
 func (s *soakRun) freeze(f fault) {
 	i := s.lockInstance(f)
-	defer i.mu.Unlock()
+	defer i.unlock()
 	s.recordDisturbance()
 	_ = i.process.Process.Signal(syscall.SIGSTOP)
 	time.Sleep(f.length)
@@ -313,7 +322,7 @@
 
 func (s *soakRun) reload(f fault) {
 	i := s.lockInstance(f)
-	defer i.mu.Unlock()
+	defer i.unlock()
 	_ = i.process.Process.Signal(syscall.SIGHUP)
 }
 
@@ -321,7 +330,7 @@
 // store.
 func (s *soakRun) disruptStoreConnections(f fault) {
 	i := s.lockInstance(f)
-	defer i.mu.Unlock()
+	defer i.unlock()
 	s.recordDisturbance()
 	switch f.random.IntN(3) {
 	case 0:
@@ -392,6 +401,7 @@
 	if server == nil {
 		return
 	}
+	s.deployment.recordEnd(server)
 	server.Blackhole()
 	time.Sleep(3600 * time.Millisecond)
 	s.removeServer(server)
@@ -407,6 +417,7 @@
 	s.partitioned[from][to].Store(true)
 	time.Sleep(f.length)
 	s.partitioned[from][to].Store(false)
+	s.partitionEnded.Store(time.Now().UnixNano())
 	s.recordDisturbance()
 }
 
