Name the instances that wait beside the regular reader standbys, and space failed waits

Cause: stand-ins are test doubles everywhere else in the repository. An instance that the store turns away, or that waits while the store is down, repeated its wait four times a second for up to 5 s, and refused calls are priced as well.

Evidence: TestFailedWaitIsReported counted more than three waits in the first second and now counts three at most; they follow after 0.25, 0.5, 1 and 2 s.

--- a/cmd/balsamfork-flowd/deployment_test.go
+++ b/cmd/balsamfork-flowd/deployment_test.go
@@ -53,7 +53,9 @@
 	process       *exec.Cmd
 	exited        chan error
 	mu            sync.Mutex
-	// disturbedUntil is the Unix time of the end of the last fault, in nanoseconds.
+	// fault is the kind of the last fault, and disturbedUntil the Unix time of its end, in
+	// nanoseconds.
+	fault          atomic.Pointer[string]
 	disturbedUntil atomic.Int64
 	inRotation     atomic.Bool
 }
--- a/cmd/balsamfork-flowd/loss_test.go
+++ b/cmd/balsamfork-flowd/loss_test.go
@@ -39,7 +39,7 @@
 		}
 		for _, i := range s.instances {
 			if i.address == to.Addr() && i.disturbedSince(time.Now().Add(-lossWindow)) {
-				reasons = append(reasons, "instance disturbed")
+				reasons = append(reasons, "instance "+*i.fault.Load())
 			}
 		}
 	}
--- a/cmd/balsamfork-flowd/restarts_test.go
+++ b/cmd/balsamfork-flowd/restarts_test.go
@@ -14,12 +14,15 @@
 	crashTime = 100 * time.Millisecond
 )
 
+var pausedFault = "paused"
+
 // restartServers lets servers of the sheets service crash and start again under their ids,
 // cold, while an instance is paused. The limit of cold servers is checked at the end.
 func (s *soakRun) restartServers() {
 	for n := range restarts {
 		paused := s.instances[s.random.IntN(len(s.instances))]
 		paused.mu.Lock()
+		paused.fault.Store(&pausedFault)
 		_ = paused.process.Process.Signal(syscall.SIGSTOP)
 		server := s.sheetsServer(n)
 		server.Blackhole()
--- a/cmd/balsamfork-flowd/soak_test.go
+++ b/cmd/balsamfork-flowd/soak_test.go
@@ -278,12 +278,13 @@
 }
 
 // lockInstance returns an instance that no other fault affects, with its mutex locked:
-// the first such one in an order that the fault's random numbers fix.
-func (s *soakRun) lockInstance(f fault) *instance {
+// the first such one in an order that the fault's random numbers fix. Kind names the fault.
+func (s *soakRun) lockInstance(f fault, kind string) *instance {
 	order := f.random.Perm(len(s.instances))
 	for {
 		for _, n := range order {
 			if i := s.instances[n]; i.mu.TryLock() {
+				i.fault.Store(&kind)
 				return i
 			}
 		}
@@ -292,7 +293,7 @@
 }
 
 func (s *soakRun) kill(f fault) {
-	i := s.lockInstance(f)
+	i := s.lockInstance(f, "killed")
 	defer i.unlock()
 	s.recordDisturbance()
 	_ = s.stopProcess(i, syscall.SIGKILL)
@@ -302,7 +303,7 @@
 }
 
 func (s *soakRun) terminate(f fault) {
-	i := s.lockInstance(f)
+	i := s.lockInstance(f, "stopped")
 	defer i.unlock()
 	if err := s.stopProcess(i, syscall.SIGTERM); err != nil {
 		s.failf("%s did not stop gracefully: %v", i.name, err)
@@ -311,7 +312,7 @@
 }
 
 func (s *soakRun) freeze(f fault) {
-	i := s.lockInstance(f)
+	i := s.lockInstance(f, "paused")
 	defer i.unlock()
 	s.recordDisturbance()
 	_ = i.process.Process.Signal(syscall.SIGSTOP)
@@ -321,7 +322,7 @@
 }
 
 func (s *soakRun) reload(f fault) {
-	i := s.lockInstance(f)
+	i := s.lockInstance(f, "reloaded")
 	defer i.unlock()
 	_ = i.process.Process.Signal(syscall.SIGHUP)
 }
@@ -329,7 +330,7 @@
 // disruptStoreConnections silences, delays or resets one instance's connections to the
 // store.
 func (s *soakRun) disruptStoreConnections(f fault) {
-	i := s.lockInstance(f)
+	i := s.lockInstance(f, "without its store")
 	defer i.unlock()
 	s.recordDisturbance()
 	switch f.random.IntN(3) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -95,7 +95,7 @@
 	server      net.Listener
 	pulling     atomic.Bool
 	probes      probes
-	standIns    standIns
+	standbys    standbys
 	answerCache answerCache
 	// announced is the position of the last digest that was announced to the data centre,
 	// nil before the first.
@@ -174,7 +174,7 @@
 		m.Delta = &delta
 	}
 	if m.Regular {
-		e.nameStandIns()
+		e.nameStandbys()
 	}
 	e.sendAll(m, append(e.peers.local(), e.unknownSeeds()...))
 	m.Relay = true
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -94,7 +94,7 @@
 		return
 	}
 	if m.Awaiting {
-		e.standIns.confirm(m.From, now)
+		e.standbys.confirm(m.From, now)
 		return
 	}
 	if m.Hello {
--- a/internal/exchange/standin.go
+++ b/internal/exchange/standby.go
@@ -7,52 +7,52 @@
 )
 
 const (
-	// maxStandIns is the number of instances that wait for changes of the store beside a
+	// maxStandbys is the number of instances that wait for changes of the store beside a
 	// regular reader, in different data centres as far as possible: two of three may be
 	// lost or paused.
-	maxStandIns = 2
-	// standInTimeout is how long a stand-in may leave the regular reader without an answer
+	maxStandbys = 2
+	// standbyTimeout is how long a standby may leave the regular reader without an answer
 	// before another takes its place.
-	standInTimeout = 1600 * time.Millisecond
-	// standInPenalty is how long no stand-in is named in a data centre, if there are
+	standbyTimeout = 1600 * time.Millisecond
+	// standbyPenalty is how long no standby is named in a data centre, if there are
 	// others, after one there has not answered.
-	standInPenalty = 10 * time.Second
+	standbyPenalty = 10 * time.Second
 )
 
-// standIns holds the instances that a regular reader has named.
-type standIns struct {
+// standbys holds the instances that a regular reader has named.
+type standbys struct {
 	mu sync.Mutex
 	// heard is when each last answered, or was named first.
 	heard map[Peer]int64
-	// failed is when a stand-in of a data centre last did not answer.
+	// failed is when a standby of a data centre last did not answer.
 	failed map[string]int64
 }
 
-// update removes stand-ins that do not answer, names others in their place, and returns
+// update removes standbys that do not answer, names others in their place, and returns
 // the addresses of all. Peers returns up to n new ones.
-func (s *standIns) update(now int64, peers func(other []netip.Addr, n int, avoid func(string) bool) []Peer) []netip.Addr {
+func (s *standbys) update(now int64, peers func(other []netip.Addr, n int, avoid func(string) bool) []Peer) []netip.Addr {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.heard == nil {
 		s.heard, s.failed = map[Peer]int64{}, map[string]int64{}
 	}
 	for peer, heard := range s.heard {
-		if now-heard > int64(standInTimeout) {
+		if now-heard > int64(standbyTimeout) {
 			delete(s.heard, peer)
 			s.failed[peer.DataCentre] = now
 		}
 	}
 	avoid := func(dataCentre string) bool {
 		at, found := s.failed[dataCentre]
-		return found && now-at < int64(standInPenalty)
+		return found && now-at < int64(standbyPenalty)
 	}
-	for _, peer := range peers(s.addresses(), maxStandIns-len(s.heard), avoid) {
+	for _, peer := range peers(s.addresses(), maxStandbys-len(s.heard), avoid) {
 		s.heard[peer] = now
 	}
 	return s.addresses()
 }
 
-func (s *standIns) addresses() []netip.Addr {
+func (s *standbys) addresses() []netip.Addr {
 	var out []netip.Addr
 	for peer := range s.heard {
 		out = append(out, peer.Address)
@@ -60,8 +60,8 @@
 	return out
 }
 
-// confirm records the answer of a stand-in.
-func (s *standIns) confirm(peer Peer, now int64) {
+// confirm records the answer of a standby.
+func (s *standbys) confirm(peer Peer, now int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, named := s.heard[peer]; named {
@@ -69,9 +69,9 @@
 	}
 }
 
-// nameStandIns asks the stand-ins of this regular reader to wait for changes of the store.
-func (e *Exchange) nameStandIns() {
-	e.sendAll(message{From: e.peers.self, Name: true}, e.standIns.update(e.Clock(), e.peers.spread))
+// nameStandbys asks the standbys of this regular reader to wait for changes of the store.
+func (e *Exchange) nameStandbys() {
+	e.sendAll(message{From: e.peers.self, Name: true}, e.standbys.update(e.Clock(), e.peers.spread))
 }
 
 // answerName starts to wait for changes, and confirms it if the store lets this instance.
--- a/internal/exchange/standin_test.go
+++ b/internal/exchange/standby_test.go
@@ -8,9 +8,9 @@
 	"github.com/matryer/is"
 )
 
-// TestStandIns lets a regular reader name the instances that wait for changes of the store
+// TestStandbys lets a regular reader name the instances that wait for changes of the store
 // beside it: two, in other data centres than its own.
-func TestStandIns(t *testing.T) {
+func TestStandbys(t *testing.T) {
 	port := freePort(t)
 	reader := start(t, port, 60, "a")
 	others := map[string][]*instance{}
@@ -20,7 +20,7 @@
 	reader.regular.Store(true)
 	eventually(t, "the instances do not find one another", func() bool { return reader.peers.size() == 6 })
 	reader.readStore(7, 1)
-	eventually(t, "no stand-ins are named", func() bool {
+	eventually(t, "no standbys are named", func() bool {
 		named := map[string]int{}
 		for dataCentre, instances := range others {
 			for _, i := range instances {
@@ -31,27 +31,27 @@
 	})
 }
 
-// TestStandInsAreReplaced guards against stand-ins that are gone, or that the store turns
+// TestStandbysAreReplaced guards against standbys that are gone, or that the store turns
 // away, while others could wait for changes.
-func TestStandInsAreReplaced(t *testing.T) {
+func TestStandbysAreReplaced(t *testing.T) {
 	is := is.New(t)
 	peers := newPeers(Peer{Address: address(1), DataCentre: "a"}, nil)
 	for n, dataCentre := range []string{"a", "b", "b", "c", "c"} {
 		peers.heard(Peer{Address: address(byte(2 + n)), DataCentre: dataCentre}, 1)
 	}
 	in := func(a netip.Addr) string { return peers.table[a].dataCentre }
-	var s standIns
+	var s standbys
 	now := int64(time.Hour)
 	first := s.update(now, peers.spread)
-	is.Equal(len(first), maxStandIns)
+	is.Equal(len(first), maxStandbys)
 	is.True(in(first[0]) != in(first[1]) && in(first[0]) != "a" && in(first[1]) != "a")
 	for range 10 {
 		now += int64(500 * time.Millisecond)
 		s.confirm(Peer{Address: first[0], DataCentre: in(first[0])}, now)
 		named := s.update(now, peers.spread)
-		is.Equal(len(named), maxStandIns)
+		is.Equal(len(named), maxStandbys)
 		is.True(named[0] == first[0] || named[1] == first[0]) // it answers
-		if now > int64(time.Hour+standInTimeout) {
+		if now > int64(time.Hour+standbyTimeout) {
 			is.True(in(named[0]) != in(first[1]) && in(named[1]) != in(first[1])) // others are left
 		}
 	}
--- a/internal/watch/await.go
+++ b/internal/watch/await.go
@@ -18,9 +18,9 @@
 	// changes: the mean time between them, and how many may follow one another at once.
 	awaitInterval = 200 * time.Millisecond
 	awaitBurst    = 10
-	// standInDelay is how long an instance that is not the regular reader leaves a change
+	// standbyDelay is how long an instance that is not the regular reader leaves a change
 	// to it: several times the time that it takes to read and announce one.
-	standInDelay = 20 * time.Millisecond
+	standbyDelay = 20 * time.Millisecond
 )
 
 // Await waits for changes of backend servers, and reads the store at each, until the
@@ -28,6 +28,7 @@
 // known. The regular reader does this, and a few instances that it has named: one of them
 // that is lost or paused delays nothing.
 func (w *Watcher) Await(ctx context.Context) {
+	backoff := minBackoff
 	for ctx.Err() == nil {
 		position := w.Mirror.Snapshot().Position
 		if position.Revision == 0 || !w.Plan.Awaits(w.Clock()) {
@@ -46,11 +47,14 @@
 			w.readOnce(ctx, w.Plan.Regular())
 			sleep(ctx, minBackoff)
 		case err != nil:
-			sleep(ctx, minBackoff)
+			sleep(ctx, backoff)
+			backoff = min(2*backoff, maxBackoff)
+			continue
 		case changed.Revision != 0:
 			w.readChange(ctx, changed)
 			sleep(ctx, max(awaitSpacing, w.awaitBudget.Reserve().Delay()))
 		}
+		backoff = minBackoff
 	}
 }
 
@@ -59,7 +63,7 @@
 func (w *Watcher) readChange(ctx context.Context, changed catalogue.Position) {
 	regular := w.Plan.Regular()
 	if !regular {
-		sleep(ctx, standInDelay)
+		sleep(ctx, standbyDelay)
 	}
 	// A read in progress may have begun before the change.
 	for range 2 {
--- a/internal/watch/await_test.go
+++ b/internal/watch/await_test.go
@@ -17,7 +17,9 @@
 // awaitedStore is a store whose revision the test advances. Waits end at once if there is a
 // change, or at the next one.
 type awaitedStore struct {
+	// calls counts the calls other than waits.
 	calls    atomic.Int64
+	waits    atomic.Int64
 	revision atomic.Uint64
 	changed  chan struct{}
 	failing  atomic.Bool
@@ -62,6 +64,7 @@
 }
 
 func (s *awaitedStore) AwaitServers(ctx context.Context, after uint64, _ time.Duration) (catalogue.Position, error) {
+	s.waits.Add(1)
 	if s.failing.Load() {
 		return catalogue.Position{}, errUnavailable
 	}
@@ -125,9 +128,9 @@
 	}
 }
 
-// TestStandInLeavesChangesToTheReader guards against a call of the store by each waiting
+// TestStandbyLeavesChangesToTheReader guards against a call of the store by each waiting
 // instance for a change that the regular reader has announced.
-func TestStandInLeavesChangesToTheReader(t *testing.T) {
+func TestStandbyLeavesChangesToTheReader(t *testing.T) {
 	is := is.New(t)
 	s := newAwaitedStore()
 	w := startAwaiting(t, s)
@@ -138,7 +141,7 @@
 	d, err := s.Changes(t.Context(), 1)
 	is.NoErr(err)
 	is.True(w.ApplyDelta(d, 0))
-	time.Sleep(10 * standInDelay)
+	time.Sleep(10 * standbyDelay)
 	is.Equal(s.calls.Load(), before+1) // that of the test
 }
 
@@ -160,7 +163,8 @@
 }
 
 // TestFailedWaitIsReported lets the store turn the instance away: the regular reader learns
-// of it and names another. Dropped history is no failure.
+// of it and names another, and waits are repeated less and less often. Dropped history is
+// no failure.
 func TestFailedWaitIsReported(t *testing.T) {
 	is := is.New(t)
 	s := newAwaitedStore()
@@ -170,9 +174,11 @@
 	w.Plan.Name(w.Clock())
 	time.Sleep(minBackoff / 2)
 	is.True(!w.Awaiting())
+	time.Sleep(4 * minBackoff)
+	is.True(s.waits.Load() <= 3) // at 0, 1 and 3 times minBackoff
 	s.failing.Store(false)
 	s.gone.Store(true)
-	time.Sleep(2 * minBackoff)
+	time.Sleep(4 * minBackoff)
 	is.True(w.Awaiting())
 }
 
