Read the store at once only for servers in use that are cold

Cause: each change of a server made the regular reader read at once, and each standby as well if it was first: servers that register, drain, warm up and leave. Only a server in use that has turned cold without the catalogue knowing it is urgent; the bounds of the others are seconds.

Evidence: TestOtherChangesAreLeftToTheNextRead failed with two calls for each such change and passes now. Waits take 10 s in place of 5.

--- a/internal/watch/await.go
+++ b/internal/watch/await.go
@@ -5,12 +5,13 @@
 	"time"
 
 	"balsamfork/internal/catalogue"
+	"balsamfork/internal/cookie"
 )
 
 const (
 	// awaitTimeout is how long the store is asked to wait for a change. A connection that
 	// has gone silent is not used for longer.
-	awaitTimeout = 5 * time.Second
+	awaitTimeout = 10 * time.Second
 	// awaitSpacing is the minimum time between two waits: servers that start together
 	// register within a short time.
 	awaitSpacing = 20 * time.Millisecond
@@ -23,12 +24,13 @@
 	standbyDelay = 20 * time.Millisecond
 )
 
-// Await waits for changes of backend servers, and reads the store at each, until the
-// context ends. A server that starts again is cold, and gets its usual flows until that is
-// known. The regular reader does this, and a few instances that it has named: one of them
-// that is lost or paused delays nothing.
+// Await waits for backend servers that start again, and reads the store at each, until the
+// context ends. Such a server is cold, and gets its usual flows until that is known. The
+// regular reader does this, and a few standbys that it has named: one of them that is lost
+// or paused delays nothing.
 func (w *Watcher) Await(ctx context.Context) {
 	backoff := minBackoff
+	var seen catalogue.Position
 	for ctx.Err() == nil {
 		position := w.Mirror.Snapshot().Position
 		if position.Revision == 0 || !w.Plan.Awaits(w.Clock()) {
@@ -39,8 +41,11 @@
 			}
 			continue
 		}
+		if seen.Epoch == position.Epoch {
+			position.Revision = max(position.Revision, seen.Revision)
+		}
 		w.metrics.awaits.Inc(1)
-		changed, err := w.Source.AwaitServers(ctx, position.Revision, awaitTimeout)
+		delta, err := w.Source.AwaitServers(ctx, position.Revision, awaitTimeout)
 		w.awaitFailed.Store(err != nil && !catalogue.HistoryGone.Has(err))
 		switch {
 		case catalogue.HistoryGone.Has(err):
@@ -50,14 +55,38 @@
 			sleep(ctx, backoff)
 			backoff = min(2*backoff, maxBackoff)
 			continue
-		case changed.Revision != 0:
-			w.readChange(ctx, changed)
+		case len(delta.Records) > 0:
+			last := delta.Records[len(delta.Records)-1]
+			seen = catalogue.Position{Epoch: delta.Epoch, Revision: last.Revision}
+			if w.isUrgent(delta) {
+				w.readChange(ctx, seen)
+			}
 			sleep(ctx, max(awaitSpacing, w.awaitBudget.Reserve().Delay()))
 		}
 		backoff = minBackoff
 	}
 }
 
+// isUrgent reports whether changes show that a server in use is cold, which the catalogue
+// does not know: it has started again, or got no flows for a while. Other changes have
+// bounds of seconds, and are left to the next regular read.
+func (w *Watcher) isUrgent(d catalogue.Delta) bool {
+	snap, now := w.Mirror.Snapshot(), w.Clock()
+	if d.Epoch != snap.Epoch {
+		return true
+	}
+	for _, r := range d.Records {
+		if r.Server == nil {
+			continue
+		}
+		b := snap.ByCookie(cookie.Of(r.Name))
+		if b != nil && (b.Started != r.Server.Started || r.Server.Warmup > 0 && !b.Cold(now)) {
+			return true
+		}
+	}
+	return false
+}
+
 // readChange reads the store until the mirror has a change, unless the regular reader
 // has announced it meanwhile.
 func (w *Watcher) readChange(ctx context.Context, changed catalogue.Position) {
--- a/internal/watch/await_test.go
+++ b/internal/watch/await_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,8 +15,8 @@
 	"balsamfork/internal/catalogue"
 )
 
-// awaitedStore is a store whose revision the test advances. Waits end at once if there is a
-// change, or at the next one.
+// awaitedStore is a store with one server, which the test lets start again. Waits end at
+// once if there is a change, or at the next one.
 type awaitedStore struct {
 	// calls counts the calls other than waits.
 	calls    atomic.Int64
@@ -25,6 +26,8 @@
 	failing  atomic.Bool
 	// gone says that the history is gone.
 	gone atomic.Bool
+	// drains says that the server reports changes other than restarts.
+	drains atomic.Bool
 }
 
 func newAwaitedStore() *awaitedStore {
@@ -41,6 +44,14 @@
 	}
 }
 
+func (s *awaitedStore) record(revision uint64) catalogue.Record {
+	server := &catalogue.Server{Number: 1, Address: netip.MustParseAddrPort("10.0.0.1:80"), Service: "desk", Slots: 1, Started: int64(revision), Report: 1}
+	if s.drains.Load() {
+		server.Started, server.Report, server.Draining = 1, revision, true
+	}
+	return catalogue.Record{ID: catalogue.ID{Kind: catalogue.KindServer, Name: "s"}, Epoch: 1, Revision: revision, Created: 1, Server: server}
+}
+
 func (s *awaitedStore) position() catalogue.Position {
 	return catalogue.Position{Epoch: 1, Revision: s.revision.Load()}
 }
@@ -52,33 +63,38 @@
 
 func (s *awaitedStore) Changes(_ context.Context, after uint64) (catalogue.Delta, error) {
 	s.calls.Add(1)
+	return s.since(after), nil
+}
+
+func (s *awaitedStore) since(after uint64) catalogue.Delta {
 	d := catalogue.Delta{Epoch: 1, Since: after, Revision: s.revision.Load()}
 	for r := after + 1; r <= d.Revision; r++ {
-		d.Records = append(d.Records, catalogue.Record{ID: catalogue.ID{Kind: catalogue.KindOther, Name: "s"}, Epoch: 1, Revision: r})
+		d.Records = append(d.Records, s.record(r))
 	}
-	return d, nil
+	return d
 }
 
 func (s *awaitedStore) All(context.Context) (catalogue.Delta, error) {
-	return catalogue.Delta{Complete: true, Epoch: 1, Revision: s.revision.Load()}, nil
+	revision := s.revision.Load()
+	return catalogue.Delta{Complete: true, Epoch: 1, Revision: revision, Records: []catalogue.Record{s.record(revision)}}, nil
 }
 
-func (s *awaitedStore) AwaitServers(ctx context.Context, after uint64, _ time.Duration) (catalogue.Position, error) {
+func (s *awaitedStore) AwaitServers(ctx context.Context, after uint64, _ time.Duration) (catalogue.Delta, error) {
 	s.waits.Add(1)
 	if s.failing.Load() {
-		return catalogue.Position{}, errUnavailable
+		return catalogue.Delta{}, errUnavailable
 	}
 	if s.gone.Load() {
-		return catalogue.Position{}, catalogue.HistoryGone.New("dropped")
+		return catalogue.Delta{}, catalogue.HistoryGone.New("dropped")
 	}
 	for s.revision.Load() <= after {
 		select {
 		case <-ctx.Done():
-			return catalogue.Position{}, ctx.Err()
+			return catalogue.Delta{}, ctx.Err()
 		case <-s.changed:
 		}
 	}
-	return s.position(), nil
+	return s.since(after), nil
 }
 
 // startAwaiting returns a watcher that has read the store and waits for changes.
@@ -138,11 +154,28 @@
 	before := s.calls.Load()
 	time.Sleep(10 * time.Millisecond)
 	s.change()
-	d, err := s.Changes(t.Context(), 1)
-	is.NoErr(err)
-	is.True(w.ApplyDelta(d, 0))
+	is.True(w.ApplyDelta(s.since(1), 0))
 	time.Sleep(10 * standbyDelay)
-	is.Equal(s.calls.Load(), before+1) // that of the test
+	is.Equal(s.calls.Load(), before)
+}
+
+// TestOtherChangesAreLeftToTheNextRead guards against calls of the store for changes that
+// are not urgent: those of a server that is drained, or has just been created.
+func TestOtherChangesAreLeftToTheNextRead(t *testing.T) {
+	is := is.New(t)
+	s := newAwaitedStore()
+	s.drains.Store(true)
+	w := startAwaiting(t, s)
+	w.Plan.Name(w.Clock())
+	for range 3 {
+		s.change()
+		time.Sleep(3 * awaitSpacing)
+	}
+	is.Equal(s.calls.Load(), int64(0))
+	is.Equal(s.waits.Load(), int64(4)) // the last one still waits
+	s.drains.Store(false)
+	s.change()
+	is.True(w.reaches(s.position(), regularInterval/5)) // a restart
 }
 
 // TestAwaitingIsLimited lets servers change all the time: the reads that follow are limited.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -23,9 +23,9 @@
 	// All returns all records with linearizable reads.
 	All(ctx context.Context) (catalogue.Delta, error)
 	// AwaitServers waits until a backend server changes after a revision, up to a time,
-	// and returns the position of a change that it has seen, or the zero position. It may
-	// miss changes, and returns catalogue.HistoryGone if the store has dropped some.
-	AwaitServers(ctx context.Context, after uint64, wait time.Duration) (catalogue.Position, error)
+	// and returns the changes of servers, or none. It may miss some, and returns
+	// catalogue.HistoryGone if the store has dropped some.
+	AwaitServers(ctx context.Context, after uint64, wait time.Duration) (catalogue.Delta, error)
 }
 
 // Options are the dependencies of a Watcher.
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -101,21 +101,15 @@
 	return d, nil
 }
 
-// AwaitServers returns the last change after a revision that the watch does not miss. If
-// there is none, it waits until the context ends.
-func (f *fakeStore) AwaitServers(ctx context.Context, after uint64, _ time.Duration) (catalogue.Position, error) {
-	if f.unavailable {
-		return catalogue.Position{}, errUnavailable
-	}
+// AwaitServers returns the changes after a revision that the watch does not miss. If there
+// are none, it waits until the context ends.
+func (f *fakeStore) AwaitServers(ctx context.Context, after uint64, _ time.Duration) (catalogue.Delta, error) {
 	d, err := f.Changes(ctx, after)
 	if err == nil && len(d.Records) == 0 {
 		<-ctx.Done()
-		return catalogue.Position{}, ctx.Err()
-	}
-	if err != nil {
-		return catalogue.Position{}, err
+		err = ctx.Err()
 	}
-	return catalogue.Position{Epoch: f.epoch, Revision: d.Records[len(d.Records)-1].Revision}, nil
+	return d, err
 }
 
 type testWatcher struct {
