--- a/internal/flowpath/decider_test.go
+++ b/internal/flowpath/decider_test.go
@@ -33,6 +33,9 @@
 	// backlogged simulates packets that wait to be read.
 	backlogged bool
 	drainedAt  int64
+	// quiet simulates packets between which nothing happens: the socket was last found
+	// empty right after the one before.
+	quiet bool
 	// readAt is when a packet was last read, resumedAt the end of the last pause.
 	readAt    int64
 	resumedAt int64
@@ -116,7 +119,10 @@
 	if p.Arrived == 0 {
 		p.Arrived = h.now
 	}
-	if !h.backlogged {
+	switch {
+	case h.quiet:
+		h.drainedAt = h.readAt
+	case !h.backlogged:
 		h.drainedAt = h.now
 	}
 	h.read()
--- a/internal/flowpath/unresponsive_test.go
+++ b/internal/flowpath/unresponsive_test.go
@@ -382,3 +382,42 @@
 	h.offerFlows(1000, 2000*ms, "")
 	is.Equal(len(h.unanswered)+len(h.stalled), 0)
 }
+
+// TestQuietInstanceNoticesMissingHandshakes covers an instance that gets a packet every
+// 150 ms: it records handshakes that do not come as a busy one does. It guards against
+// packets that are taken to have waited since the one before, whose servers are then not
+// expected to answer in time, and against missing handshakes that are forgotten when the
+// copy of their opening packet goes to another server.
+func TestQuietInstanceNoticesMissingHandshakes(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(5, nil)
+	h.quiet = true
+	h.now += 150 * ms
+	silent := h.open(1, 0).Backend
+	quiet := func(packets int) {
+		for range packets {
+			h.now += 150 * ms
+			h.send(99, cookie.None, 1, 0)
+		}
+	}
+	quiet(2)
+	is.Equal(h.unanswered, []string{silent.Name})
+	quiet(1)
+	h.quiet, h.backlogged = false, true // two packets arrive together
+	another := h.open(1000, 0).Backend
+	h.quiet, h.backlogged = true, false
+	quiet(2)
+	is.Equal(h.unanswered, []string{silent.Name, another.Name})
+
+	h.unanswered = []string{silent.Name}
+	for port := uint16(2); len(h.unanswered) < 2; port++ {
+		h.now += 100 * ms
+		if v := h.open(port, 0); v.Backend == silent {
+			h.now += 200 * ms
+			is.Equal(h.open(port, 1).Reason, Moved) // the next packet is its copy
+			is.Equal(h.unanswered, []string{silent.Name, silent.Name})
+		} else {
+			h.send(port, v.Backend.Cookie, 1, 0)
+		}
+	}
+}
