--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -48,9 +48,9 @@
 	Regular() bool
 	// Yield stops the regular reads, as another instance does them.
 	Yield()
-	// Name makes this instance wait for changes of the store for some seconds, beside the
-	// regular reader.
-	Name()
+	// StandBy makes this instance a standby for some seconds: it waits for changes of the
+	// store beside the regular reader.
+	StandBy()
 	// Awaiting reports whether this instance waits for changes, and the store lets it.
 	Awaiting() bool
 }
@@ -174,7 +174,7 @@
 		m.Delta = &delta
 	}
 	if m.Regular {
-		e.nameStandbys()
+		e.askStandbys()
 	}
 	e.sendAll(m, append(e.peers.local(), e.unknownSeeds()...))
 	m.Relay = true
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -28,9 +28,9 @@
 	known   int64
 	reports []suspicion.Report
 	regular atomic.Bool
-	// named counts how often the instance was asked to wait for changes, and turnedAway
-	// says that the store does not let it.
-	named      atomic.Int64
+	// asked counts how often the instance was asked to stand by, and turnedAway says that
+	// the store does not let it wait.
+	asked      atomic.Int64
 	turnedAway atomic.Bool
 	// resumed is the end of a simulated pause.
 	resumed atomic.Int64
@@ -68,7 +68,7 @@
 
 func (i *instance) Yield() { i.regular.Store(false) }
 
-func (i *instance) Name() { i.named.Add(1) }
+func (i *instance) StandBy() { i.asked.Add(1) }
 
 func (i *instance) Awaiting() bool { return !i.turnedAway.Load() }
 
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -42,9 +42,9 @@
 	Regular bool `json:"regular,omitempty"`
 	// Delta holds the changes that led to that position, if they are small enough.
 	Delta *catalogue.Delta `json:"delta,omitempty"`
-	// Name asks the receiver to wait for changes of the store beside the sender, a regular
-	// reader. Awaiting confirms that.
-	Name     bool `json:"name,omitempty"`
+	// StandBy asks the receiver to wait for changes of the store beside the sender, a
+	// regular reader. Awaiting confirms that.
+	StandBy  bool `json:"standBy,omitempty"`
 	Awaiting bool `json:"awaiting,omitempty"`
 	// Relay asks the receiver to forward the digest within its data centre.
 	Relay bool `json:"relay,omitempty"`
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -89,8 +89,8 @@
 		e.sendAll(message{From: e.peers.self, Pong: true}, []netip.Addr{m.From.Address})
 		return
 	}
-	if m.Name {
-		e.answerName(m.From)
+	if m.StandBy {
+		e.standBy(m.From)
 		return
 	}
 	if m.Awaiting {
--- a/internal/exchange/standby.go
+++ b/internal/exchange/standby.go
@@ -14,21 +14,21 @@
 	// standbyTimeout is how long a standby may leave the regular reader without an answer
 	// before another takes its place.
 	standbyTimeout = 1600 * time.Millisecond
-	// standbyPenalty is how long no standby is named in a data centre, if there are
+	// standbyPenalty is how long no standby is chosen in a data centre, if there are
 	// others, after one there has not answered.
 	standbyPenalty = 10 * time.Second
 )
 
-// standbys holds the instances that a regular reader has named.
+// standbys holds the instances that a regular reader has asked to stand by.
 type standbys struct {
 	mu sync.Mutex
-	// heard is when each last answered, or was named first.
+	// heard is when each last answered, or was asked first.
 	heard map[Peer]int64
 	// failed is when a standby of a data centre last did not answer.
 	failed map[string]int64
 }
 
-// update removes standbys that do not answer, names others in their place, and returns
+// update removes standbys that do not answer, chooses others in their place, and returns
 // the addresses of all. Peers returns up to n new ones.
 func (s *standbys) update(now int64, peers func(other []netip.Addr, n int, avoid func(string) bool) []Peer) []netip.Addr {
 	s.mu.Lock()
@@ -64,19 +64,19 @@
 func (s *standbys) confirm(peer Peer, now int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, named := s.heard[peer]; named {
+	if _, found := s.heard[peer]; found {
 		s.heard[peer] = now
 	}
 }
 
-// nameStandbys asks the standbys of this regular reader to wait for changes of the store.
-func (e *Exchange) nameStandbys() {
-	e.sendAll(message{From: e.peers.self, Name: true}, e.standbys.update(e.Clock(), e.peers.spread))
+// askStandbys asks the standbys of this regular reader to wait for changes of the store.
+func (e *Exchange) askStandbys() {
+	e.sendAll(message{From: e.peers.self, StandBy: true}, e.standbys.update(e.Clock(), e.peers.spread))
 }
 
-// answerName starts to wait for changes, and confirms it if the store lets this instance.
-func (e *Exchange) answerName(from Peer) {
-	e.Reader.Name()
+// standBy makes this instance a standby, and confirms that if the store lets it wait.
+func (e *Exchange) standBy(from Peer) {
+	e.Reader.StandBy()
 	if e.Reader.Awaiting() {
 		e.sendAll(message{From: e.peers.self, Awaiting: true}, []netip.Addr{from.Address})
 	}
--- a/internal/exchange/standby_test.go
+++ b/internal/exchange/standby_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 )
 
-// TestStandbys lets a regular reader name the instances that wait for changes of the store
+// TestStandbys lets a regular reader choose the instances that wait for changes of the store
 // beside it: two, in other data centres than its own.
 func TestStandbys(t *testing.T) {
 	port := freePort(t)
@@ -20,14 +20,14 @@
 	reader.regular.Store(true)
 	eventually(t, "the instances do not find one another", func() bool { return reader.peers.size() == 6 })
 	reader.readStore(7, 1)
-	eventually(t, "no standbys are named", func() bool {
-		named := map[string]int{}
+	eventually(t, "no standbys are asked", func() bool {
+		asked := map[string]int{}
 		for dataCentre, instances := range others {
 			for _, i := range instances {
-				named[dataCentre] += int(i.named.Load())
+				asked[dataCentre] += int(i.asked.Load())
 			}
 		}
-		return named["a"] == 0 && named["b"] == 1 && named["c"] == 1
+		return asked["a"] == 0 && asked["b"] == 1 && asked["c"] == 1
 	})
 }
 
@@ -48,11 +48,11 @@
 	for range 10 {
 		now += int64(500 * time.Millisecond)
 		s.confirm(Peer{Address: first[0], DataCentre: in(first[0])}, now)
-		named := s.update(now, peers.spread)
-		is.Equal(len(named), maxStandbys)
-		is.True(named[0] == first[0] || named[1] == first[0]) // it answers
+		chosen := s.update(now, peers.spread)
+		is.Equal(len(chosen), maxStandbys)
+		is.True(chosen[0] == first[0] || chosen[1] == first[0]) // it answers
 		if now > int64(time.Hour+standbyTimeout) {
-			is.True(in(named[0]) != in(first[1]) && in(named[1]) != in(first[1])) // others are left
+			is.True(in(chosen[0]) != in(first[1]) && in(chosen[1]) != in(first[1])) // others are left
 		}
 	}
 }
--- a/internal/flowd/module.go
+++ b/internal/flowd/module.go
@@ -137,7 +137,7 @@
 	watcher *watch.Watcher
 }
 
-func (r reader) Name() { r.Plan.Name(processClock.Now()) }
+func (r reader) StandBy() { r.Plan.StandBy(processClock.Now()) }
 
 func (r reader) Awaiting() bool { return r.watcher.Awaiting() }
 
--- a/internal/watch/await.go
+++ b/internal/watch/await.go
@@ -26,8 +26,8 @@
 
 // Await waits for backend servers that start again, and reads the store at each, until the
 // context ends. Such a server is cold, and gets its usual flows until that is known. The
-// regular reader does this, and a few standbys that it has named: one of them that is lost
-// or paused delays nothing.
+// regular reader does this, and a few standbys: one of them that is lost or paused delays
+// nothing.
 func (w *Watcher) Await(ctx context.Context) {
 	backoff := minBackoff
 	var seen catalogue.Position
--- a/internal/watch/await_test.go
+++ b/internal/watch/await_test.go
@@ -122,12 +122,12 @@
 }
 
 // TestChangeIsReadAtOnce guards against a server that has started again under its id and
-// gets its usual flows while cold, until the next regular read. A named instance reads the
+// gets its usual flows while cold, until the next regular read. A standby reads the
 // change as well as the regular reader does, which may be lost.
 func TestChangeIsReadAtOnce(t *testing.T) {
 	for name, start := range map[string]func(w *Watcher){
 		"regular reader": func(w *Watcher) { w.Plan.RecordSuccess(w.Clock(), true) },
-		"named":          func(w *Watcher) { w.Plan.Name(w.Clock()) },
+		"standby":        func(w *Watcher) { w.Plan.StandBy(w.Clock()) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -150,7 +150,7 @@
 	is := is.New(t)
 	s := newAwaitedStore()
 	w := startAwaiting(t, s)
-	w.Plan.Name(w.Clock())
+	w.Plan.StandBy(w.Clock())
 	before := s.calls.Load()
 	time.Sleep(10 * time.Millisecond)
 	s.change()
@@ -166,7 +166,7 @@
 	s := newAwaitedStore()
 	s.drains.Store(true)
 	w := startAwaiting(t, s)
-	w.Plan.Name(w.Clock())
+	w.Plan.StandBy(w.Clock())
 	for range 3 {
 		s.change()
 		time.Sleep(3 * awaitSpacing)
@@ -196,7 +196,7 @@
 }
 
 // TestFailedWaitIsReported lets the store turn the instance away: the regular reader learns
-// of it and names another, and waits are repeated less and less often. Dropped history is
+// of it and chooses another, and waits are repeated less and less often. Dropped history is
 // no failure.
 func TestFailedWaitIsReported(t *testing.T) {
 	is := is.New(t)
@@ -204,7 +204,7 @@
 	s.failing.Store(true)
 	w := startAwaiting(t, s)
 	is.True(!w.Awaiting())
-	w.Plan.Name(w.Clock())
+	w.Plan.StandBy(w.Clock())
 	time.Sleep(minBackoff / 2)
 	is.True(!w.Awaiting())
 	time.Sleep(4 * minBackoff)
@@ -215,13 +215,13 @@
 	is.True(w.Awaiting())
 }
 
-// TestNamingExpires guards against a growing number of waiting instances.
-func TestNamingExpires(t *testing.T) {
+// TestStandbyEnds guards against a growing number of waiting instances.
+func TestStandbyEnds(t *testing.T) {
 	is := is.New(t)
 	p := NewPlan(rand.New(rand.NewPCG(1, 1)))
 	p.RecordSuccess(1, true)
 	is.True(!p.Awaits(2))
-	p.Name(2)
+	p.StandBy(2)
 	is.True(p.Awaits(2 + int64(maxTakeoverDelay)))
-	is.True(!p.Awaits(2 + int64(namedPeriod)))
+	is.True(!p.Awaits(2 + int64(standbyPeriod)))
 }
--- a/internal/watch/doc.go
+++ b/internal/watch/doc.go
@@ -4,6 +4,9 @@
 // to do so regularly. Of two regular readers that learn of each other, the one with
 // the higher address stops.
 //
+// The regular reader, and a few standbys that it asks, also wait for backend servers that
+// start again: such a server must not get its usual flows until the next read.
+//
 // Each read asks for the store's revision with a linearizable read, so that a watch
 // that misses changes, or stale data, is never mistaken for the current state.
 package watch
--- a/internal/watch/plan.go
+++ b/internal/watch/plan.go
@@ -28,10 +28,10 @@
 	// gone.
 	sharedRetryInterval = 100 * time.Millisecond
 	maxSharedRetryDelay = 10 * time.Second
-	// namedPeriod is how long an instance waits for changes after a regular reader has
-	// named it. It covers the loss of that reader: another takes over within
-	// maxTakeoverDelay, and names instances itself.
-	namedPeriod = 5 * time.Second
+	// standbyPeriod is how long an instance is a standby after a regular reader has asked
+	// for it. It covers the loss of that reader: another takes over within
+	// maxTakeoverDelay, and asks for standbys itself.
+	standbyPeriod = 5 * time.Second
 )
 
 // Plan schedules this instance's reads of the store. Times are nanoseconds of the
@@ -48,11 +48,11 @@
 	// backoff is the delay after the last failure, by which reads that packets trigger
 	// are delayed too. retryDelay is that of the next planned read.
 	backoff, retryDelay time.Duration
-	// namedUntil is the end of the last namedPeriod. started receives a value when this
+	// standbyUntil is the end of the last standbyPeriod. started receives a value when this
 	// instance may have to start waiting for changes.
-	namedUntil int64
-	started    chan struct{}
-	random     *rand.Rand
+	standbyUntil int64
+	started      chan struct{}
+	random       *rand.Rand
 }
 
 // NewPlan returns a Plan with a random takeover delay, for an instance that has not
@@ -91,21 +91,21 @@
 	p.regularRead = 0
 }
 
-// Name makes this instance wait for changes of the store for namedPeriod, beside the
-// regular reader.
-func (p *Plan) Name(now int64) {
+// StandBy makes this instance a standby for standbyPeriod: it waits for changes of the
+// store beside the regular reader.
+func (p *Plan) StandBy(now int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.namedUntil = now + int64(namedPeriod)
+	p.standbyUntil = now + int64(standbyPeriod)
 	p.notify()
 }
 
 // Awaits reports whether this instance waits for changes of the store: it is a regular
-// reader, or has been named by one.
+// reader or a standby.
 func (p *Plan) Awaits(now int64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.regularRead != 0 || now < p.namedUntil
+	return p.regularRead != 0 || now < p.standbyUntil
 }
 
 func (p *Plan) notify() {
