Let only settled regular readers wait for changes and ask for standbys

Change: an instance waits, and asks for standbys, once it has been a regular reader for 1.5 s. Waits that end with a change which is not urgent are limited to five at once and then five a second at the reader, one a second at a standby; urgent ones are not limited any more.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -48,6 +48,8 @@
 	Regular() bool
 	// Yield stops the regular reads, as another instance does them.
 	Yield()
+	// Settled reports whether this instance has read the store regularly for a while.
+	Settled() bool
 	// StandBy makes this instance a standby for some seconds: it waits for changes of the
 	// store beside the regular reader.
 	StandBy()
@@ -173,7 +175,7 @@
 		delta := e.Mirror.Since(*before, known)
 		m.Delta = &delta
 	}
-	if m.Regular {
+	if e.Reader.Settled() {
 		e.askStandbys()
 	}
 	e.sendAll(m, append(e.peers.local(), e.unknownSeeds()...))
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -30,6 +30,7 @@
 	regular atomic.Bool
 	// asked counts how often the instance was asked to stand by, and turnedAway says that
 	// the store does not let it wait.
+	settled    atomic.Bool
 	asked      atomic.Int64
 	turnedAway atomic.Bool
 	// resumed is the end of a simulated pause.
@@ -68,6 +69,8 @@
 
 func (i *instance) Yield() { i.regular.Store(false) }
 
+func (i *instance) Settled() bool { return i.settled.Load() }
+
 func (i *instance) StandBy() { i.asked.Add(1) }
 
 func (i *instance) Awaiting() bool { return !i.turnedAway.Load() }
--- a/internal/flowd/module.go
+++ b/internal/flowd/module.go
@@ -137,6 +137,8 @@
 	watcher *watch.Watcher
 }
 
+func (r reader) Settled() bool { return r.Plan.Settled(processClock.Now()) }
+
 func (r reader) StandBy() { r.Plan.StandBy(processClock.Now()) }
 
 func (r reader) Awaiting() bool { return r.watcher.Awaiting() }
--- a/internal/watch/await.go
+++ b/internal/watch/await.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"balsamfork/internal/catalogue"
 	"balsamfork/internal/cookie"
 )
@@ -15,10 +17,12 @@
 	// awaitSpacing is the minimum time between two waits: servers that start together
 	// register within a short time.
 	awaitSpacing = 20 * time.Millisecond
-	// awaitInterval and awaitBurst limit the waits that end with a change, in a series of
-	// changes: the mean time between them, and how many may follow one another at once.
-	awaitInterval = 200 * time.Millisecond
-	awaitBurst    = 10
+	// readerInterval, standbyInterval and awaitBurst limit the waits that end with a change
+	// which is not urgent, in a series of changes: the mean time between them at the regular
+	// reader and at a standby, and how many may follow one another at once.
+	readerInterval  = 200 * time.Millisecond
+	standbyInterval = time.Second
+	awaitBurst      = 5
 	// standbyDelay is how long an instance that is not the regular reader leaves a change
 	// to it: several times the time that it takes to read and announce one.
 	standbyDelay = 20 * time.Millisecond
@@ -60,13 +64,26 @@
 			seen = catalogue.Position{Epoch: delta.Epoch, Revision: last.Revision}
 			if w.isUrgent(delta) {
 				w.readChange(ctx, seen)
+				sleep(ctx, awaitSpacing)
+			} else {
+				sleep(ctx, max(awaitSpacing, w.delayAfterChange()))
 			}
-			sleep(ctx, max(awaitSpacing, w.awaitBudget.Reserve().Delay()))
 		}
 		backoff = minBackoff
 	}
 }
 
+// delayAfterChange returns how long the next wait is put off after a change that is not
+// urgent.
+func (w *Watcher) delayAfterChange() time.Duration {
+	interval := standbyInterval
+	if w.Plan.Regular() {
+		interval = readerInterval
+	}
+	w.awaitBudget.SetLimit(rate.Every(interval))
+	return w.awaitBudget.Reserve().Delay()
+}
+
 // isUrgent reports whether changes show that a server in use is cold, which the catalogue
 // does not know: it has started again, or got no flows for a while. Other changes have
 // bounds of seconds, and are left to the next regular read.
--- a/internal/watch/plan.go
+++ b/internal/watch/plan.go
@@ -28,6 +28,9 @@
 	// gone.
 	sharedRetryInterval = 100 * time.Millisecond
 	maxSharedRetryDelay = 10 * time.Second
+	// settlingTime is how long a regular reader has been one before it waits for changes
+	// and asks for standbys: while instances start, several are regular readers for a moment.
+	settlingTime = 1500 * time.Millisecond
 	// standbyPeriod is how long an instance is a standby after a regular reader has asked
 	// for it. It covers the loss of that reader: another takes over within
 	// maxTakeoverDelay, and asks for standbys itself.
@@ -44,7 +47,9 @@
 	// is not one. It becomes one when its takeover delay has passed, not by its first
 	// read or by reads that packets trigger.
 	regularRead int64
-	failedAt    int64
+	// regularSince is since when it has been one.
+	regularSince int64
+	failedAt     int64
 	// backoff is the delay after the last failure, by which reads that packets trigger
 	// are delayed too. retryDelay is that of the next planned read.
 	backoff, retryDelay time.Duration
@@ -100,12 +105,23 @@
 	p.notify()
 }
 
-// Awaits reports whether this instance waits for changes of the store: it is a regular
-// reader or a standby.
+// Settled reports whether this instance has been a regular reader for a while.
+func (p *Plan) Settled(now int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.settled(now)
+}
+
+func (p *Plan) settled(now int64) bool {
+	return p.regularRead != 0 && now-p.regularSince >= int64(settlingTime)
+}
+
+// Awaits reports whether this instance waits for changes of the store: it is a settled
+// regular reader or a standby.
 func (p *Plan) Awaits(now int64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.regularRead != 0 || now < p.standbyUntil
+	return p.settled(now) || now < p.standbyUntil
 }
 
 func (p *Plan) notify() {
@@ -131,6 +147,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if planned && p.lastRead != 0 {
+		if p.regularRead == 0 {
+			p.regularSince = began
+		}
 		p.regularRead = began
 		p.notify()
 	}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -58,7 +58,7 @@
 	storeEpoch uint64
 	// kept is the last number of records that the mirror had kept from an earlier epoch.
 	kept atomic.Int64
-	// awaitBudget limits the reads that follow from waiting for changes.
+	// awaitBudget limits the waits that end with a change which is not urgent.
 	awaitBudget *rate.Limiter
 	// awaitFailed says that the last wait for changes failed.
 	awaitFailed atomic.Bool
@@ -76,7 +76,7 @@
 	scope := o.Scope.SubScope("catalogue")
 	return &Watcher{
 		Options:     o,
-		awaitBudget: rate.NewLimiter(rate.Every(awaitInterval), awaitBurst),
+		awaitBudget: rate.NewLimiter(rate.Every(standbyInterval), awaitBurst),
 		metrics: metrics{
 			changedRecords: scope.Counter("changes"),
 			refused:        scope.Counter("reads_refused"),
