--- a/internal/catalogue/derive.go
+++ b/internal/catalogue/derive.go
@@ -16,7 +16,7 @@
 		return m.buildSnapshot()
 	}
 	d := derivation{next: *m.snapshot.Load()}
-	d.next.Position = m.position
+	d.next.Position, d.next.Starts = m.position, m.starts
 	for _, r := range changed {
 		e := m.entries[r.ID]
 		if r.Kind != KindServer || !d.apply(e) {
--- a/internal/catalogue/mirror.go
+++ b/internal/catalogue/mirror.go
@@ -21,7 +21,9 @@
 	// been dropped.
 	droppedRevision uint64
 	// unseen is the newest range of revisions whose changes the mirror has not seen.
-	unseen   RevisionRange
+	unseen RevisionRange
+	// starts counts the starts of servers in the records that were applied.
+	starts   uint64
 	snapshot atomic.Pointer[Snapshot]
 }
 
@@ -129,6 +131,9 @@
 		e = &entry{}
 		m.entries[r.ID] = e
 	}
+	if r.Server != nil && (e.server == nil || e.server.Started != r.Server.Started) {
+		m.starts++
+	}
 	e.set(r, readAt)
 	return true
 }
@@ -205,6 +210,7 @@
 
 func (m *Mirror) buildSnapshot() *Snapshot {
 	s := newSnapshot(m.position)
+	s.Starts = m.starts
 	var servers []*Backend
 	for _, e := range m.entries {
 		switch e.record.Kind {
--- a/internal/catalogue/mirror_test.go
+++ b/internal/catalogue/mirror_test.go
@@ -310,3 +310,24 @@
 	t.Logf("a change %v, a new snapshot %v", derived.NsPerOp(), built.NsPerOp())
 	is.True(derived.NsPerOp()*4 <= built.NsPerOp())
 }
+
+// TestStartsAreCounted guards against a start of a server that is not noticed, and against
+// other changes that are taken for one.
+func TestStartsAreCounted(t *testing.T) {
+	is := is.New(t)
+	m := NewMirror()
+	revision := uint64(0)
+	starts := func(started int64, draining bool) uint64 {
+		revision++
+		r := server("s1", revision, func(s *Server) { s.Started, s.Report, s.Draining = started, revision, draining })
+		m.Apply(Delta{Complete: revision == 1, Since: revision - 1, Revision: revision, Records: []Record{r}}, 1, 0)
+		return m.Snapshot().Starts
+	}
+	is.Equal(starts(1000, false), uint64(1))
+	is.Equal(starts(1000, true), uint64(1))
+	is.Equal(starts(2000, false), uint64(2))
+	revision++
+	m.Apply(Delta{Since: revision - 1, Revision: revision, Records: []Record{removal("s1", revision)}}, 1, 0)
+	is.Equal(starts(2000, false), uint64(2)) // it had only lapsed
+	is.Equal(starts(3000, false), uint64(3))
+}
--- a/internal/catalogue/snapshot.go
+++ b/internal/catalogue/snapshot.go
@@ -37,6 +37,9 @@
 	Position
 	// Configuration is the current configuration; nil before the first.
 	Configuration *Configuration
+	// Starts counts the starts of servers that the catalogue has learned of: if it is that
+	// of another snapshot, no server has started between them.
+	Starts uint64
 
 	routes       map[Destination]*Route
 	services     map[string]*Service
--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -145,10 +145,10 @@
 	localInstances int
 	outstanding    map[uint32]int
 	loadCountedAt  int64
-	// starts holds the start of each server by its cookie, and observed is the snapshot
-	// that they are from.
-	starts   map[uint32]int64
+	// observed is the last snapshot, and starts holds the start of each server by its cookie
+	// as of the last one in which a server had started.
 	observed *catalogue.Snapshot
+	starts   map[uint32]int64
 	// lastDrained is when the socket was last empty, and resumedAt the end of the last
 	// pause.
 	lastDrained, resumedAt int64
@@ -195,10 +195,11 @@
 // Observe discards what is known of servers that have started again: failures, load and
 // shares of limits are those of their earlier starts.
 func (d *Decider) Observe(snap *catalogue.Snapshot) {
-	if snap == d.observed {
+	unchanged := d.observed != nil && snap.Starts == d.observed.Starts
+	d.observed = snap
+	if unchanged {
 		return
 	}
-	d.observed = snap
 	for b := range snap.Servers() {
 		started, known := d.starts[b.Cookie]
 		if known && started == b.Started {
@@ -213,10 +214,13 @@
 	}
 }
 
+// inStart reports whether a server is known, and still in the given start.
+func inStart(b *catalogue.Backend, started int64) bool { return b != nil && b.Started == started }
+
 // PeerReport processes another instance's report on a server. A report on another start of
 // the server than the observed one is ignored.
 func (d *Decider) PeerReport(r suspicion.Report, now int64) suspicion.Finding {
-	if r.Started != 0 && r.Started != d.starts[r.Server] {
+	if r.Started != 0 && (d.observed == nil || !inStart(d.observed.ByCookie(r.Server), r.Started)) {
 		return suspicion.Finding{}
 	}
 	switch r.Kind {
@@ -283,7 +287,7 @@
 func (d *Decider) refreshLoad(now int64) {
 	clear(d.outstanding)
 	d.flows.CountOutstanding(now, func(cookie uint32, started int64) {
-		if started == d.starts[cookie] {
+		if inStart(d.observed.ByCookie(cookie), started) {
 			d.outstanding[cookie]++
 		}
 	})
