Keep the standbys of a regular reader that was paused

Seen: in the test, a reader that had not asked its standbys for 1.6 s, since it was paused or was no regular reader for a while, took them for gone. It chose others and avoided their data centres for 10 s.

Cause: the time without an answer counted also while nothing was asked.

Evidence: TestStandbysOfAReaderThatReturns failed and passes now.

--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -94,7 +94,7 @@
 		return
 	}
 	if m.Awaiting {
-		e.standbys.confirm(m.From, now)
+		e.standbys.confirm(m.From.Address, now)
 		return
 	}
 	if m.Hello {
--- a/internal/exchange/standby.go
+++ b/internal/exchange/standby.go
@@ -1,7 +1,9 @@
 package exchange
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -19,13 +21,22 @@
 	standbyPenalty = 10 * time.Second
 )
 
-// standbys holds the instances that a regular reader has asked to stand by.
+// standbys holds the instances that a regular reader has asked to stand by. Times are in
+// nanoseconds of the monotonic clock.
 type standbys struct {
-	mu sync.Mutex
-	// heard is when each last answered, or was asked first.
-	heard map[Peer]int64
-	// failed is when a standby of a data centre last did not answer.
-	failed map[string]int64
+	mu     sync.Mutex
+	chosen map[netip.Addr]standby
+	// failed is when a standby of a data centre last did not answer, and updated when the
+	// standbys were last asked.
+	failed  map[string]int64
+	updated int64
+}
+
+// standby is an instance that was asked to stand by; heard is when it last answered, or was
+// asked first.
+type standby struct {
+	dataCentre string
+	heard      int64
 }
 
 // update removes standbys that do not answer, chooses others in their place, and returns
@@ -33,39 +44,37 @@
 func (s *standbys) update(now int64, peers func(other []netip.Addr, n int, avoid func(string) bool) []Peer) []netip.Addr {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.heard == nil {
-		s.heard, s.failed = map[Peer]int64{}, map[string]int64{}
+	if s.chosen == nil {
+		s.chosen, s.failed = map[netip.Addr]standby{}, map[string]int64{}
 	}
-	for peer, heard := range s.heard {
-		if now-heard > int64(standbyTimeout) {
-			delete(s.heard, peer)
-			s.failed[peer.DataCentre] = now
+	asked := now-s.updated <= int64(standbyTimeout)
+	s.updated = now
+	for address, c := range s.chosen {
+		switch {
+		case !asked: // this instance was paused, or was no regular reader
+			s.chosen[address] = standby{dataCentre: c.dataCentre, heard: now}
+		case now-c.heard > int64(standbyTimeout):
+			delete(s.chosen, address)
+			s.failed[c.dataCentre] = now
 		}
 	}
 	avoid := func(dataCentre string) bool {
 		at, found := s.failed[dataCentre]
 		return found && now-at < int64(standbyPenalty)
 	}
-	for _, peer := range peers(s.addresses(), maxStandbys-len(s.heard), avoid) {
-		s.heard[peer] = now
-	}
-	return s.addresses()
-}
-
-func (s *standbys) addresses() []netip.Addr {
-	var out []netip.Addr
-	for peer := range s.heard {
-		out = append(out, peer.Address)
+	for _, peer := range peers(slices.Collect(maps.Keys(s.chosen)), maxStandbys-len(s.chosen), avoid) {
+		s.chosen[peer.Address] = standby{dataCentre: peer.DataCentre, heard: now}
 	}
-	return out
+	return slices.Collect(maps.Keys(s.chosen))
 }
 
 // confirm records the answer of a standby.
-func (s *standbys) confirm(peer Peer, now int64) {
+func (s *standbys) confirm(address netip.Addr, now int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, found := s.heard[peer]; found {
-		s.heard[peer] = now
+	if c, found := s.chosen[address]; found {
+		c.heard = now
+		s.chosen[address] = c
 	}
 }
 
--- a/internal/exchange/standby_test.go
+++ b/internal/exchange/standby_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -38,14 +39,35 @@
 	is.Equal(asked()["a"], 0)
 }
 
+// peersOfThree returns the peers of an instance in one of three data centres.
+func peersOfThree() *peers {
+	p := newPeers(Peer{Address: address(1), DataCentre: "a"}, nil)
+	for n, dataCentre := range []string{"a", "b", "b", "c", "c"} {
+		p.heard(Peer{Address: address(byte(2 + n)), DataCentre: dataCentre}, 1)
+	}
+	return p
+}
+
+// TestStandbysOfAReaderThatReturns guards against standbys that are replaced, and whose data
+// centres are avoided, since the regular reader was paused, or was none for a while, and did
+// not ask them.
+func TestStandbysOfAReaderThatReturns(t *testing.T) {
+	is := is.New(t)
+	peers := peersOfThree()
+	var s standbys
+	before := s.update(int64(time.Hour), peers.spread)
+	after := s.update(int64(time.Hour+2*standbyTimeout), peers.spread)
+	slices.SortFunc(before, netip.Addr.Compare)
+	slices.SortFunc(after, netip.Addr.Compare)
+	is.Equal(after, before)
+	is.Equal(len(s.failed), 0)
+}
+
 // TestStandbysAreReplaced guards against standbys that are gone, or that the store turns
 // away, while others could wait for changes.
 func TestStandbysAreReplaced(t *testing.T) {
 	is := is.New(t)
-	peers := newPeers(Peer{Address: address(1), DataCentre: "a"}, nil)
-	for n, dataCentre := range []string{"a", "b", "b", "c", "c"} {
-		peers.heard(Peer{Address: address(byte(2 + n)), DataCentre: dataCentre}, 1)
-	}
+	peers := peersOfThree()
 	in := func(a netip.Addr) string { return peers.table[a].dataCentre }
 	var s standbys
 	now := int64(time.Hour)
@@ -54,7 +76,7 @@
 	is.True(in(first[0]) != in(first[1]) && in(first[0]) != "a" && in(first[1]) != "a")
 	for range 10 {
 		now += int64(500 * time.Millisecond)
-		s.confirm(Peer{Address: first[0], DataCentre: in(first[0])}, now)
+		s.confirm(first[0], now)
 		chosen := s.update(now, peers.spread)
 		is.Equal(len(chosen), maxStandbys)
 		is.True(chosen[0] == first[0] || chosen[1] == first[0]) // it answers
