--- a/cmd/balsamfork-flowd/loss_test.go
+++ b/cmd/balsamfork-flowd/loss_test.go
@@ -51,7 +51,7 @@
 	s.deployment.mu.Lock()
 	defer s.deployment.mu.Unlock()
 	for _, server := range s.ended {
-		if _, held := server.Dropped(flow.Local); held {
+		if server.Dropped(flow.Local) {
 			reasons = append(reasons, "server ended")
 		}
 	}
--- a/cmd/balsamfork-flowd/verdict_test.go
+++ b/cmd/balsamfork-flowd/verdict_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -83,18 +84,27 @@
 }
 
 func (s *soakRun) pausedSince(i *instance, from time.Time) bool {
+	return slices.ContainsFunc(s.readLog(i), func(l logLine) bool { return l.Message == pauseMessage && l.Time.After(from) })
+}
+
+// logLine is a line of an instance's log.
+type logLine struct {
+	Time    time.Time `json:"time"`
+	Message string    `json:"msg"`
+	// Source is where a change of the catalogue came from.
+	Source string `json:"source"`
+}
+
+// readLog returns the lines of an instance's log.
+func (s *soakRun) readLog(i *instance) (lines []logLine) {
 	file, err := os.Open(i.log)
 	s.must(err)
 	defer func() { _ = file.Close() }()
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
-		var line struct {
-			Time    time.Time `json:"time"`
-			Message string    `json:"msg"`
-		}
-		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Message == pauseMessage && line.Time.After(from) {
-			return true
+	for scanner := bufio.NewScanner(file); scanner.Scan(); {
+		var line logLine
+		if json.Unmarshal(scanner.Bytes(), &line) == nil {
+			lines = append(lines, line)
 		}
 	}
-	return false
+	return lines
 }
