Leave a change in dropped history to the regular reader, and correct comments

Each standby read everything when the store had dropped its history; now it waits for the regular reader first, as for any change. A server whose cookie is that of another was compared with it.

--- a/internal/flowpath/restart_test.go
+++ b/internal/flowpath/restart_test.go
@@ -30,14 +30,21 @@
 	return h.mirror.Snapshot().ByCookie(b.Cookie)
 }
 
-// TestVerdictEndsWithRestart guards against a server that counts as dead, suspected or
-// unreachable for failures of an earlier start under its id.
-func TestVerdictEndsWithRestart(t *testing.T) {
-	is := is.New(t)
+// openedFlow returns a harness that may reset flows, and a server that states its start and
+// has just answered the flow of port 1.
+func openedFlow() (*harness, *catalogue.Backend) {
 	h := newHarness(1, startedAt(1000))
 	h.awaitResets()
 	b := h.open(1, 0).Backend
 	h.send(1, b.Cookie, 1, 0)
+	return h, b
+}
+
+// TestVerdictEndsWithRestart guards against a server that counts as dead or suspected for
+// failures of an earlier start under its id.
+func TestVerdictEndsWithRestart(t *testing.T) {
+	is := is.New(t)
+	h, b := openedFlow()
 	h.declareDead(b)
 	is.Equal(h.send(1, b.Cookie, 1, 100).Reason, ServerDead)
 	b = h.restart(b, 0)
@@ -51,10 +58,7 @@
 // restart yet: they say nothing about the server that has started since.
 func TestReportOnAnEarlierStart(t *testing.T) {
 	is := is.New(t)
-	h := newHarness(1, startedAt(1000))
-	h.awaitResets()
-	b := h.open(1, 0).Backend
-	h.send(1, b.Cookie, 1, 0)
+	h, b := openedFlow()
 	earlier := *b
 	b = h.restart(b, 0)
 	for source := range uint64(4) {
@@ -98,10 +102,7 @@
 // from before a restart that counts as a sign of life of the server that has started.
 func TestAcknowledgementOfAnEarlierStart(t *testing.T) {
 	is := is.New(t)
-	h := newHarness(1, startedAt(1000))
-	h.awaitResets()
-	b := h.open(1, 0).Backend
-	h.send(1, b.Cookie, 1, 0)
+	h, b := openedFlow()
 	h.now += 10 * ms
 	b = h.restart(b, 0)
 	h.peerFailure(b, 1)
--- a/internal/watch/await.go
+++ b/internal/watch/await.go
@@ -23,15 +23,15 @@
 	readerInterval  = 200 * time.Millisecond
 	standbyInterval = time.Second
 	awaitBurst      = 5
-	// standbyDelay is how long an instance that is not the regular reader leaves a change
-	// to it: several times the time that it takes to read and announce one.
+	// standbyDelay is how long a standby leaves a change to the regular reader, which
+	// usually reads and announces it sooner.
 	standbyDelay = 20 * time.Millisecond
 )
 
 // Await waits for backend servers that start again, and reads the store at each, until the
 // context ends. Such a server is cold, and gets its usual flows until that is known. The
 // regular reader does this, and a few standbys: one of them that is lost or paused delays
-// nothing.
+// nothing. Errors of the store are counted by the Source, and repeated with a backoff.
 func (w *Watcher) Await(ctx context.Context) {
 	backoff := minBackoff
 	var seen catalogue.Position
@@ -53,7 +53,7 @@
 		w.awaitFailed.Store(err != nil && !catalogue.HistoryGone.Has(err))
 		switch {
 		case catalogue.HistoryGone.Has(err):
-			w.readOnce(ctx, w.Plan.Regular())
+			w.readChange(ctx, catalogue.Position{Epoch: position.Epoch, Revision: position.Revision + 1})
 			sleep(ctx, minBackoff)
 		case err != nil:
 			sleep(ctx, backoff)
@@ -97,7 +97,7 @@
 			continue
 		}
 		b := snap.ByCookie(cookie.Of(r.Name))
-		if b != nil && (b.Started != r.Server.Started || r.Server.Warmup > 0 && !b.Cold(now)) {
+		if b != nil && b.Name == r.Name && (b.Started != r.Server.Started || r.Server.Warmup > 0 && !b.Cold(now)) {
 			return true
 		}
 	}
--- a/internal/watch/plan.go
+++ b/internal/watch/plan.go
@@ -33,7 +33,7 @@
 	settlingTime = 1500 * time.Millisecond
 	// standbyPeriod is how long an instance is a standby after a regular reader has asked
 	// for it. It covers the loss of that reader: another takes over within
-	// maxTakeoverDelay, and asks for standbys itself.
+	// maxTakeoverDelay, and asks for standbys itself after settlingTime.
 	standbyPeriod = 5 * time.Second
 )
 
