--- a/internal/catalogue/record.go
+++ b/internal/catalogue/record.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -95,6 +96,41 @@
 type Route struct {
 	Destination Destination `json:"destination"`
 	Shares      []Share     `json:"shares"`
+	Requests    Requests    `json:"requests,omitzero"`
+}
+
+// RequestKind says how requests may be repeated.
+type RequestKind uint8
+
+// The kinds of requests.
+const (
+	RequestsUnstated RequestKind = iota
+	Idempotent
+	NonIdempotent
+	Download
+)
+
+// LowestPriority is the rank of routes that state no priority.
+const LowestPriority = 255
+
+// Requests describes the requests that a route's flows carry. The zero value states
+// nothing.
+type Requests struct {
+	Kind RequestKind `json:"kind,omitempty"`
+	// Timeout is the time after which a caller gives up, and Target the latency within
+	// which it wants the response; 0 means not stated.
+	Timeout time.Duration `json:"timeout,omitempty"`
+	Target  time.Duration `json:"target,omitempty"`
+	// Priority is 0 for the most urgent requests; nil means not stated.
+	Priority *int `json:"priority,omitempty"`
+}
+
+// Rank returns the priority, or LowestPriority if none is stated.
+func (r *Requests) Rank() int {
+	if r.Priority == nil {
+		return LowestPriority
+	}
+	return *r.Priority
 }
 
 // Service holds the limits of a service's backend servers.
@@ -112,6 +148,12 @@
 	Services []Service `json:"services"`
 }
 
+// HasSplitRoutes reports whether a route has more than one service, so that the services
+// can stand in for one another.
+func (c *Configuration) HasSplitRoutes() bool {
+	return slices.ContainsFunc(c.Routes, func(r Route) bool { return len(r.Shares) > 1 })
+}
+
 // Delta holds the changes up to a revision of the store.
 type Delta struct {
 	// Complete is set if Records holds all records that exist at Revision.
