--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -20,6 +20,8 @@
 	ServiceTime time.Duration
 	// Known is false if nothing recent is known. An unknown service is never full.
 	Known bool
+	// Age is the age of what is known.
+	Age time.Duration
 }
 
 // State ranks the room of a service.
@@ -68,5 +70,17 @@
 // Level returns the admitted part of the lowest priority that asks, from 0 to 1.
 func (a *Admission) Level() float64 { return 1 }
 
-// SpillShare returns the part of the flows that is to go to other data centres.
-func SpillShare(local Room, remote []Room) float64 { return 0 }
+// Spill decides which part of a service's flows goes to other data centres.
+type Spill struct{}
+
+// Share returns the part of the flows that is to go to other data centres, from 0 to 1.
+func (s *Spill) Share(local Room, remote []Room) float64 { return 0 }
+
+// RemoteSums holds what other data centres have said of their services' room.
+type RemoteSums struct{}
+
+// Record records the room of a service in another data centre, as of an age ago.
+func (r *RemoteSums) Record(dataCentre, service string, room Room, age time.Duration, now int64) {}
+
+// Rooms returns the recent rooms of a service in the other data centres.
+func (r *RemoteSums) Rooms(service string, now int64) []Room { return nil }
--- a/internal/serverload/serverload.go
+++ b/internal/serverload/serverload.go
@@ -79,10 +79,11 @@
 	Age time.Duration
 }
 
-// Member is a usable server of a service.
+// Member is a server of the data centre.
 type Member struct {
 	Server  uint32
 	Started int64
+	Service string
 	Slots   int
 }
 
@@ -115,7 +116,8 @@
 // Advance expires reports and computes the sums anew.
 func (t *Table) Advance(now int64) {}
 
-// Fresh reports whether recent reports of other instances are known.
+// Fresh reports whether a recent report of another instance is known, and those of at
+// least half of the data centre's instances.
 func (t *Table) Fresh(now int64) bool { return false }
 
 // Senders returns the number of instances whose reports count.
@@ -124,8 +126,11 @@
 // Server returns what is known of a server.
 func (t *Table) Server(server uint32, started int64) Server { return Server{} }
 
-// Service returns the sums of a service's usable servers.
-func (t *Table) Service(members []Member) Service { return Service{} }
+// SetMembers sets the servers of the data centre.
+func (t *Table) SetMembers(members []Member) {}
+
+// Service returns the sums over the usable servers of a service.
+func (t *Table) Service(name string, usable func(Member) bool) Service { return Service{} }
 
 // Load returns the expected work in progress per slot of a server, at its speed.
-func (t *Table) Load(server uint32, started int64, slots int) float64 { return 0 }
+func (t *Table) Load(server uint32, started int64) float64 { return 0 }
