Decide splits, admission and spills from the services' room

Cause: no decision knows how much room a service has, so a split sheds at one service while the other has room, and nothing is refused in favour of urgent flows. Nothing uses the package yet. Conclusion: the interfaces are unchanged. The closed loop under a flood is not tested yet.

--- /dev/null
+++ b/internal/overload/admission.go
@@ -0,0 +1,213 @@
+package overload
+
+import "time"
+
+// Parameters of the adaptation.
+const (
+	// adaptInterval is the shortest time between two adaptations.
+	adaptInterval = 500 * time.Millisecond
+	// cutFactor multiplies an admitted part if the load is above Full, and riseStep is
+	// added to it if the load is below Busy.
+	cutFactor = 0.7
+	riseStep  = 0.1
+	// floorPart is the lowest admitted part. It bounds what a wrong load refuses.
+	floorPart = 0.05
+	// askPeriod is the time for which a priority counts as asking after its last flow.
+	askPeriod = 5 * time.Second
+	// maxPriorities is the number of priorities that are told apart, so that the state of
+	// a service is bounded.
+	maxPriorities = 8
+)
+
+// Admission limits the new flows to one service by priority: the lowest priority first, and
+// the next higher one only once the lower one is at its floor. The zero value admits all. It
+// is not safe for concurrent use.
+//
+// All times are in nanoseconds from one origin. Instances whose times have the same origin
+// agree on the turns of callers, so that a refused caller is not admitted by the next
+// instance in the same second.
+type Admission struct {
+	priorities [maxPriorities]priority // by rank, the highest priority first
+	count      int
+
+	adapted   bool  // an adaptation has taken place, and the next two fields are set
+	adaptedAt int64 // time of the last adaptation
+	sumAt     int64 // time of the sum of the last adaptation
+
+	latest int64 // time of the last call
+	turn   int64 // number of the turn in force
+}
+
+// priority is the state of one priority.
+type priority struct {
+	rank    int
+	part    float64 // admitted part, from floorPart to 1
+	askedAt int64
+	window  window // callers admitted in the turn in force
+}
+
+func (p *priority) asks(now int64) bool { return now-p.askedAt <= int64(askPeriod) }
+
+// Update adapts the admitted parts to the service's load, if the last adaptation is at
+// least 0.5 s ago and the load is newer than the one that it used. If nothing recent is
+// known, or no server is usable, all parts rise.
+func (a *Admission) Update(r Room, l Limits, now int64) {
+	a.latest = now
+	if a.adapted && now-a.adaptedAt < int64(adaptInterval) {
+		return
+	}
+	known := r.counts() && r.Slots > 0
+	sumAt := now - int64(max(r.Age, 0))
+	if known && a.adapted && sumAt <= a.sumAt {
+		return
+	}
+	a.adapted, a.adaptedAt = true, now
+	switch {
+	case !known:
+		for i := range a.priorities[:a.count] {
+			a.priorities[i].rise()
+		}
+	case r.Load > l.Full:
+		a.cutLowest(now)
+	case r.Load < l.Busy:
+		a.riseHighest(now)
+	}
+	if known {
+		a.sumAt = sumAt
+	}
+	a.restoreOrder(now)
+}
+
+// cutLowest cuts the lowest priority that asks and is not at its floor.
+func (a *Admission) cutLowest(now int64) {
+	for i := a.count - 1; i >= 0; i-- {
+		p := &a.priorities[i]
+		if p.asks(now) && p.part > floorPart {
+			p.part = max(p.part*cutFactor, floorPart)
+			return
+		}
+	}
+}
+
+// riseHighest lets the highest limited priority that asks rise, the reverse of the order in
+// which they were cut, and those that do not ask.
+func (a *Admission) riseHighest(now int64) {
+	risen := false
+	for i := range a.priorities[:a.count] {
+		p := &a.priorities[i]
+		if asks := p.asks(now); !asks || !risen && p.part < 1 {
+			p.rise()
+			risen = risen || asks
+		}
+	}
+}
+
+func (p *priority) rise() {
+	p.part += riseStep
+	if p.part > 1-riseStep/2 { // rounding errors must not cost a further step
+		p.part = 1
+	}
+}
+
+// restoreOrder lifts the limit of each priority for which a lower one asks that is not at
+// its floor.
+func (a *Admission) restoreOrder(now int64) {
+	lift := false
+	for i := a.count - 1; i >= 0; i-- {
+		p := &a.priorities[i]
+		if lift {
+			p.part = 1
+		}
+		lift = lift || p.asks(now) && p.part > floorPart
+	}
+}
+
+// Level returns the admitted part of the lowest priority that asks, from 0 to 1, as of the
+// last call of Update or Admit. It is 1 if none asks.
+func (a *Admission) Level() float64 {
+	for i := a.count - 1; i >= 0; i-- {
+		if p := &a.priorities[i]; p.asks(a.latest) {
+			return p.part
+		}
+	}
+	return 1
+}
+
+// Admit reports whether a new flow of a caller may go to the service. Rank is the route's
+// priority, 0 the highest, and caller a hash of the caller's address without its port. Of a
+// priority with an admitted part of a, each caller is admitted in at least one of
+// ceil(1/a)+1 turns of a second, and all its flows of one turn get the same answer. Admit
+// does not allocate.
+func (a *Admission) Admit(rank int, caller uint64, now int64) bool {
+	a.latest = now
+	if number := now / int64(turnDuration); number != a.turn {
+		a.turn = number
+		for i := range a.priorities[:a.count] {
+			a.priorities[i].startTurn()
+		}
+	}
+	p := a.find(rank, now)
+	if !p.asks(now) {
+		a.enter(p, now)
+	}
+	p.askedAt = now
+	return p.window.admits(caller, a.turn)
+}
+
+// find returns the state of a priority. If there are too many, the one that has been silent
+// for longest makes room, or, if all ask, the next lower one stands for the priority.
+func (a *Admission) find(rank int, now int64) *priority {
+	at := 0
+	for at < a.count && a.priorities[at].rank < rank {
+		at++
+	}
+	if at < a.count && a.priorities[at].rank == rank {
+		return &a.priorities[at]
+	}
+	if a.count == maxPriorities {
+		silent := a.longestSilent()
+		if a.priorities[silent].asks(now) {
+			return &a.priorities[min(at, a.count-1)]
+		}
+		copy(a.priorities[silent:], a.priorities[silent+1:])
+		a.count--
+		if silent < at {
+			at--
+		}
+	}
+	copy(a.priorities[at+1:a.count+1], a.priorities[at:a.count])
+	a.count++
+	a.priorities[at] = priority{rank: rank, part: 1, askedAt: now - int64(askPeriod) - 1}
+	return &a.priorities[at]
+}
+
+func (a *Admission) longestSilent() int {
+	silent := 0
+	for i := range a.priorities {
+		if a.priorities[i].askedAt < a.priorities[silent].askedAt {
+			silent = i
+		}
+	}
+	return silent
+}
+
+// enter lets a priority ask that is new or has not asked for some time. It starts at its
+// floor while a higher one is limited, since it would be limited first.
+func (a *Admission) enter(entering *priority, now int64) {
+	for i := range a.priorities[:a.count] {
+		p := &a.priorities[i]
+		if p.rank >= entering.rank {
+			break
+		}
+		if p.asks(now) && min(p.part, p.window.part) < 1 {
+			entering.part = floorPart
+		}
+	}
+	entering.askedAt = now
+	a.restoreOrder(now)
+	entering.startTurn()
+}
+
+// startTurn puts the admitted part in force. Within a turn it stays the same, so that a
+// refused caller that tries again is refused again.
+func (p *priority) startTurn() { p.window = windowFor(p.part) }
