Keep admission stable with sums up to a second old, and test it in a closed loop

Change: a cut is in force at once, within the turn; for 5 s after a cut a part rises only by a sum that shows the last rise; a higher priority is cut only by a sum from 2 s after the lower one's last cut; a priority that has not asked for a turn no longer keeps lower ones from rising. Room.WithPlaced adds placements since the sum, beyond what the slots complete. The load is at or below Full in the mean only, and servers shed urgent flows as well while it is above.

--- a/internal/overload/admission.go
+++ b/internal/overload/admission.go
@@ -1,6 +1,9 @@
 package overload
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Parameters of the adaptation.
 const (
@@ -12,6 +15,15 @@
 	riseStep  = 0.1
 	// floorPart is the lowest admitted part. It bounds what a wrong load refuses.
 	floorPart = 0.05
+	// settlePeriod is the time after a cut in which a part rises only by a sum that shows the
+	// last adaptation. Without it the part rises several steps before a sum shows the first
+	// of them, so a lasting flood fills the service every few seconds. It is bounded, since
+	// the rises after a flood would else take some 2 s each.
+	settlePeriod = 5 * time.Second
+	// cutDelay is the time after a priority's last cut from which a sum shows its effect: the
+	// sum covers 0.5 s, queues drain, and callers that servers have shed come back for 0.6 s.
+	// With 0.5 s urgent flows were refused while the load of before was still in the sums.
+	cutDelay = 2 * time.Second
 	// askPeriod is the time for which a priority counts as asking after its last flow.
 	askPeriod = 5 * time.Second
 	// maxPriorities is the number of priorities that are told apart, so that the state of
@@ -30,9 +42,11 @@
 	priorities [maxPriorities]priority // by rank, the highest priority first
 	count      int
 
-	adapted   bool  // an adaptation has taken place, and the next two fields are set
-	adaptedAt int64 // time of the last adaptation
-	sumAt     int64 // time of the sum of the last adaptation
+	adapted     bool  // an adaptation has taken place, and the next four fields are set
+	adaptedAt   int64 // time of the last adaptation
+	sumAt       int64 // time of the sum of the last adaptation
+	cutAt       int64 // time of the last cut
+	effectiveAt int64 // time from which the last cut or rise is in force
 
 	latest int64 // time of the last call
 	turn   int64 // number of the turn in force
@@ -43,6 +57,7 @@
 	rank    int
 	part    float64 // admitted part, from floorPart to 1
 	askedAt int64
+	cutAt   int64  // time of the last cut
 	window  window // callers admitted in the turn in force
 }
 
@@ -50,56 +65,77 @@
 
 // Update adapts the admitted parts to the service's load, if the last adaptation is at
 // least 0.5 s ago and the load is newer than the one that it used. If nothing recent is
-// known, or no server is usable, all parts rise.
+// known, or no server is usable, all parts rise. Room.Age must grow with now while the sums
+// stand still, so that the same sums do not count twice.
 func (a *Admission) Update(r Room, l Limits, now int64) {
 	a.latest = now
 	if a.adapted && now-a.adaptedAt < int64(adaptInterval) {
 		return
 	}
-	known := r.counts() && r.Slots > 0
+	if !r.counts() || r.Slots <= 0 {
+		a.adapted, a.adaptedAt = true, now
+		a.riseAll(now)
+		return
+	}
 	sumAt := now - int64(max(r.Age, 0))
-	if known && a.adapted && sumAt <= a.sumAt {
+	if a.adapted && sumAt <= a.sumAt {
 		return
 	}
-	a.adapted, a.adaptedAt = true, now
+	if r.Load < l.Busy && sumAt < a.effectiveAt && now-a.cutAt <= int64(settlePeriod) {
+		return
+	}
+	a.adapted, a.adaptedAt, a.sumAt = true, now, sumAt
 	switch {
-	case !known:
-		for i := range a.priorities[:a.count] {
-			a.priorities[i].rise()
-		}
 	case r.Load > l.Full:
-		a.cutLowest(now)
+		a.cutLowest(sumAt, now)
 	case r.Load < l.Busy:
 		a.riseHighest(now)
 	}
-	if known {
-		a.sumAt = sumAt
+}
+
+func (a *Admission) riseAll(now int64) {
+	for i := range a.priorities[:a.count] {
+		a.priorities[i].rise()
 	}
 	a.restoreOrder(now)
 }
 
-// cutLowest cuts the lowest priority that asks and is not at its floor.
-func (a *Admission) cutLowest(now int64) {
+// cutLowest cuts the lowest priority that asks and is not at its floor. The cut is in force
+// at once. A higher priority is cut only by a sum that shows the lower one's last cut.
+func (a *Admission) cutLowest(sumAt, now int64) {
+	lowerCutAt := int64(math.MinInt64)
 	for i := a.count - 1; i >= 0; i-- {
 		p := &a.priorities[i]
-		if p.asks(now) && p.part > floorPart {
+		if !p.asks(now) {
+			continue
+		}
+		if p.part > floorPart {
+			if sumAt < lowerCutAt+int64(cutDelay) {
+				return
+			}
 			p.part = max(p.part*cutFactor, floorPart)
+			p.window = p.window.narrowed(p.part)
+			p.cutAt, a.cutAt, a.effectiveAt = now, now, now
 			return
 		}
+		lowerCutAt = max(lowerCutAt, p.cutAt)
 	}
 }
 
 // riseHighest lets the highest limited priority that asks rise, the reverse of the order in
-// which they were cut, and those that do not ask.
+// which they were cut. One that has not asked for a turn rises too, but does not keep lower
+// ones from it. The rise is in force from the next turn on.
 func (a *Admission) riseHighest(now int64) {
+	a.effectiveAt = (now/int64(turnDuration) + 1) * int64(turnDuration)
 	risen := false
 	for i := range a.priorities[:a.count] {
 		p := &a.priorities[i]
-		if asks := p.asks(now); !asks || !risen && p.part < 1 {
+		if !risen && p.part < 1 {
 			p.rise()
-			risen = risen || asks
+			risen = now-p.askedAt <= int64(turnDuration)
 		}
 	}
+	a.restoreOrder(now)
 }
 
 func (p *priority) rise() {
@@ -110,13 +146,14 @@
 }
 
 // restoreOrder lifts the limit of each priority for which a lower one asks that is not at
-// its floor.
+// its floor, at once.
 func (a *Admission) restoreOrder(now int64) {
 	lift := false
 	for i := a.count - 1; i >= 0; i-- {
 		p := &a.priorities[i]
-		if lift {
+		if lift && p.part < 1 {
 			p.part = 1
+			p.startTurn()
 		}
 		lift = lift || p.asks(now) && p.part > floorPart
 	}
@@ -136,8 +173,8 @@
 // Admit reports whether a new flow of a caller may go to the service. Rank is the route's
 // priority, 0 the highest, and caller a hash of the caller's address without its port. Of a
 // priority with an admitted part of a, each caller is admitted in at least one of
-// ceil(1/a)+1 turns of a second, and all its flows of one turn get the same answer. Admit
-// does not allocate.
+// ceil(1/a)+1 turns of a second. A caller that is refused stays refused until the turn ends,
+// so that a refusal does not become three attempts. Admit does not allocate.
 func (a *Admission) Admit(rank int, caller uint64, now int64) bool {
 	a.latest = now
 	if number := now / int64(turnDuration); number != a.turn {
@@ -177,7 +214,8 @@
 	}
 	copy(a.priorities[at+1:a.count+1], a.priorities[at:a.count])
 	a.count++
-	a.priorities[at] = priority{rank: rank, part: 1, askedAt: now - int64(askPeriod) - 1}
+	a.priorities[at] = priority{rank: rank, part: 1, askedAt: now - int64(askPeriod) - 1,
+		cutAt: math.MinInt64 / 2}
 	return &a.priorities[at]
 }
 
@@ -208,6 +246,6 @@
 	entering.startTurn()
 }
 
-// startTurn puts the admitted part in force. Within a turn it stays the same, so that a
-// refused caller that tries again is refused again.
+// startTurn puts the admitted part in force. Within a turn it is only cut, so that a refused
+// caller that tries again is refused again.
 func (p *priority) startTurn() { p.window = windowFor(p.part) }
--- a/internal/overload/admission_test.go
+++ b/internal/overload/admission_test.go
@@ -85,3 +85,39 @@
 	a.Update(r, l, 6*sec)
 	is.True(math.Abs(a.Level()-cutFactor-riseStep) < 1e-9)
 }
+
+// TestRiseShowsItsEffect guards against several rises before a sum shows the first one, which
+// fill the service again, and against a slow return after the overload is over.
+func TestRiseShowsItsEffect(t *testing.T) {
+	is := is.New(t)
+	var a Admission
+	update := func(load float64, sumAt, now int64) float64 {
+		a.Admit(2, 1, now)
+		r := known(load)
+		r.Age = time.Duration(now - sumAt)
+		a.Update(r, LimitsFor(0, 0), now)
+		return math.Round(a.Level() * 100)
+	}
+	is.Equal(update(9, 9*sec, 10*sec), 70.0)
+	is.Equal(update(9, 10100*ms, 10400*ms), 70.0) // too early
+	is.Equal(update(0, 9900*ms, 10500*ms), 70.0)  // from before the cut
+	is.Equal(update(0, 10*sec, 10750*ms), 80.0)   // in force from 11 s on
+	is.Equal(update(0, 10900*ms, 11500*ms), 80.0) // from before the rise
+	is.Equal(update(0, 11*sec, 11750*ms), 90.0)
+	is.Equal(update(0, 11800*ms, 15001*ms), 100.0) // settlePeriod is over
+}
+
+// TestPriorityComesAndGoes guards against a new low priority that lifts the limit of a higher
+// one, and against one that has gone and keeps a lower one from rising.
+func TestPriorityComesAndGoes(t *testing.T) {
+	is := is.New(t)
+	var a Admission
+	a.Admit(2, 1, 0)
+	a.Update(known(9), LimitsFor(0, 0), 0)
+	a.Admit(3, 1, 0)
+	is.Equal(a.Level(), floorPart)
+	is.Equal(a.priorities[0].part, cutFactor)
+	a.Admit(3, 1, 2*sec) // the higher one no longer does
+	a.Update(known(0), LimitsFor(0, 0), 2*sec)
+	is.True(a.Level() > floorPart)
+}
--- a/internal/overload/room.go
+++ b/internal/overload/room.go
@@ -76,3 +76,18 @@
 
 // counts reports whether the load is known, recent and a number from 0.
 func (r Room) counts() bool { return r.Known && r.Age <= maxRoomAge && r.Load >= 0 }
+
+// WithPlaced returns the room with the work in progress of flows that have been placed within
+// a time since the load became known, as far as it exceeds what all slots complete in that
+// time. Loads are up to seconds old: without it, an overflow goes on long after it has filled
+// the other service. A service of unknown service time completes nothing.
+func (r Room) WithPlaced(work float64, since time.Duration) Room {
+	if r.counts() && r.Slots > 0 && work > 0 {
+		completed := 0.0
+		if r.ServiceTime > 0 {
+			completed = float64(max(since, 0)) / float64(r.ServiceTime)
+		}
+		r.Load += max(work/float64(r.Slots)-completed, 0)
+	}
+	return r
+}
--- a/internal/overload/spill_test.go
+++ b/internal/overload/spill_test.go
@@ -48,7 +48,9 @@
 	old := known(0)
 	old.Age = 5*time.Second + 1
 	lying := known(math.NaN())
-	is.Equal(s.Share(known(4), []Room{old, noServer, unknownRoom, lying}), 0.0)
+	for _, r := range []Room{old, noServer, unknownRoom, lying} {
+		is.Equal(s.Share(known(4), []Room{r}), 0.0)
+	}
 	is.Equal(s.Share(known(4), nil), 0.0)
 	is.Equal(s.Share(unknownRoom, []Room{known(0)}), 0.0)
 	is.Equal(s.Share(noServer, []Room{known(0)}), 0.0)
--- a/internal/overload/split_test.go
+++ b/internal/overload/split_test.go
@@ -179,3 +179,65 @@
 		_ = SelectService(shares, table.Mix(hash), rooms)
 	}), 0.0)
 }
+
+// splitLoop runs two services with a capacity of 400 flows a second each behind a route for
+// 40 s, with sums 0.5 to 1 s old and the placements since, and returns which part of the flows
+// is shed, and the mean load of the second service.
+func splitLoop(shares []catalogue.Share, rate float64, byRoom bool) (shed, load float64) {
+	const slots, steps = 20, 800
+	var queues, placed [2]int
+	sums, next := make([]Room, 3), make([]Room, 3)
+	flow, due, at := uint64(0), 0.0, 0
+	for step := range steps {
+		for due += rate * float64(loopStep) / float64(sec); due >= 1; due-- {
+			flow++
+			since := time.Duration(step-at) * time.Duration(loopStep)
+			s := SelectService(shares, table.Mix(flow), func(service string) (Room, Limits) {
+				if !byRoom {
+					return known(0), LimitsFor(0, 0)
+				}
+				s := service[0] - 'a'
+				return sums[s].WithPlaced(float64(placed[s]), since), LimitsFor(0, 0)
+			}).Service[0] - 'a'
+			placed[s]++
+			if queues[s] == slots*(1+queuePerSlot) {
+				shed++
+			} else {
+				queues[s]++
+			}
+		}
+		load += float64(queues[1]) / slots / steps
+		if step%int(sumInterval/loopStep) == 0 {
+			copy(sums, next)
+			placed, at = [2]int{}, step
+			for s := range queues {
+				next[s] = known(float64(queues[s]) / slots)
+				next[s].ServiceTime = time.Duration(loopStep)
+			}
+		}
+		for s := range queues {
+			queues[s] -= min(queues[s], slots)
+		}
+	}
+	return shed / float64(flow), load
+}
+
+// TestSplitWithOneServiceFull is the load of a service that is full while another one of its
+// route has room, and of both full. It guards against flows that are shed in the first case,
+// and against an overflow that fills the other service or adds to what both shed.
+func TestSplitWithOneServiceFull(t *testing.T) {
+	is := is.New(t)
+	before, _ := splitLoop(split(90, 10), 500, false)
+	shed, load := splitLoop(split(90, 10), 500, true)
+	is.True(shed <= before/10)
+	is.True(load < LimitsFor(0, 0).Busy)
+
+	before, _ = splitLoop(split(90, 10), 800, false) // all that both can serve
+	shed, load = splitLoop(split(90, 10), 800, true)
+	is.True(shed <= before/2)
+	is.True(load < LimitsFor(0, 0).Busy)
+
+	before, _ = splitLoop(split(50, 50), 1200, false) // both are full
+	shed, _ = splitLoop(split(50, 50), 1200, true)
+	is.True(shed <= before+0.01)
+}
--- a/internal/overload/turns.go
+++ b/internal/overload/turns.go
@@ -32,6 +32,17 @@
 	return w
 }
 
+// narrowed returns the window with at most the given part, which is below 1, of the callers.
+// It admits no caller that the window does not admit.
+func (w window) narrowed(part float64) window {
+	if w.part >= 1 {
+		return windowFor(part)
+	}
+	w.part = min(w.part, part)
+	w.width = min(w.width, uint64(w.part*(1<<64)))
+	return w
+}
+
 // admits reports whether the window of a turn has a caller.
 func (w window) admits(caller uint64, turn int64) bool {
 	return w.part >= 1 || table.Mix(caller)+uint64(turn)*w.step < w.width
