--- a/internal/overload/flood_test.go
+++ b/internal/overload/flood_test.go
@@ -43,19 +43,22 @@
 // and a limit that outlives the flood.
 func TestFlood(t *testing.T) {
 	is := is.New(t)
-	for _, usual := range []float64{100, 150, 200, 290} {
-		l := flooded(usual)
-		is.Equal(l.kinds[1].refused, 0) // before the flood
-		l.run(8 * time.Second)
-		is.Equal(l.kinds[0].refused, 0)
-		checkServed(is, l, 30*time.Second)
+	for _, withPlaced := range []bool{false, true} {
+		for _, usual := range []float64{100, 150, 200, 290} {
+			l := flooded(usual)
+			l.withPlaced = withPlaced
+			is.Equal(l.kinds[1].refused, 0) // before the flood
+			l.run(8 * time.Second)
+			is.Equal(l.kinds[0].refused, 0)
+			checkServed(is, l, 30*time.Second)
 
-		l.kinds[1].rate = usual
-		// The sums and the queues are out of date for 2 s. The rises may take longer than
-		// adaptInterval until settlePeriod is over.
-		steps := math.Ceil((1 - floorPart) / riseStep)
-		l.run(2*time.Second + settlePeriod + time.Duration(steps*float64(adaptInterval)))
-		is.Equal(l.admission.Level(), 1.0)
+			l.kinds[1].rate = usual
+			// The sums and the queues are out of date for 2 s. The rises may take longer than
+			// adaptInterval until settlePeriod is over.
+			steps := math.Ceil((1 - floorPart) / riseStep)
+			l.run(2*time.Second + settlePeriod + time.Duration(steps*float64(adaptInterval)))
+			is.Equal(l.admission.Level(), 1.0)
+		}
 	}
 }
 
