Check that a cut admits no refused caller, and that overflows stay in the route

Cause: the properties did not cover the narrowed window of a turn, nor a service that the route does not name. Conclusion: taking the narrowed window out, or returning another service, now fails a test.

--- a/internal/overload/split_test.go
+++ b/internal/overload/split_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -73,9 +74,7 @@
 		}
 		weighted := byWeight(shares, hash)
 		is.Equal(got.Overflow, got.Service != weighted)
-		for _, s := range shares {
-			is.True(s.Service != got.Service || s.Weight > 0)
-		}
+		is.True(slices.ContainsFunc(shares, func(s catalogue.Share) bool { return s.Service == got.Service && s.Weight > 0 }))
 		r, l := rooms(weighted)
 		if r.Slots > 0 && r.State(l) != Full {
 			is.Equal(got, Selection{Service: weighted})
--- a/internal/overload/turns_test.go
+++ b/internal/overload/turns_test.go
@@ -18,11 +18,13 @@
 		first := rapid.Int64Range(0, 1<<32).Draw(t, "turn")
 		caller := rapid.Uint64().Draw(t, "caller")
 		w := windowFor(part)
+		cut := w.narrowed(max(part*cutFactor, floorPart))
 		bound := int64(math.Ceil(1/part)) + 1
 		missed, admitted := int64(0), 0
 		const turns = 2000
 		for turn := first; turn < first+turns; turn++ {
 			missed++
+			is.True(!cut.admits(caller, turn) || w.admits(caller, turn)) // refused, so refused again
 			if w.admits(caller, turn) {
 				missed = 0
 				admitted++
