Check that a priority that no longer asks is not cut in place of one that does

Cause: no test failed when silent priorities were cut first. Change: TestSilentPriorityReservesNothing; it fails without the check in cutLowest. Conclusion: the rule that silent priorities reserve nothing is covered.

--- a/internal/overload/admission_test.go
+++ b/internal/overload/admission_test.go
@@ -121,3 +121,14 @@
 	a.Update(known(0), LimitsFor(0, 0), 2*sec)
 	is.True(a.Level() > floorPart)
 }
+
+// TestSilentPriorityReservesNothing guards against an overload that lasts while the parts of
+// priorities are cut that no longer ask.
+func TestSilentPriorityReservesNothing(t *testing.T) {
+	is := is.New(t)
+	var a Admission
+	a.Admit(3, 1, 0)
+	a.Admit(2, 1, 6*sec)
+	a.Update(known(9), LimitsFor(0, 0), 6*sec)
+	is.Equal(a.Level(), cutFactor)
+}
