Estimate load and speed of servers from shared samples

Cause: an instance compares the loads of servers by its own outstanding requests alone, and no instance knows that a server is slow. Nothing calls the package yet.

--- /dev/null
+++ b/internal/serverload/load.go
@@ -0,0 +1,114 @@
+package serverload
+
+import "time"
+
+// minWorkPerFlow is the smallest work in progress that a flow is expected to cause, so
+// that flows are spread evenly before the first requests.
+const minWorkPerFlow = 0.001
+
+// Server is what the table knows of one server. The zero value means nothing.
+type Server struct {
+	// Flows and InProgress are the flows and the mean number of requests in progress,
+	// and Rate the requests a second, over all instances of the data centre.
+	Flows, InProgress, Rate float64
+	// Speed is the server's speed relative to the median of its service.
+	Speed float64
+	// Response is the mean response time, and Samples the decayed number of responses
+	// behind it.
+	Response time.Duration
+	Samples  float64
+	// Age is the age of the oldest report that counts.
+	Age time.Duration
+}
+
+// Member is a server of the data centre.
+type Member struct {
+	Server  uint32
+	Started int64
+	Service string
+	Slots   int
+}
+
+// Service is what the table knows of the usable servers of a service in the data centre.
+type Service struct {
+	Flows, InProgress, Rate float64
+	// Capacity is the sum of slots times speed, Slots that of slots.
+	Capacity float64
+	Slots    int
+	// ServiceTime is the median of the servers' mean response times.
+	ServiceTime time.Duration
+	Age         time.Duration
+	// Known is false if no recent report exists.
+	Known bool
+}
+
+// Server returns what is known of a server, as of the last call of Advance. It returns
+// the zero value if no report counts, or the server or its start is unknown.
+func (t *Table) Server(server uint32, started int64) Server {
+	e := t.find(server, started)
+	if e == nil || t.known == 0 {
+		return Server{}
+	}
+	return Server{
+		Flows: e.flows, InProgress: e.inProgress, Rate: e.rate, Speed: e.speed,
+		Response: seconds(e.responses.mean()), Samples: e.responses.count, Age: t.age,
+	}
+}
+
+// Service returns the sums over the usable servers of a service, as of the last call of
+// Advance.
+func (t *Table) Service(name string, usable func(Member) bool) Service {
+	s := t.services[name]
+	if s == nil {
+		return Service{}
+	}
+	out := Service{Age: t.age, Known: t.known > 0, ServiceTime: seconds(s.median)}
+	for _, m := range s.members {
+		if !usable(m) {
+			continue
+		}
+		e := t.servers[m.Server]
+		out.Flows += e.flows
+		out.InProgress += e.inProgress
+		out.Rate += e.rate
+		out.Capacity += float64(m.Slots) * e.speed
+		out.Slots += m.Slots
+	}
+	return out
+}
+
+// Load returns the expected work in progress per slot of a server, at its speed. It is 0
+// if no report counts or the server is no member.
+//
+// It is derived from the flows that the server holds, because these change slowly: the
+// requests in progress have changed many times when a report arrives. Only work in
+// progress that exceeds this expectation by more than one request counts itself.
+func (t *Table) Load(server uint32, started int64) float64 {
+	e := t.find(server, started)
+	if e == nil || e.service == nil || t.known == 0 {
+		return 0
+	}
+	work := e.flows * e.service.workPerFlow()
+	if e.inProgress > work+1 {
+		work = e.inProgress
+	}
+	return work / (e.slots * e.speed)
+}
+
+// FlowLoad returns what one more flow adds to the load of a server, so that an instance
+// can count the flows that it has placed since the sum. It is 0 where Load is.
+func (t *Table) FlowLoad(server uint32, started int64) float64 {
+	e := t.find(server, started)
+	if e == nil || e.service == nil || t.known == 0 {
+		return 0
+	}
+	return e.service.workPerFlow() / (e.slots * e.speed)
+}
+
+// workPerFlow returns the mean number of requests in progress per flow.
+func (s *service) workPerFlow() float64 {
+	if s.flows == 0 {
+		return minWorkPerFlow
+	}
+	return max(s.inProgress/s.flows, minWorkPerFlow)
+}
--- /dev/null
+++ b/internal/serverload/main_test.go
@@ -0,0 +1,9 @@
+package serverload
+
+import (
+	"testing"
+
+	"balsamfork/internal/rapidtest"
+)
+
+func TestMain(m *testing.M) { rapidtest.Run(m) }
