Include in the sums what does not fit into a report, and measure the cost

Cause: at the planned size an instance has flows at 472 servers of its data centre, and a report of 1,200 bytes holds some 80 samples: the sums would be a part of the truth, and a full service would look empty. Change: a report carries its flows and requests over all samples, and the table scales the samples by them, by a factor of 16 at most.

--- a/internal/serverload/codec.go
+++ b/internal/serverload/codec.go
@@ -15,16 +15,17 @@
 	// of a response time of 25 ms compared with nanoseconds.
 	durationUnit = 100 * time.Microsecond
 	// maxSamples is the largest number of samples that Decode accepts, and minSampleBytes
-	// the size of the smallest sample.
+	// the size of the smallest sample. maxTotal limits the sums over all samples.
 	maxSamples     = 2000
+	maxTotal       = MaxServers * maxCount
 	minSampleBytes = 6
 )
 
 // Append appends the binary form of the report, which takes at most MaxReportBytes. Of
 // Samples it includes the first ones that fit. Durations are rounded to 100 µs.
 //
-// The form is: version (1 byte), run (8), sequence and interval (varints), smallest
-// Started (varint), number of samples (2), samples. A sample is: server (4), Started
+// The form is: version (1 byte), run (8), sequence, interval, flows, requests and smallest
+// Started (varints), number of samples (2), samples. A sample is: server (4), Started
 // less the smallest (varint), flows<<1|active (varint) and, where active, requests,
 // completed, busy and response (varints). Most samples of a short interval have flows
 // only.
@@ -41,6 +42,9 @@
 	to = binary.LittleEndian.AppendUint64(to, r.Run)
 	to = binary.AppendUvarint(to, r.Sequence)
 	to = appendDuration(to, r.Interval)
+	flows, requests := r.totals()
+	to = binary.AppendUvarint(to, uint64(max(r.Flows, flows)))
+	to = binary.AppendUvarint(to, uint64(max(r.Requests, requests)))
 	to = binary.AppendUvarint(to, uint64(base))
 	count := len(to)
 	to = append(to, 0, 0)
@@ -92,6 +96,8 @@
 	if d.err == nil && r.Interval < minInterval {
 		d.fail("interval", "%v is too short", r.Interval)
 	}
+	r.Flows = int(d.number("flows", maxTotal))
+	r.Requests = int(d.number("requests", maxTotal))
 	base := d.number("started", math.MaxInt64)
 	n := 0
 	if v := d.bytes("samples", 2); d.err == nil {
@@ -113,6 +119,11 @@
 	if d.err == nil {
 		d.refuseDuplicates(r.Samples)
 	}
+	if flows, requests := r.totals(); r.Flows < flows {
+		d.fail("flows", "%d, but the samples have %d", r.Flows, flows)
+	} else if r.Requests < requests {
+		d.fail("requests", "%d, but the samples have %d", r.Requests, requests)
+	}
 	if d.err != nil {
 		return Report{}, d.err
 	}
--- a/internal/serverload/codec_test.go
+++ b/internal/serverload/codec_test.go
@@ -29,11 +29,13 @@
 })
 
 var anyReport = rapid.Custom(func(t *rapid.T) Report {
-	return Report{
+	r := Report{
 		Run: rapid.Uint64().Draw(t, "run"), Sequence: rapid.Uint64().Draw(t, "sequence"),
 		Interval: max(anyDuration.Draw(t, "interval"), minInterval),
 		Samples:  rapid.SliceOfNDistinct(anySample, 0, 150, func(s Sample) uint32 { return s.Server }).Draw(t, "samples"),
 	}
+	r.Flows, r.Requests = r.totals()
+	return r
 })
 
 // A report that arrives differs from the one sent only in the samples that do not fit.
@@ -64,7 +66,7 @@
 	hour := uint64(maxDuration / durationUnit)
 	// report returns a report of the given sequence and later numbers, and its samples.
 	report := func(interval, base uint64, samples ...[]byte) []byte {
-		b := append([]byte{formatVersion, 1, 2, 3, 4, 5, 6, 7, 8}, numbers(1, interval, base)...)
+		b := append([]byte{formatVersion, 1, 2, 3, 4, 5, 6, 7, 8}, numbers(1, interval, 4, 1, base)...)
 		b = binary.LittleEndian.AppendUint16(b, uint16(len(samples)))
 		for i, s := range samples {
 			b = append(binary.LittleEndian.AppendUint32(b, uint32(i/2)), s...)
@@ -87,8 +89,8 @@
 		"long interval":     {report(hour+1, 0), "interval"},
 		"negative start":    {report(5000, 1<<63), "started"},
 		"overflowing start": {report(5000, math.MaxInt64, numbers(1, 4)), "samples[0].started"},
-		"many samples":      {append(report(5000, 0)[:13], 0xff, 0xff), "samples"},
-		"missing samples":   {append(report(5000, 0)[:13], 2, 0), "samples"},
+		"many samples":      {append(report(5000, 0)[:15], 0xff, 0xff), "samples"},
+		"missing samples":   {append(report(5000, 0)[:15], 2, 0), "samples"},
 		"flows":             {report(5000, 0, numbers(0, (maxCount+1)<<1)), "samples[0].flows"},
 		"negative flows":    {report(5000, 0, numbers(0, math.MaxUint64)), "samples[0].flows"},
 		"requests":          {report(5000, 0, numbers(0, 3, maxCount+1, 1, 1, 1)), "samples[0].requests"},
@@ -97,6 +99,8 @@
 		"response":          {report(5000, 0, numbers(0, 3, 1, 1, 1, hour+1)), "samples[0].response"},
 		"number too long":   {report(5000, 0, numbers(0), []byte{0x80, 0x80, 0x80, 0x80, 0x80, 0x80, 0x80, 0x80, 0x80, 0x80, 1}), "started"},
 		"repeated server":   {report(5000, 0, numbers(0, 4), numbers(0, 4)), "samples"},
+		"fewer flows":       {report(5000, 0, numbers(0, 10)), "flows"},
+		"fewer requests":    {report(5000, 0, numbers(0, 9, 2, 0, 0, 0)), "requests"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/serverload/sampler.go
+++ b/internal/serverload/sampler.go
@@ -101,6 +101,7 @@
 		r.Samples = append(r.Samples, sample)
 		a.Sample = Sample{Server: a.Server, Started: a.Started, Flows: a.Flows}
 	}
+	r.Flows, r.Requests = r.totals()
 	slices.SortFunc(r.Samples, func(a, b Sample) int {
 		return cmp.Or(cmp.Compare(b.Requests, a.Requests), cmp.Compare(b.Flows, a.Flows),
 			cmp.Compare(a.Server, b.Server))
--- a/internal/serverload/sampler_test.go
+++ b/internal/serverload/sampler_test.go
@@ -15,7 +15,7 @@
 	s.Begin(1, 7, 0)
 	s.SetFlows(1, 7, 3)
 	first := s.Report(500 * ms)
-	is.Equal(first, Report{Run: 5, Sequence: 1, Interval: 500 * time.Millisecond, Samples: []Sample{
+	is.Equal(first, Report{Run: 5, Sequence: 1, Interval: 500 * time.Millisecond, Flows: 3, Requests: 1, Samples: []Sample{
 		{Server: 1, Started: 7, Flows: 3, Requests: 1, Busy: 500 * time.Millisecond},
 	}})
 	s.Begin(1, 7, 600*ms)
--- a/internal/serverload/serverload.go
+++ b/internal/serverload/serverload.go
@@ -58,6 +58,18 @@
 	Run, Sequence uint64
 	// Interval is the time that the report covers.
 	Interval time.Duration
+	// Flows and Requests are the sums over all samples, also those that did not fit into
+	// the binary form; smaller values count as the sums over Samples.
+	Flows, Requests int
 	// Samples are in descending order of importance.
 	Samples []Sample
 }
+
+// totals returns Flows and Requests over Samples.
+func (r *Report) totals() (flows, requests int) {
+	for i := range r.Samples {
+		flows += r.Samples[i].Flows
+		requests += r.Samples[i].Requests
+	}
+	return flows, requests
+}
--- a/internal/serverload/table.go
+++ b/internal/serverload/table.go
@@ -16,6 +16,10 @@
 	retention = time.Minute
 	// maxScale limits how far the sums are scaled up for instances that do not report.
 	maxScale = 2
+	// maxOmitted limits how far the samples of a report are scaled up for those that did
+	// not fit into it. An instance that has flows at all of 472 servers, a seventh of the
+	// planned 3,300, can send a sixth of its samples.
+	maxOmitted = 16
 )
 
 // Table holds the newest report of each instance of the data centre. It is not safe for
@@ -40,7 +44,9 @@
 	received      int64
 	interval      time.Duration
 	samples       []Sample
-	counts        bool // the report counts in the sums
+	flows         float64 // factor for the flows of samples that did not fit into the report
+	work          float64 // the same for requests and work in progress
+	counts        bool    // the report counts in the sums
 }
 
 func (s *sender) expires() int64 {
@@ -79,7 +85,11 @@
 		return Invalid.New("interval: %v is too short", r.Interval)
 	}
 	at, found := slices.BinarySearchFunc(t.senders, from, func(s sender, a netip.Addr) int { return s.address.Compare(a) })
-	next := sender{address: from, run: r.Run, sequence: r.Sequence, received: now, interval: r.Interval, samples: r.Samples}
+	flows, requests := r.totals()
+	next := sender{
+		address: from, run: r.Run, sequence: r.Sequence, received: now, interval: r.Interval, samples: r.Samples,
+		flows: omitted(r.Flows, flows), work: omitted(r.Requests, requests),
+	}
 	if !found {
 		if len(t.senders) >= MaxSenders {
 			t.senders = slices.DeleteFunc(t.senders, func(s sender) bool { return now >= s.expires() })
@@ -113,6 +123,11 @@
 	return nil
 }
 
+// omitted returns the factor from the sum over the samples of a report to the sum over all.
+func omitted(total, included int) float64 {
+	return min(max(float64(total)/float64(max(included, 1)), 1), maxOmitted)
+}
+
 // observe returns the entry that a sample belongs to, or nil. The start of a member is
 // that of SetMembers, whatever reports say; for other servers the latest start counts.
 func (t *Table) observe(s *Sample) *entry {
@@ -235,14 +250,15 @@
 		scale = min(float64(t.instances)/float64(t.known), maxScale)
 	}
 	for i := range t.senders {
-		perSecond := scale / t.senders[i].interval.Seconds()
-		for j := range t.senders[i].samples {
-			s := &t.senders[i].samples[j]
+		from := &t.senders[i]
+		flows, perSecond := scale*from.flows, scale*from.work/from.interval.Seconds()
+		for j := range from.samples {
+			s := &from.samples[j]
 			e := t.observe(s)
 			if e == nil {
 				continue
 			}
-			e.flows += float64(s.Flows) * scale
+			e.flows += float64(s.Flows) * flows
 			e.inProgress += s.Busy.Seconds() * perSecond
 			e.rate += float64(s.Requests) * perSecond
 		}
--- a/internal/serverload/table_test.go
+++ b/internal/serverload/table_test.go
@@ -197,3 +197,24 @@
 	is.True(len(table.servers) <= MaxServers)
 	is.NoErr(table.Apply(address(MaxSenders), report(1, 1, 0, 4), 7000*ms)) // expired senders make room
 }
+
+// Load: the planned 472 servers in a data centre, more than fit into a report. Failure:
+// the sums contain only the samples that fit, so that a full service looks empty.
+func TestSumsIncludeWhatDoesNotFit(t *testing.T) {
+	is := is.New(t)
+	m, rate := members(472, 0), 26.0 // requests a second at each server
+	f := newFleet(59, 1200*time.Millisecond, 1200*time.Millisecond, m)
+	for _, s := range f.samplers {
+		for i := range m {
+			s.SetFlows(m[i].Server, 0, 1+f.rng.IntN(3))
+		}
+	}
+	f.traffic(m, &rate, func(uint32) float64 { return 1 })
+	f.run(4 * time.Second)
+	got := f.table.Service("a", nil)
+	t.Logf("flows %.0f, rate %.0f, in progress %.0f", got.Flows, got.Rate, got.InProgress)
+	near := func(got, want float64) bool { return got > 0.75*want && got < 1.25*want }
+	is.True(near(got.Flows, 2*59*472))
+	is.True(near(got.Rate, rate*472))
+	is.True(near(got.InProgress, rate*472*0.026))
+}
