--- a/internal/serverload/table_test.go
+++ b/internal/serverload/table_test.go
@@ -121,6 +121,33 @@
 	is.Equal(table.Load(1, 0), 0.0)
 	is.True(!table.Service("a", nil).Known)
 	is.Equal(table.Senders(), 0)
+
+	// Reports over 2 s, as of 100 instances, last 6 s; their age is stated.
+	for i := range 3 {
+		r := report(1, 2, 1, 4)
+		r.Interval = 2 * time.Second
+		is.NoErr(table.Apply(address(i), r, 5000*ms))
+	}
+	table.Advance(10_000 * ms)
+	is.True(table.Fresh(10_000 * ms))
+	is.Equal(table.Server(1, 0).Age, 5*time.Second)
+	is.Equal(table.Service("a", nil).Age, 5*time.Second)
+}
+
+// Failures: a slow server that holds as many flows as others looks as free as they, or a
+// server whose requests pile up looks free because it holds few flows.
+func TestLoadTellsSlowAndStuckServers(t *testing.T) {
+	is := is.New(t)
+	table := filled(t, 20)
+	slow, stuck := report(1, 2, 0, 4), report(1, 2, 1, 4)
+	slow.Samples[0].Completed, slow.Samples[0].Response = 40, 40*400*time.Millisecond
+	stuck.Samples[0].Completed, stuck.Samples[0].Response, stuck.Samples[0].Busy = 0, 0, 6*time.Second
+	is.NoErr(table.Apply(address(0), slow, 0))
+	is.NoErr(table.Apply(address(1), stuck, 0))
+	table.Advance(0)
+	is.True(table.Load(0, 0) > 2.5*table.Load(2, 0))
+	is.True(table.FlowLoad(0, 0) > 2.5*table.FlowLoad(2, 0))
+	is.True(math.Abs(table.Load(1, 0)-6.0/2/table.Server(1, 0).Speed) < 1e-9)
 }
 
 // Failure: 100 servers added at once. The others keep their sums and speeds.
