--- a/internal/serverload/speed.go
+++ b/internal/serverload/speed.go
@@ -12,7 +12,7 @@
 	// With each response, the ones before it keep recentShare of their weight in the
 	// recent mean, which thus covers the last 5 or so. If the recent mean differs from
 	// the longer one by more than the factor changed, the server's speed has changed, and
-	// older responses no longer count: by the half-life alone, half of the servers that
+	// older responses no longer count: by the half-life alone, most of the servers that
 	// turn five times slower at 11 requests a second are not seen as slow within 2 s.
 	// The recent mean needs minRecent decayed responses.
 	recentShare = 0.8
