Carry load reports and sums of services between instances

An instance compares the loads of servers by its own outstanding requests alone, and knows nothing of other data centres.

Change: a message has the fields load and services. ShareLoad hands a report of up to 1,200 bytes to a goroutine, where a newer one replaces one that waits; it is encoded once and goes to all other instances of the data centre, 2 ms apart. Periodic digests carry up to 64 sums of services, which count in other data centres only. Both fields are decoded separately from the message, so that a malformed one does not affect the rest. Reports that waited during a pause of the receiver are discarded as all messages are, and those that waited during one of the sender are not sent. RejectLoad logs malformed ones at most once per sender and minute; the receiver of OnLoad calls it too, because the exchange does not know what a report holds. The hooks of internal/flowd are nil until the packet path sets them, and nothing on the wire changes while they are.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -74,7 +74,18 @@
 	// OnResize is called with the numbers of instances, in all and in the data centre,
 	// when they change. It must not block.
 	OnResize func(all, local int)
-	Random   *rand.Rand
+	// OnLoad is called with the load report of another instance of the data centre, which
+	// keeps the bytes; the sender is the address that the other instance listens on. Nil
+	// ignores reports. It must not block.
+	OnLoad func(sender netip.Addr, report []byte)
+	// ServiceSums returns the sums of this data centre's services for a digest, of which
+	// the first 64 are sent. If it is nil or returns none, digests carry none. It must not
+	// block.
+	ServiceSums func() []ServiceSum
+	// OnServiceSums is called with the sums of another data centre, at most 64; nil ignores
+	// them. It must not block.
+	OnServiceSums func(dataCentre string, sums []ServiceSum)
+	Random        *rand.Rand
 	// LastResume returns the end of the last pause of this process before now, or 0 if
 	// there was none, in nanoseconds.
 	LastResume func(now int64) int64
@@ -99,6 +110,7 @@
 	probes      probes
 	standbys    standbys
 	answerCache answerCache
+	loads       loads
 	// announced is the position of the last digest that was announced to the data centre,
 	// nil before the first.
 	announced atomic.Pointer[catalogue.Position]
@@ -108,9 +120,34 @@
 type metrics struct {
 	sent, received, readErrors, outdated, malformed tally.Counter
 	pulls, pullsFailed, pullsAnswered, relays       tally.Counter
+	loadSent, loadBytesSent, loadReplaced           tally.Counter
+	loadReceived, loadBytesReceived                 tally.Counter
+	loadMalformed, loadOutdated                     tally.Counter
 	size                                            tally.Gauge
 }
 
+func newMetrics(scope tally.Scope) metrics {
+	return metrics{
+		sent:              scope.Counter("messages_sent"),
+		received:          scope.Counter("messages_received"),
+		readErrors:        scope.Counter("read_errors"),
+		outdated:          scope.Counter("messages_outdated"),
+		malformed:         scope.Counter("messages_malformed"),
+		pulls:             scope.Counter("pulls"),
+		pullsFailed:       scope.Counter("pulls_failed"),
+		pullsAnswered:     scope.Counter("pulls_answered"),
+		relays:            scope.Counter("relays"),
+		loadSent:          scope.Counter("load_reports_sent"),
+		loadBytesSent:     scope.Counter("load_bytes_sent"),
+		loadReplaced:      scope.Counter("load_reports_replaced"),
+		loadReceived:      scope.Counter("load_reports_received"),
+		loadBytesReceived: scope.Counter("load_bytes_received"),
+		loadMalformed:     scope.Counter("load_reports_malformed"),
+		loadOutdated:      scope.Counter("load_reports_outdated"),
+		size:              scope.Gauge("instances"),
+	}
+}
+
 // Open binds the sockets and returns an exchange on them.
 func Open(o Options) (*Exchange, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(o.Listen))
@@ -121,7 +158,6 @@
 	if err != nil {
 		return nil, Error.Wrap(errors.Join(err, conn.Close()))
 	}
-	scope := o.Scope.SubScope("exchange")
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Exchange{
 		Options: o,
@@ -130,18 +166,8 @@
 		peers:   newPeers(Peer{Address: o.Listen.Addr(), DataCentre: o.DataCentre}, o.Random),
 		conn:    conn,
 		server:  server,
-		metrics: metrics{
-			sent:          scope.Counter("messages_sent"),
-			received:      scope.Counter("messages_received"),
-			readErrors:    scope.Counter("read_errors"),
-			outdated:      scope.Counter("messages_outdated"),
-			malformed:     scope.Counter("messages_malformed"),
-			pulls:         scope.Counter("pulls"),
-			pullsFailed:   scope.Counter("pulls_failed"),
-			pullsAnswered: scope.Counter("pulls_answered"),
-			relays:        scope.Counter("relays"),
-			size:          scope.Gauge("instances"),
-		},
+		loads:   loads{ready: make(chan struct{}, 1)},
+		metrics: newMetrics(o.Scope.SubScope("exchange")),
 	}
 	e.SetSeeds(nil)
 	return e, nil
@@ -193,8 +219,9 @@
 func (e *Exchange) LocalPeers() int { return len(e.peers.local()) }
 
 // Run discovers the other instances, and then sends digests to random peers, until
-// the exchange is closed.
+// the exchange is closed. It also sends the reports of ShareLoad.
 func (e *Exchange) Run() {
+	go e.sendLoads()
 	startedAt := e.Clock()
 	interval := initialInterval
 	for {
@@ -221,6 +248,7 @@
 		e.notifyResize()
 	}
 	m := e.digest()
+	m.Services = e.digestSums()
 	if starting {
 		m.Hello = true
 		e.sendAll(m, e.otherSeeds())
@@ -294,10 +322,16 @@
 		return
 	}
 	for _, address := range to {
-		if _, err := e.conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(address, e.Listen.Port())); err != nil {
-			e.Log.Debug("Failed to send a message.", "peer", address.String(), "error", err)
-			continue
-		}
-		e.metrics.sent.Inc(1)
+		e.send(data, address)
+	}
+}
+
+// send sends an encoded message to one instance, and reports whether it was sent.
+func (e *Exchange) send(data []byte, to netip.Addr) bool {
+	if _, err := e.conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(to, e.Listen.Port())); err != nil {
+		e.Log.Debug("Failed to send a message.", "peer", to.String(), "error", err)
+		return false
 	}
+	e.metrics.sent.Inc(1)
+	return true
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -37,6 +37,11 @@
 	resumed atomic.Int64
 	// contacts holds the data centres that have answered.
 	contacts []string
+	// loadsBySender holds the load reports received, sums those of services received, by
+	// data centre, and ownSums what digests carry.
+	loadsBySender map[netip.Addr][]string
+	sums          map[string][]ServiceSum
+	ownSums       []ServiceSum
 }
 
 func (i *instance) Known() (int64, int64) {
@@ -87,7 +92,7 @@
 func clock() int64 { return int64(time.Since(epoch)) }
 
 // freePort returns a port that is free on the loopback address.
-func freePort(t *testing.T) uint16 {
+func freePort(t testing.TB) uint16 {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -97,7 +102,17 @@
 }
 
 func start(t *testing.T, port uint16, last byte, dataCentre string, seeds ...netip.Addr) *instance {
-	i := &instance{mirror: catalogue.NewMirror(), scope: tally.NewTestScope("", nil)}
+	i := open(t, port, last, dataCentre)
+	i.SetSeeds(seeds)
+	go i.Run()
+	go i.Receive()
+	go i.Serve()
+	return i
+}
+
+// open returns an instance whose goroutines have not been started.
+func open(t testing.TB, port uint16, last byte, dataCentre string) *instance {
+	i := &instance{mirror: catalogue.NewMirror(), scope: tally.NewTestScope("", nil), loadsBySender: map[netip.Addr][]string{}, sums: map[string][]ServiceSum{}}
 	e, err := Open(Options{
 		Listen:     netip.AddrPortFrom(address(last), port),
 		DataCentre: dataCentre,
@@ -114,7 +129,18 @@
 			defer i.mu.Unlock()
 			i.contacts = append(i.contacts, dataCentre)
 		},
-		OnResize:   func(int, int) {},
+		OnResize: func(int, int) {},
+		OnLoad: func(sender netip.Addr, report []byte) {
+			i.mu.Lock()
+			defer i.mu.Unlock()
+			i.loadsBySender[sender] = append(i.loadsBySender[sender], string(report))
+		},
+		ServiceSums: func() []ServiceSum { return i.ownSums },
+		OnServiceSums: func(dataCentre string, sums []ServiceSum) {
+			i.mu.Lock()
+			defer i.mu.Unlock()
+			i.sums[dataCentre] = sums
+		},
 		Random:     rand.New(rand.NewPCG(uint64(last), 1)),
 		LastResume: func(int64) int64 { return i.resumed.Load() },
 		Clock:      clock,
@@ -125,10 +151,6 @@
 		t.Fatal(err)
 	}
 	i.Exchange = e
-	e.SetSeeds(seeds)
-	go e.Run()
-	go e.Receive()
-	go e.Serve()
 	t.Cleanup(func() { _ = e.Close() })
 	return i
 }
@@ -296,14 +318,16 @@
 
 func FuzzMessage(f *testing.F) {
 	f.Add(deflate.Pack([]byte(`{"from":{"address":"10.0.0.1","dataCentre":"a"},"revision":4,"hello":false,"relay":false}`)))
+	f.Add([]byte(`{"from":{"address":"10.0.0.1","dataCentre":"a"},"load":"AQID","services":7}`))
+	f.Add([]byte(`{"from":{"address":"10.0.0.1","dataCentre":"b"},"load":[],"services":[{"service":"A","load":1e9,"slots":-1,"ageMs":5}]}`))
 	f.Add([]byte(`{"from":{"address":"10.0.0.1","dataCentre":"a"},"revision":4,"delta":{"revision":4,"records":[{"kind":1}]}}`))
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		i := &instance{mirror: catalogue.NewMirror(), scope: tally.NewTestScope("", nil)}
 		e := &Exchange{Options: Options{
 			Mirror: i.mirror, Catalogue: i, Reader: i, Clock: clock, OnReport: func(suspicion.Report) {}, OnResize: func(int, int) {},
+			DataCentre: "a", OnLoad: func(netip.Addr, []byte) {}, OnServiceSums: func(string, []ServiceSum) {},
 			Log: slog.New(slog.DiscardHandler),
-		}, peers: newPeers(Peer{Address: address(1)}, rand.New(rand.NewPCG(1, 1)))}
-		e.metrics.size = tally.NoopScope.Gauge("instances")
+		}, peers: newPeers(Peer{Address: address(1), DataCentre: "a"}, rand.New(rand.NewPCG(1, 1))), metrics: newMetrics(tally.NoopScope)}
 		e.pulling.Store(true)
 		if m, ok := parse(data); ok && !m.Hello && !m.Relay {
 			e.handle(&m)
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -58,6 +58,11 @@
 	Peers []Peer `json:"peers,omitempty"`
 	// Report is the sender's observation about a backend server.
 	Report *suspicion.Report `json:"report,omitempty"`
+	// Load is the sender's load report, base64 in a string, and Services the sums of its
+	// data centre, a list of ServiceSum. They are decoded separately, so that a malformed
+	// one doesn't affect the rest of the message.
+	Load     json.RawMessage `json:"load,omitempty"`
+	Services json.RawMessage `json:"services,omitempty"`
 }
 
 // position returns the position of the sender's catalogue.
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -45,6 +45,10 @@
 			continue
 		}
 		e.metrics.received.Inc(1)
+		if len(m.Load) > 0 {
+			e.metrics.loadReceived.Inc(1)
+			e.metrics.loadBytesReceived.Inc(int64(n))
+		}
 		e.handle(&m)
 	}
 }
@@ -76,6 +80,7 @@
 func (e *Exchange) handle(m *message) {
 	now := e.Clock()
 	e.recordPeers(m, now)
+	e.receiveLoad(m)
 	if m.Report != nil {
 		m.Report.Source = sourceOf(m.From.Address)
 		e.OnReport(*m.Report)
@@ -154,6 +159,7 @@
 	}
 	e.metrics.relays.Inc(1)
 	m.From, m.Relay, m.Regular = e.peers.self, false, false
+	m.Load, m.Services = nil, nil // those of the sender
 	m.AgeMS = time.Duration(e.Clock() - after).Milliseconds()
 	e.sendAll(m, e.peers.local())
 }
--- a/internal/flowd/module.go
+++ b/internal/flowd/module.go
@@ -88,6 +88,11 @@
 	dataCentreAnswered func(dataCentre string)
 	instancesChanged   func(all, local int)
 	reachesAnyServer   func() bool
+	// loadReported, serviceSums and remoteSums serve load sharing, which is off while they
+	// are nil.
+	loadReported func(sender netip.Addr, report []byte)
+	serviceSums  func() []exchange.ServiceSum
+	remoteSums   func(dataCentre string, sums []exchange.ServiceSum)
 }
 
 func newHooks() *hooks { return &hooks{} }
@@ -117,6 +122,22 @@
 		OnReport:   func(r suspicion.Report) { h.peerReported(r) },
 		OnContact:  func(dataCentre string) { h.dataCentreAnswered(dataCentre) },
 		OnResize:   func(all, local int) { h.instancesChanged(all, local) },
+		OnLoad: func(sender netip.Addr, report []byte) {
+			if h.loadReported != nil {
+				h.loadReported(sender, report)
+			}
+		},
+		ServiceSums: func() []exchange.ServiceSum {
+			if h.serviceSums == nil {
+				return nil
+			}
+			return h.serviceSums()
+		},
+		OnServiceSums: func(dataCentre string, sums []exchange.ServiceSum) {
+			if h.remoteSums != nil {
+				h.remoteSums(dataCentre, sums)
+			}
+		},
 		Random:     newRandom(),
 		LastResume: pauses.LastResume,
 		Clock:      processClock.Now,
