Soak a route over two services, and check refusals

Cause: the soak had no configuration that switches load sharing on, and did not check that a refusal is true. Change: with an even seed the configuration has a route over both services, whose weights change with each version, and routes with priorities 1 and 2; the callers that send each request on a flow of its own use it. At the end of every soak no live server may have accepted a flow between its first opening packet and the refusal, or at all if that packet was the only one. A server that has started again since is exempt. The promises that were checked before are unchanged; the schedules of faults depend on the seed as before. Nothing refuses a flow for overload yet: the refusals that were checked are those of removed routes.

--- a/cmd/balsamfork-flowd/deployment_test.go
+++ b/cmd/balsamfork-flowd/deployment_test.go
@@ -88,6 +88,9 @@
 	ended   []*platformtest.Server
 	nextID  uint64
 	version int
+	// split says that the configuration has a route over two services, and describes the
+	// requests of its routes.
+	split bool
 	// partitioned is indexed by the data centre of instances and that of servers; it
 	// says that packets from the former to the latter are lost.
 	partitioned [dataCentres][dataCentres]atomic.Bool
@@ -106,8 +109,8 @@
 
 // newDeployment starts a platform and the given number of instances in each data
 // centre. Deployments with different networks can run at the same time.
-func newDeployment(t testing.TB, network byte, each int) *deployment {
-	d := &deployment{t: t, network: network, store: platformtest.NewStore(), nextID: 0xa0, done: make(chan struct{})}
+func newDeployment(t testing.TB, network byte, each int, split bool) *deployment {
+	d := &deployment{t: t, network: network, split: split, store: platformtest.NewStore(), nextID: 0xa0, done: make(chan struct{})}
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	d.must(err)
 	d.server = &http.Server{Handler: d.store}
@@ -153,10 +156,11 @@
 	}
 }
 
-// The addresses of the two services.
+// The addresses of the two services, and that of the route that is split over them.
 var (
 	deskAddress   = netip.MustParseAddrPort("198.18.0.1:443")
 	sheetsAddress = netip.MustParseAddrPort("198.18.0.2:443")
+	splitAddress  = netip.MustParseAddrPort("198.18.0.3:443")
 )
 
 // versionStep is the difference between the versions of two configurations.
@@ -166,8 +170,13 @@
 // removes that of the version before.
 func (d *deployment) configure() {
 	d.version += versionStep
-	d.store.Configure(d.version, platformtest.Route{To: deskAddress, Service: "desk"}, platformtest.Route{To: sheetsAddress, Service: "sheets"},
-		platformtest.Route{To: versionAddress(d.version), Service: "desk"})
+	routes := []platformtest.Route{{To: deskAddress, Service: "desk"}, {To: sheetsAddress, Service: "sheets"}, {To: versionAddress(d.version), Service: "desk"}}
+	if d.split {
+		weight := 10 + 40*(d.version/versionStep%3) // 10, 50 or 90 percent
+		routes = append(routes, platformtest.Route{To: splitAddress, Service: "desk", Second: "sheets", SecondWeight: weight, Priority: 2})
+		routes[0].Priority, routes[1].Priority = 2, 1
+	}
+	d.store.Configure(d.version, routes...)
 }
 
 // versionAddress returns the address of the route that only one version of the
--- a/cmd/balsamfork-flowd/soak_test.go
+++ b/cmd/balsamfork-flowd/soak_test.go
@@ -91,7 +91,7 @@
 
 func soak(t *testing.T, seed uint64, span time.Duration) {
 	s := &soakRun{
-		deployment:  newDeployment(t, byte(20+seed%200), *soakEach),
+		deployment:  newDeployment(t, byte(20+seed%200), *soakEach, seed%2 == 0),
 		seed:        seed,
 		random:      rand.New(rand.NewPCG(seed, 0)),
 		drainStarts: map[*platformtest.Server]time.Time{},
@@ -126,6 +126,7 @@
 	traffic.Wait()
 	s.checkDrains()
 	s.checkWarmUps()
+	s.checkRefusals(callers)
 	s.report(seed)
 	s.close()
 }
@@ -139,14 +140,17 @@
 }
 
 // generateTraffic sends requests until stop is closed. An odd k sends each request on a
-// flow of its own; k = 3 uses the sheets service.
+// flow of its own; k = 3 uses the sheets service, and k = 1 the split route if there is one.
 func (s *soakRun) generateTraffic(c *platformtest.Caller, k int, stop <-chan struct{}) {
-	to, service, requests := deskAddress, "desk", 20
+	to, services, requests := deskAddress, []string{"desk"}, 20
 	if k%2 == 1 {
 		requests = 1
 	}
-	if k == 3 {
-		to, service = sheetsAddress, "sheets"
+	switch {
+	case k == 3:
+		to, services = sheetsAddress, []string{"sheets"}
+	case k == 1 && s.split:
+		to, services = splitAddress, []string{"desk", "sheets"}
 	}
 	for {
 		flow, outcome := c.Open(to)
@@ -155,7 +159,7 @@
 			s.unservedf("a flow did not open: outcome %d", outcome)
 		}
 		for n := 0; flow != nil && n < requests; n++ {
-			outcome = flow.Request(service)
+			outcome = flow.Request(services...)
 			s.outcomes[outcome].Add(1)
 			s.checkOutcome(flow, outcome)
 			if outcome != platformtest.Answered {
@@ -221,6 +225,26 @@
 	}
 }
 
+// checkRefusals checks that no server had accepted a flow when its caller was refused,
+// other than servers that are gone or have started again since.
+func (s *soakRun) checkRefusals(callers []*platformtest.Caller) {
+	refusals := map[netip.AddrPort]platformtest.Refusal{}
+	for _, caller := range callers {
+		for _, r := range caller.Refusals() {
+			refusals[r.Flow] = r
+		}
+	}
+	for _, server := range s.liveServers() {
+		for _, o := range server.Openings() {
+			r, refused := refusals[o.Flow]
+			if refused && o.At.After(r.From) && o.At.Before(r.Until) && o.At.UnixMilli() >= server.Entry.Born {
+				s.failf("flow %v was refused although %s accepted it at %v", o.Flow, server.Key(), o.At)
+			}
+		}
+	}
+	s.t.Logf("seed %d: %d refusals checked, route split: %t", s.seed, len(refusals), s.split)
+}
+
 func (s *soakRun) report(seed uint64) {
 	s.t.Logf("seed %d: answered %d, refused %d, unopened %d, reset %d, lost %d, wrong answer %d", seed,
 		s.outcomes[platformtest.Answered].Load(), s.outcomes[platformtest.Refused].Load(), s.outcomes[platformtest.Unopened].Load(),
