Keep room for higher priorities, and cut a flood at once

Change: the limit of the lowest priority is three quarters of Full while a higher one asks; the first cut is to limit / load, at least 0.3; a higher priority is cut only if the lower ones ask for less than a quarter of its flows.

--- a/internal/overload/admission.go
+++ b/internal/overload/admission.go
@@ -9,10 +9,15 @@
 const (
 	// adaptInterval is the shortest time between two adaptations.
 	adaptInterval = 500 * time.Millisecond
-	// cutFactor multiplies an admitted part if the load is above Full, and riseStep is
-	// added to it if the load is below Busy.
-	cutFactor = 0.7
-	riseStep  = 0.1
+	// firstCutFactor is the least that the first cut of an admitted part leaves of it, and
+	// laterCutFactor multiplies it at each later one.
+	firstCutFactor = 0.3
+	laterCutFactor = 0.7
+	// riseStep is added to an admitted part if the load is below Busy.
+	riseStep = 0.1
+	// keptPart is the part of the room up to Full that is kept for the higher priorities that
+	// ask.
+	keptPart = 0.25
 	// floorPart is the lowest admitted part. It bounds what a wrong load refuses.
 	floorPart = 0.05
 	// settlePeriod is the time after a cut in which a part rises only by a sum that shows the
@@ -29,6 +34,10 @@
 	// maxPriorities is the number of priorities that are told apart, so that the state of
 	// a service is bounded.
 	maxPriorities = 8
+	// minorPart is the flows of lower priorities as a part of those of a priority below which
+	// it may be limited although they ask: limiting them alone can't end the overload. Above it
+	// the load is theirs, or that of open flows, which no limit touches.
+	minorPart = 0.25
 )
 
 // Admission limits the new flows to one service by priority: the lowest priority first, and
@@ -57,6 +66,7 @@
 	rank    int
 	part    float64 // admitted part, from floorPart to 1
 	askedAt int64
+	asked   float64 // flows asked for, halved at each turn
 	cutAt   int64  // time of the last cut
 	window  window // callers admitted in the turn in force
 }
@@ -81,18 +91,45 @@
 	if a.adapted && sumAt <= a.sumAt {
 		return
 	}
+	limit := a.limit(l, now)
 	if r.Load < l.Busy && sumAt < a.effectiveAt && now-a.cutAt <= int64(settlePeriod) {
 		return
 	}
 	a.adapted, a.adaptedAt, a.sumAt = true, now, sumAt
 	switch {
-	case r.Load > l.Full:
-		a.cutLowest(sumAt, now)
+	case r.Load > limit:
+		a.cutLowest(r.Load, limit, sumAt, now)
 	case r.Load < l.Busy:
 		a.riseHighest(now)
 	}
 }
 
+// limit returns the load above which the lowest priority that asks is cut: Full if it asks
+// alone. If a higher one asks too, a quarter of the room up to Full is kept for it: servers
+// differ in load, and those with full queues shed urgent requests as well.
+func (a *Admission) limit(l Limits, now int64) float64 {
+	asking := 0
+	for i := range a.priorities[:a.count] {
+		if a.priorities[i].asks(now) {
+			asking++
+		}
+	}
+	if asking > 1 {
+		return l.Full * (1 - keptPart)
+	}
+	return l.Full
+}
+
+// cutFactor returns what multiplies the admitted part at a load above the limit. The first cut
+// of a flood is as deep as the load asks for: servers shed until the sums show an overload,
+// and long flows that were admitted stay.
+func (p *priority) cutFactor(load, limit float64) float64 {
+	if p.part < 1 {
+		return laterCutFactor
+	}
+	return min(max(limit/load, firstCutFactor), laterCutFactor)
+}
+
 func (a *Admission) riseAll(now int64) {
 	for i := range a.priorities[:a.count] {
 		a.priorities[i].rise()
@@ -101,24 +138,28 @@
 }
 
 // cutLowest cuts the lowest priority that asks and is not at its floor. The cut is in force
-// at once. A higher priority is cut only by a sum that shows the lower one's last cut.
-func (a *Admission) cutLowest(sumAt, now int64) {
-	lowerCutAt := int64(math.MinInt64)
+// at once. A higher priority is cut only if the lower ones ask for little beside it, and by a
+// sum that shows their last cut.
+func (a *Admission) cutLowest(load, limit float64, sumAt, now int64) {
+	lowerCutAt, lowerAsked := int64(math.MinInt64), 0.0
 	for i := a.count - 1; i >= 0; i-- {
 		p := &a.priorities[i]
 		if !p.asks(now) {
 			continue
 		}
+		if lowerAsked > minorPart*p.asked {
+			return
+		}
 		if p.part > floorPart {
 			if sumAt < lowerCutAt+int64(cutDelay) {
 				return
 			}
-			p.part = max(p.part*cutFactor, floorPart)
+			p.part = max(p.part*p.cutFactor(load, limit), floorPart)
 			p.window = p.window.narrowed(p.part)
 			p.cutAt, a.cutAt, a.effectiveAt = now, now, now
 			return
 		}
-		lowerCutAt = max(lowerCutAt, p.cutAt)
+		lowerCutAt, lowerAsked = max(lowerCutAt, p.cutAt), lowerAsked+p.asked
 	}
 }
 
@@ -181,6 +222,7 @@
 		a.turn = number
 		for i := range a.priorities[:a.count] {
 			a.priorities[i].startTurn()
+			a.priorities[i].asked /= 2
 		}
 	}
 	p := a.find(rank, now)
@@ -188,6 +230,7 @@
 		a.enter(p, now)
 	}
 	p.askedAt = now
+	p.asked++
 	return p.window.admits(caller, a.turn)
 }
 
