Prepare the packet path for shared load

Change: Decider samples requests and flows, makes load reports and keeps a table while the configuration has split routes; services are selected by room, flows admitted by priority and spilled by the sums of data centres. Path queues reports of peers and wakes up for its own. explain shows what a refusal rests on.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -103,20 +103,23 @@
 	return r
 }
 
-// scope is the instances, servers and time span of the decisions about a flow.
+// scope is the instances, servers, services and time span of the decisions about a flow.
 type scope struct {
 	instances   map[string]bool
 	servers     map[string]bool
+	services    map[string]bool
 	first, last time.Time
 }
 
 func newScope(decisions []Line) scope {
-	s := scope{instances: map[string]bool{}, servers: map[string]bool{}}
+	s := scope{instances: map[string]bool{}, servers: map[string]bool{}, services: map[string]bool{}}
 	s.first, s.last = decisions[0].Time, decisions[len(decisions)-1].Time
 	for i := range decisions {
 		s.instances[decisions[i].Instance] = true
 		s.servers[decisions[i].Server] = true
 		s.servers[decisions[i].Unanswered] = true
+		s.services[decisions[i].Service] = true
+		s.services[decisions[i].OverflowFrom] = true
 	}
 	delete(s.servers, "")
 	return s
@@ -127,8 +130,8 @@
 }
 
 // isContext reports whether a line is context of the decisions: it is near them in
-// time, and concerns an involved server or, if it names no server, the configuration,
-// an evacuation, the store or the instance itself.
+// time, and concerns an involved server or service or, if it names neither, the
+// configuration, an evacuation, the store or the instance itself.
 func (s *scope) isContext(l *Line) bool {
 	if l.Flow != "" || l.Time.Before(s.first.Add(-contextBefore)) || l.Time.After(s.last.Add(contextAfter)) {
 		return false
@@ -136,6 +139,9 @@
 	if l.Server != "" {
 		return s.servers[l.Server]
 	}
+	if l.Service != "" {
+		return s.services[l.Service]
+	}
 	return l.Part != partExchange
 }
 
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -47,6 +47,13 @@
 	AgeMS          *int64   `json:"age_ms"`
 	AfterMS        *float64 `json:"after_ms"`
 	Load           *float64 `json:"load"`
+	LoadAgeMS      *int64   `json:"load_age_ms"`
+	OverflowFrom   string   `json:"overflow_from"`
+	AdmittedPart   *float64 `json:"admitted_part"`
+	Slots          *int     `json:"slots"`
+	Senders        *int     `json:"senders"`
+	Speed          *float64 `json:"speed"`
+	ResponseMS     *float64 `json:"response_ms"`
 	Accounts       *int     `json:"accounts"`
 	SilentMS       *int64   `json:"silent_ms"`
 	Evacuated      *bool    `json:"evacuated"`
--- /dev/null
+++ b/internal/flowpath/admission.go
@@ -0,0 +1,57 @@
+package flowpath
+
+import (
+	"encoding/binary"
+
+	"balsamfork/internal/catalogue"
+	"balsamfork/internal/flowtable"
+	"balsamfork/internal/overload"
+	"balsamfork/internal/table"
+)
+
+// selectService returns a verdict with the service of a route that takes a new flow, and
+// the load that this rests on.
+func (d *Decider) selectService(route *catalogue.Route, hash uint64) Verdict {
+	if !d.load.on {
+		return Verdict{Service: overload.SelectService(route.Shares, hash, d.unknownRoom).Service}
+	}
+	selected := overload.SelectService(route.Shares, hash, d.roomOf)
+	v := Verdict{Service: selected.Service, Load: LoadInputs{Rank: route.Requests.Rank()}}
+	if selected.Overflow {
+		v.Load.OverflowFrom = overload.SelectService(route.Shares, hash, d.unknownRoom).Service
+	}
+	if s := d.load.services[v.Service]; s != nil && d.load.fresh {
+		v.Load.Known, v.Load.Age = true, s.room.Age
+		v.Load.AdmittedPart = s.admission.Level()
+		v.Load.Limited = v.Load.AdmittedPart < 1
+	}
+	return v
+}
+
+// keepService returns a verdict with the service of a flow whose opening packet was placed
+// before: that of its server, whose selection may rest on loads that have changed since. If
+// the route no longer names that service, the flow gets a new one.
+func (d *Decider) keepService(route *catalogue.Route, e *flowtable.Entry, hash uint64, snap *catalogue.Snapshot) Verdict {
+	if b := snap.ByCookie(e.Cookie); b != nil && d.load.on {
+		for _, share := range route.Shares {
+			if share.Service == b.Service && share.Weight > 0 {
+				return Verdict{Service: b.Service, Load: LoadInputs{Rank: route.Requests.Rank()}}
+			}
+		}
+	}
+	return d.selectService(route, hash)
+}
+
+// refuses reports whether a service has no room for a new flow of the route's priority.
+// Only sums of the data centre's instances justify a refusal. A copy of an opening packet
+// must not be asked for: another instance may have placed the flow.
+func (d *Decider) refuses(service string, route *catalogue.Route, p *Packet, now int64) bool {
+	s := d.load.services[service]
+	if s == nil || !d.load.on {
+		return false
+	}
+	source := p.Flow.Source.As4()
+	caller := table.Mix(uint64(binary.BigEndian.Uint32(source[:])))
+	admitted := s.admission.Admit(route.Requests.Rank(), caller, now)
+	return !admitted && d.load.fresh
+}
--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -86,12 +86,15 @@
 	// Delayed is an opening packet that may have waited while the instance was paused, or
 	// was held until its caller had given up.
 	Delayed
+	// Overloaded is a new flow that is refused since its service has no room for flows of
+	// its priority.
+	Overloaded
 )
 
 var reasonNames = [...]string{
 	"placed", "repeated", "moved", "known", "repaired", "no_route", "no_server", "cold_limit", "server_gone",
 	"server_dead",
-	"unknown_cookie", "no_cookie", "forged", "stale_catalogue", "delayed",
+	"unknown_cookie", "no_cookie", "forged", "stale_catalogue", "delayed", "overloaded",
 }
 
 // String returns the reason's name for logs and metrics.
@@ -108,6 +111,27 @@
 	// Unanswered is the server that did not answer the previous opening packet, or
 	// nil.
 	Unanswered *catalogue.Backend
+	// Load holds what the decision on a new flow owes to the load of services.
+	Load LoadInputs
+}
+
+// LoadInputs are inputs of the decision on a new flow that rest on the load of services.
+type LoadInputs struct {
+	// Known says that the sums of the data centre's instances were fresh, and Age is the
+	// age of those of the service.
+	Known bool
+	Age   time.Duration
+	// OverflowFrom is the service that the weights of the route give, if the flow goes to
+	// another one for lack of room.
+	OverflowFrom string
+	// Limited says that the service does not admit all flows, and AdmittedPart is the part
+	// of the lowest priority that it does, from 0 to 1.
+	Limited      bool
+	AdmittedPart float64
+	// Rank is the priority of the flow's route, 0 the highest.
+	Rank int
+	// Spilled says that servers in other data centres were preferred.
+	Spilled bool
 }
 
 // Observer is notified of what the traffic reveals about servers.
@@ -119,6 +143,7 @@
 	// shown that it is alive. By is the kind of the evidence; ended says whether it
 	// ends a suspicion.
 	Refuted(b *catalogue.Backend, by suspicion.Kind, ended bool)
+	LoadObserver
 }
 
 // CatalogueState is a catalogue snapshot and how recent it is.
@@ -145,6 +170,7 @@
 	localInstances int
 	outstanding    map[uint32]int
 	loadCountedAt  int64
+	load           *loadSharing
 	// observed is the last snapshot, and starts holds the start of each server by its cookie
 	// as of the last one in which a server had started.
 	observed *catalogue.Snapshot
@@ -156,6 +182,8 @@
 	// may have waited through a pause: its caller may have given up meanwhile.
 	held, waited   bool
 	waitedOpenings waitedOpenings
+	// now is the time of the packet that is being decided.
+	now int64
 	// startedAt is the time of the first reachability check, soon after the start.
 	startedAt int64
 }
@@ -170,7 +198,7 @@
 // NewDecider returns a decider for an instance of a data centre. The random source must
 // differ between instances.
 func NewDecider(dataCentre string, flows FlowLimits, warmup WarmupLimits, random *rand.Rand, observer Observer) *Decider {
-	return &Decider{
+	d := &Decider{
 		observer:       observer,
 		selector:       selection.Selector{DataCentre: dataCentre},
 		flows:          flowtable.New(flows.MaxAge),
@@ -182,7 +210,10 @@
 		outstanding:    map[uint32]int{},
 		starts:         map[uint32]int64{},
 		waitedOpenings: waitedOpenings{},
+		load:           newLoadSharing(random),
 	}
+	d.flows.OnRemove = func(e *flowtable.Entry) { d.load.abandon(e, d.now) }
+	return d
 }
 
 // SetInstances sets the number of instances that share the limits of cold servers,
@@ -190,11 +221,18 @@
 func (d *Decider) SetInstances(all, local int) {
 	d.warmup.instances = max(1, all)
 	d.localInstances = max(1, local)
+	if d.load.on {
+		d.load.table.SetInstances(d.localInstances)
+	}
 }
 
 // Observe discards what is known of servers that have started again: failures, load and
 // shares of limits are those of their earlier starts.
 func (d *Decider) Observe(snap *catalogue.Snapshot) {
+	if snap == d.observed {
+		return
+	}
+	d.load.enable(snap.Configuration != nil && snap.Configuration.HasSplitRoutes(), d.localInstances, d.now)
 	unchanged := d.observed != nil && snap.Starts == d.observed.Starts
 	d.observed = snap
 	if unchanged {
@@ -210,6 +248,7 @@
 			d.suspicion.Remove(b.Cookie)
 			d.warmup.remove(b.Cookie)
 			delete(d.outstanding, b.Cookie)
+			d.load.remove(b.Cookie)
 		}
 	}
 }
@@ -247,6 +286,7 @@
 	if at > d.resumedAt {
 		d.handshakes.clear()
 		d.requests.clear()
+		d.load.resume(at)
 	}
 	d.resumedAt = at
 }
@@ -256,7 +296,13 @@
 	keep := func(cookie uint32) bool { return snap.ByCookie(cookie) != nil }
 	d.suspicion.Retain(keep)
 	d.warmup.prune(keep)
-	maps.DeleteFunc(d.starts, func(cookie uint32, _ int64) bool { return !keep(cookie) })
+	maps.DeleteFunc(d.starts, func(cookie uint32, _ int64) bool {
+		if keep(cookie) {
+			return false
+		}
+		d.load.remove(cookie)
+		return true
+	})
 }
 
 // Contact records that an instance of a data centre has answered this one.
@@ -264,6 +310,7 @@
 
 // Decide returns the verdict on one packet.
 func (d *Decider) Decide(p *Packet, state CatalogueState, now int64) Verdict {
+	d.now = now
 	d.Observe(state.Snapshot)
 	d.held = p.Arrived != now
 	d.waited = d.hasWaited(p)
@@ -284,26 +331,11 @@
 	return d.decideEstablished(p, state, now)
 }
 
-func (d *Decider) refreshLoad(now int64) {
-	clear(d.outstanding)
-	d.flows.CountOutstanding(now, func(cookie uint32, started int64) {
-		if inStart(d.observed.ByCookie(cookie), started) {
-			d.outstanding[cookie]++
-		}
-	})
-	d.loadCountedAt = now
-}
-
 // Suspected implements selection.View.
 func (d *Decider) Suspected(b *catalogue.Backend, now int64) bool {
 	return d.suspicion.Suspected(b.Cookie, now) || d.suspicion.Unreachable(b.DataCentre, now)
 }
 
-// Load implements selection.View.
-func (d *Decider) Load(b *catalogue.Backend) float64 {
-	return float64(d.outstanding[b.Cookie]) / float64(b.Slots)
-}
-
 // starting reports whether the instance has just started.
 func (d *Decider) starting(now int64) bool { return now-d.startedAt < int64(startupPeriod) }
 
--- a/internal/flowpath/decider_test.go
+++ b/internal/flowpath/decider_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,6 +14,8 @@
 	"balsamfork/internal/catalogue"
 	"balsamfork/internal/cookie"
 	"balsamfork/internal/flowtable"
+	"balsamfork/internal/overload"
+	"balsamfork/internal/serverload"
 	"balsamfork/internal/suspicion"
 )
 
@@ -30,6 +33,10 @@
 	stalled    []string
 	refuted    []string
 	refutedBy  []suspicion.Kind
+	// reports holds the load reports that were made, rooms the services whose state has
+	// changed and speeds the servers whose speed has.
+	reports       [][]byte
+	rooms, speeds []string
 	// backlogged simulates packets that wait to be read.
 	backlogged bool
 	drainedAt  int64
@@ -97,6 +104,16 @@
 	h.refutedBy = append(h.refutedBy, by)
 }
 
+func (h *harness) ShareLoad(report []byte) { h.reports = append(h.reports, slices.Clone(report)) }
+func (h *harness) RoomChanged(service string, s overload.State, _ overload.Room, _ int) {
+	h.rooms = append(h.rooms, service+" "+stateNames[s])
+}
+func (h *harness) SpeedChanged(b *catalogue.Backend, _ serverload.Server) {
+	h.speeds = append(h.speeds, b.Name)
+}
+func (h *harness) RoomMeasured(string, overload.Room, float64) {}
+func (h *harness) SumsMeasured(int, time.Duration)             {}
+
 func (h *harness) apply(records ...catalogue.Record) {
 	before := h.mirror.Snapshot().Revision
 	h.mirror.Apply(catalogue.Delta{Since: before, Revision: before + 1, Records: records}, h.now, 0)
--- a/internal/flowpath/established.go
+++ b/internal/flowpath/established.go
@@ -25,6 +25,9 @@
 		return d.decideUnknownCookie(p, state, now)
 	}
 	if departed(backend, state) {
+		if e != nil {
+			d.load.abandon(e, now)
+		}
 		return Verdict{Action: Reset, Reason: ServerGone, Backend: backend}
 	}
 	ended := e != nil && heldByEarlierStart(e, backend)
@@ -34,6 +37,7 @@
 	if now-max(state.Since, d.resumedAt) > int64(catalogueSettlingTime) && d.isDead(backend, now) {
 		if e != nil {
 			e.AwaitingAnswer = false
+			d.load.abandon(e, now)
 		}
 		return Verdict{Action: Reset, Reason: ServerDead, Backend: backend}
 	}
@@ -97,6 +101,7 @@
 		d.recordHandshake(b, now)
 	}
 	if p.Acknowledged != e.Acknowledged {
+		d.sampleResponse(e, int32(p.Acknowledged-e.Acknowledged) > 0, now)
 		e.Acknowledged, e.AwaitingAnswer = p.Acknowledged, false
 		d.recordAcknowledgement(p, b, now)
 	}
@@ -118,10 +123,11 @@
 		d.flows.Remove(e)
 	case p.Finish:
 		e.State, e.AwaitingAnswer = flowtable.Closing, false
+		d.load.abandon(e, now)
 	case p.Data > 0 && e.AwaitingAnswer && int32(p.Sequence-e.Sequence) <= 0:
 		d.recordRetransmission(b, gap, now)
 	case p.Data > 0:
-		d.recordRequest(e, hash, now)
+		d.recordRequest(e, hash, b, now)
 		e.Sequence = p.Sequence
 	}
 }
--- a/internal/flowpath/evidence.go
+++ b/internal/flowpath/evidence.go
@@ -79,11 +79,12 @@
 // recordRequest records that a request is in progress. It waits for data in return
 // only if the caller's acknowledgements will pass through this instance: while
 // instances start, the fabric moves flows between them.
-func (d *Decider) recordRequest(e *flowtable.Entry, hash uint64, now int64) {
+func (d *Decider) recordRequest(e *flowtable.Entry, hash uint64, b *catalogue.Backend, now int64) {
 	if e.AwaitingAnswer {
 		return
 	}
 	e.AwaitingAnswer, e.RequestSent = true, now
+	d.sampleRequest(e, b, now)
 	if e.OpenedHere && !d.starting(now) && d.readsPromptly(now) {
 		d.requests.add(hash, now)
 	}
--- /dev/null
+++ b/internal/flowpath/loadsharing.go
@@ -0,0 +1,279 @@
+package flowpath
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"balsamfork/internal/catalogue"
+	"balsamfork/internal/flowtable"
+	"balsamfork/internal/overload"
+	"balsamfork/internal/serverload"
+)
+
+const (
+	// minReportInterval and reportIntervalPerInstance give the time between two load
+	// reports: an instance sends and receives at most 50 reports a second.
+	minReportInterval         = 500 * time.Millisecond
+	reportIntervalPerInstance = 20 * time.Millisecond
+	// recentFlow is the time since its last packet up to which a flow counts as held by
+	// its server: several times the usual pause between two requests, about 1 s.
+	recentFlow = 4 * time.Second
+)
+
+// LoadObserver is notified of what load sharing finds. No method may block.
+type LoadObserver interface {
+	// ShareLoad is called with each encoded report of this instance, for the other
+	// instances of the data centre.
+	ShareLoad(report []byte)
+	// RoomChanged is called when the state of a service has changed. Senders is the
+	// number of instances whose reports count.
+	RoomChanged(service string, s overload.State, r overload.Room, senders int)
+	// SpeedChanged is called when a server has become slow or normal again.
+	SpeedChanged(b *catalogue.Backend, s serverload.Server)
+	// RoomMeasured is called whenever the room of a service has been computed, with the
+	// admitted part of its lowest priority that asks, from 0 to 1.
+	RoomMeasured(service string, r overload.Room, admittedPart float64)
+	// SumsMeasured is called whenever the sums have been computed, with the number of
+	// instances whose reports count and the greatest age of a service's sums.
+	SumsMeasured(senders int, age time.Duration)
+}
+
+// loadSharing is what a Decider knows of the load of its data centre's servers: its own
+// samples, and the reports of all instances. It does nothing while no route of the
+// configuration has several services.
+type loadSharing struct {
+	on bool
+	// run is the random number of this process in its reports, 0 before the first.
+	run     uint64
+	random  *rand.Rand
+	sampler *serverload.Sampler
+	table   *serverload.Table
+	remote  *overload.RemoteSums
+	// fresh says that the table's sums counted when they were last computed.
+	fresh      bool
+	reportedAt int64
+	// placed counts this instance's placements since its last report, by cookie.
+	placed map[uint32]int
+	// flows holds the flows of this instance at each server, by cookie.
+	flows map[uint32]heldFlows
+	// members is the snapshot from which the table has its members, and targets the
+	// target latency of each service in its configuration.
+	members  *catalogue.Snapshot
+	targets  map[string]time.Duration
+	services map[string]*serviceLoad
+	// slow holds the cookies of the servers that were found slow.
+	slow   map[uint32]bool
+	buffer []byte
+	// sums is published for other goroutines; nil if nothing is known.
+	sums sumsPointer
+}
+
+// heldFlows is the number of flows that a start of a server holds.
+type heldFlows struct {
+	started int64
+	flows   int
+}
+
+func newLoadSharing(random *rand.Rand) *loadSharing {
+	return &loadSharing{random: random}
+}
+
+// enable switches load sharing on or off. What was known before is discarded.
+func (s *loadSharing) enable(on bool, localInstances int, now int64) {
+	if on == s.on {
+		return
+	}
+	s.on, s.fresh, s.reportedAt, s.members = on, false, now, nil
+	s.sums.Store(nil)
+	s.placed, s.flows, s.services, s.slow = map[uint32]int{}, map[uint32]heldFlows{}, map[string]*serviceLoad{}, map[uint32]bool{}
+	if !on {
+		s.sampler, s.table, s.remote = nil, nil, nil
+		return
+	}
+	// Another run makes the others discard the reports from before.
+	s.run = s.random.Uint64()
+	s.sampler, s.table, s.remote = serverload.NewSampler(s.run), serverload.NewTable(), &overload.RemoteSums{}
+	s.table.SetInstances(localInstances)
+}
+
+// begin records that a request begins on a flow.
+func (s *loadSharing) begin(e *flowtable.Entry, now int64) {
+	if s.on {
+		e.Sampled = true
+		s.sampler.Begin(e.Cookie, e.Started, now)
+	}
+}
+
+// end records that the response to the request on a flow begins.
+func (s *loadSharing) end(e *flowtable.Entry, now int64) {
+	if e.Sampled && s.on {
+		s.sampler.End(e.Cookie, e.Started, time.Duration(now-e.RequestSent), now)
+	}
+	e.Sampled = false
+}
+
+// abandon records that the request on a flow, if there is one, gets no response that this
+// instance could measure.
+func (s *loadSharing) abandon(e *flowtable.Entry, now int64) {
+	if e.Sampled && s.on {
+		s.sampler.Abandon(e.Cookie, e.Started, now)
+	}
+	e.Sampled = false
+}
+
+// resume discards the samples of a time in which the instance was paused.
+func (s *loadSharing) resume(at int64) {
+	if s.on {
+		s.sampler.Report(at)
+	}
+}
+
+// remove discards what is known of a server that has started again or has left.
+func (s *loadSharing) remove(cookie uint32) {
+	if s.on {
+		s.sampler.Remove(cookie)
+		delete(s.placed, cookie)
+		delete(s.flows, cookie)
+		delete(s.slow, cookie)
+	}
+}
+
+// clearFlows begins a count of the flows at each server. Servers that had none in the last
+// count are forgotten.
+func (s *loadSharing) clearFlows() {
+	for cookie, held := range s.flows {
+		if held.flows == 0 {
+			delete(s.flows, cookie)
+			continue
+		}
+		s.flows[cookie] = heldFlows{started: held.started}
+	}
+}
+
+// countFlow adds a flow to the count.
+func (s *loadSharing) countFlow(e *flowtable.Entry) {
+	held := s.flows[e.Cookie]
+	s.flows[e.Cookie] = heldFlows{started: e.Started, flows: held.flows + 1}
+}
+
+// reportInterval returns the time between two reports of an instance.
+func reportInterval(localInstances int) time.Duration {
+	return max(minReportInterval, time.Duration(localInstances)*reportIntervalPerInstance)
+}
+
+// report makes the report that is due and applies it to the table. It returns nil if none is
+// due.
+func (s *loadSharing) report(localInstances int, now int64) []byte {
+	if now-s.reportedAt < int64(reportInterval(localInstances)) {
+		return nil
+	}
+	s.reportedAt = now
+	clear(s.placed)
+	r := s.sampler.Report(now)
+	// Only a report of this process can be newer than the one that is replaced.
+	_ = s.table.Apply(netip.Addr{}, r, now)
+	s.buffer = r.Append(s.buffer[:0])
+	return s.buffer
+}
+
+// sampleRequest records that the first data of a request is forwarded. Packets that waited
+// do not show when the request began.
+func (d *Decider) sampleRequest(e *flowtable.Entry, b *catalogue.Backend, now int64) {
+	if d.isCurrent() && b.DataCentre == d.selector.DataCentre {
+		d.load.begin(e, now)
+	}
+}
+
+// sampleResponse records that the caller has received the first data of a response. A
+// response that waited here, or whose request was forwarded before a pause, gives no time.
+func (d *Decider) sampleResponse(e *flowtable.Entry, advanced bool, now int64) {
+	if advanced && d.isCurrent() && e.RequestSent >= d.resumedAt {
+		d.load.end(e, now)
+		return
+	}
+	d.load.abandon(e, now)
+}
+
+// RefreshLoad recomputes the load of servers and services, and makes the report that is
+// due, if the last time was loadRefreshInterval ago.
+func (d *Decider) RefreshLoad(snap *catalogue.Snapshot, now int64) {
+	d.now = now
+	d.Observe(snap)
+	if now-d.loadCountedAt > int64(loadRefreshInterval) {
+		d.refreshLoad(now)
+	}
+}
+
+// refreshLoad counts the flows at each server in one pass over the flow table.
+func (d *Decider) refreshLoad(now int64) {
+	clear(d.outstanding)
+	if d.load.on {
+		d.load.clearFlows()
+	}
+	d.flows.Scan(now, func(e *flowtable.Entry, outstanding bool) { d.countFlow(e, outstanding, now) })
+	d.loadCountedAt = now
+	if d.load.on {
+		d.refreshSharing(now)
+	}
+}
+
+// countFlow counts one flow of the flow table.
+func (d *Decider) countFlow(e *flowtable.Entry, outstanding bool, now int64) {
+	b := d.observed.ByCookie(e.Cookie)
+	current := inStart(b, e.Started)
+	if outstanding && current {
+		d.outstanding[e.Cookie]++
+	}
+	if !outstanding {
+		d.load.abandon(e, now)
+	}
+	open := e.State == flowtable.Open || outstanding
+	if d.load.on && current && open && b.DataCentre == d.selector.DataCentre && now-e.Last < int64(recentFlow) {
+		d.load.countFlow(e)
+	}
+}
+
+// refreshSharing makes the report that is due, and recomputes sums and rooms.
+func (d *Decider) refreshSharing(now int64) {
+	s := d.load
+	for cookie, held := range s.flows {
+		s.sampler.SetFlows(cookie, held.started, held.flows)
+	}
+	if s.members != d.observed {
+		d.refreshMembers()
+	}
+	if report := s.report(d.localInstances, now); report != nil {
+		d.observer.ShareLoad(report)
+	}
+	s.table.Advance(now)
+	s.fresh = s.table.Fresh(now)
+	d.refreshServices(now)
+	d.checkSpeeds()
+}
+
+// refreshMembers takes over the servers of the data centre and the targets of services from
+// the observed snapshot.
+func (d *Decider) refreshMembers() {
+	var members []serverload.Member
+	for b := range d.observed.Servers() {
+		if b.DataCentre == d.selector.DataCentre {
+			members = append(members, serverload.Member{Server: b.Cookie, Started: b.Started, Service: b.Service, Slots: b.Slots})
+		}
+	}
+	d.load.table.SetMembers(members)
+	d.load.targets = targets(d.observed.Configuration)
+	d.load.members = d.observed
+}
+
+// PeerLoad processes the report of another instance of the data centre, which arrived at a
+// time.
+func (d *Decider) PeerLoad(sender netip.Addr, r serverload.Report, arrived int64) error {
+	if !d.load.on {
+		return nil
+	}
+	return d.load.table.Apply(sender, r, arrived)
+}
+
+// SharesLoad reports whether the configuration switches load sharing on.
+func (d *Decider) SharesLoad() bool { return d.load.on }
--- a/internal/flowpath/log.go
+++ b/internal/flowpath/log.go
@@ -29,6 +29,7 @@
 	if v.Backend != nil {
 		attributes = append(attributes, slog.String("server", v.Backend.Name), slog.Float64("load", p.decider.Load(v.Backend)))
 	}
+	attributes = v.Load.append(attributes)
 	if v.Unanswered != nil {
 		attributes = append(attributes, slog.String("unanswered", v.Unanswered.Name))
 	}
@@ -37,3 +38,17 @@
 	}
 	p.recorder.Write("Flow decided.", attributes...)
 }
+
+// append appends the inputs that apply to a decision.
+func (l *LoadInputs) append(attributes []slog.Attr) []slog.Attr {
+	if l.Known {
+		attributes = append(attributes, slog.Int64("load_age_ms", l.Age.Milliseconds()))
+	}
+	if l.OverflowFrom != "" {
+		attributes = append(attributes, slog.String("overflow_from", l.OverflowFrom))
+	}
+	if l.Limited {
+		attributes = append(attributes, slog.Float64("admitted_part", l.AdmittedPart))
+	}
+	return attributes
+}
--- a/internal/flowpath/metrics.go
+++ b/internal/flowpath/metrics.go
@@ -28,6 +28,7 @@
 	suspicions     tally.Counter
 	age            tally.Gauge
 	handling       tally.Histogram
+	load           loadMetrics
 	seen           uint64
 }
 
@@ -43,8 +44,10 @@
 }
 
 func newMetrics(scope tally.Scope) metrics {
+	load := newLoadMetrics(scope)
 	scope = scope.SubScope("flows")
 	m := metrics{
+		load:           load,
 		packets:        scope.Counter("packets"),
 		copies:         scope.Counter("opening_copies"),
 		malformed:      scope.Counter("packets_malformed"),
@@ -75,6 +78,9 @@
 	if p.Kind == Opening && p.Copy > 0 {
 		m.copies.Inc(1)
 	}
+	if p.Kind == Opening {
+		m.load.count(v)
+	}
 	m.seen++
 	if m.sample() {
 		m.age.Update(time.Duration(now - known).Seconds())
--- a/internal/flowpath/opening.go
+++ b/internal/flowpath/opening.go
@@ -1,11 +1,9 @@
 package flowpath
 
 import (
-	"balsamfork/internal/catalogue"
 	"balsamfork/internal/cookie"
 	"balsamfork/internal/flowtable"
 	"balsamfork/internal/selection"
-	"balsamfork/internal/table"
 )
 
 // decideOpening returns the verdict on an opening packet.
@@ -22,9 +20,9 @@
 		return d.rejectOrHold(Verdict{Reason: NoRoute}, state, now)
 	}
 	hash := p.Flow.Hash()
-	v := Verdict{Service: selectService(route, hash)}
 	entry := d.flows.Find(hash, now)
 	if entry != nil && entry.OpenedBy(p.Sequence) {
+		v := d.keepService(route, entry, hash, state.Snapshot)
 		if entry.State == flowtable.Opening {
 			return d.decideCopy(v, entry, hash, state, now)
 		}
@@ -33,6 +31,11 @@
 	if entry != nil {
 		d.flows.Remove(entry)
 	}
+	v := d.selectService(route, hash)
+	if p.Copy == 0 && d.refuses(v.Service, route, p, now) {
+		v.Action, v.Reason = Reset, Overloaded
+		return v
+	}
 	entry = d.flows.Add(hash, now)
 	entry.Sequence = p.Sequence
 	return d.placeFlow(v, entry, hash, cookie.None, state, now)
@@ -49,22 +52,10 @@
 	return !d.waited || now-state.Known >= int64(pausedCatalogueAge)
 }
 
-// shouldSpill reports whether a flow is to go to another data centre because the
-// local servers are overloaded. The fabric spreads callers evenly over the instances
-// of a data centre, so each instance sees its share of the load and estimates the
-// total. The load above the threshold is spilled, as a fraction of the flows.
-func (d *Decider) shouldSpill(snap *catalogue.Snapshot, service string, hash uint64, now int64) bool {
-	load := d.selector.LocalLoad(snap, service, d, now) * float64(d.localInstances)
-	if load <= spillThreshold {
-		return false
-	}
-	share := 1 - spillThreshold/load
-	return float64(table.Mix(hash)>>32) < share*(1<<32)
-}
-
 // placeFlow selects a server for an opening packet.
 func (d *Decider) placeFlow(v Verdict, e *flowtable.Entry, hash uint64, exclude uint32, state CatalogueState, now int64) Verdict {
 	r := selection.Request{Service: v.Service, Hash: hash, Exclude: exclude, Spill: d.shouldSpill(state.Snapshot, v.Service, hash, now)}
+	v.Load.Spilled = r.Spill
 	choice := d.selector.Choose(state.Snapshot, r, d, now)
 	v.Tier = choice.Tier
 	if choice.Backend == nil {
@@ -78,7 +69,7 @@
 	}
 	v.Backend = choice.Backend
 	e.State, e.Cookie, e.Started, e.Sent, e.Last = flowtable.Opening, v.Backend.Cookie, v.Backend.Started, now, now
-	d.outstanding[e.Cookie]++
+	d.recordPlacement(v.Backend)
 	if d.readsPromptly(now) {
 		d.handshakes.add(hash, now)
 	}
@@ -139,21 +130,3 @@
 	v.Action = Hold
 	return v
 }
-
-// selectService returns the service to which a route assigns a flow.
-func selectService(r *catalogue.Route, hash uint64) string {
-	if len(r.Shares) == 1 {
-		return r.Shares[0].Service
-	}
-	total := 0
-	for _, s := range r.Shares {
-		total += s.Weight
-	}
-	at := int(hash % uint64(total))
-	for _, s := range r.Shares {
-		if at -= s.Weight; at < 0 {
-			return s.Service
-		}
-	}
-	return r.Shares[len(r.Shares)-1].Service
-}
--- a/internal/flowpath/path.go
+++ b/internal/flowpath/path.go
@@ -56,6 +56,9 @@
 	// Report sends an observation about a server to the peers of the data centre. It
 	// must not block.
 	Report func(suspicion.Report)
+	// ShareLoad sends a load report to the peers of the data centre; nil means none. It must
+	// not block.
+	ShareLoad func(report []byte)
 	// RequestContact asks for probes of a data centre whose servers don't answer;
 	// Contact is to be called once an instance there has answered. It must not block.
 	RequestContact func(dataCentre string)
@@ -71,16 +74,19 @@
 // Path forwards packets from the fabric to backend servers.
 type Path struct {
 	Options
-	decider               *Decider
-	conn                  *net.UDPConn
-	headroom              int
-	resetBuffer           []byte
-	metrics               metrics
-	recorder              *decisionlog.Recorder
-	held                  chan heldPacket
-	released              chan heldPacket
-	peerUpdate            chan peerUpdate
-	updatesPending        atomic.Bool
+	decider        *Decider
+	conn           *net.UDPConn
+	headroom       int
+	resetBuffer    []byte
+	metrics        metrics
+	recorder       *decisionlog.Recorder
+	held           chan heldPacket
+	released       chan heldPacket
+	peerUpdate     chan peerUpdate
+	loadUpdates    chan loadUpdate
+	updatesPending atomic.Bool
+	// wakes says that Run wakes up without packets, to make and apply load reports.
+	wakes                 bool
 	reachabilityCheckedAt int64
 	prunedAt              int64
 	reachesServer         atomic.Bool
@@ -112,6 +118,7 @@
 		held:        make(chan heldPacket, maxHeldPackets),
 		released:    make(chan heldPacket, maxHeldPackets),
 		peerUpdate:  make(chan peerUpdate, maxPeerUpdates),
+		loadUpdates: make(chan loadUpdate, maxLoadUpdates),
 		closed:      make(chan struct{}),
 	}
 	p.decider = NewDecider(o.DataCentre, o.Flows, o.Warmup, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), p)
@@ -190,6 +197,9 @@
 			p.checkReachability(now)
 		}
 		p.handle(buffer[:p.headroom+n], now, now)
+		if p.decider.SharesLoad() != p.wakes {
+			p.interruptRead()
+		}
 		if p.metrics.sample() {
 			p.metrics.handling.RecordDuration(time.Duration(p.Clock() - now))
 		}
@@ -221,10 +231,14 @@
 		p.metrics.readErrors.Inc(1)
 		return
 	}
+	p.armReportWake()
 	now := p.Clock()
 	p.decider.RecordResume(p.LastResume(now))
 	p.applyPeerUpdates()
 	p.checkReachability(now)
+	if p.decider.SharesLoad() {
+		p.decider.RefreshLoad(p.CatalogueState().Snapshot, now)
+	}
 	for {
 		select {
 		case packet := <-p.released:
--- a/internal/flowpath/peerupdate.go
+++ b/internal/flowpath/peerupdate.go
@@ -54,6 +54,7 @@
 		case n := <-p.peerUpdate:
 			p.applyPeerUpdate(n)
 		default:
+			p.applyLoadUpdates()
 			return
 		}
 	}
--- /dev/null
+++ b/internal/flowpath/room.go
@@ -0,0 +1,328 @@
+package flowpath
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"balsamfork/internal/catalogue"
+	"balsamfork/internal/overload"
+	"balsamfork/internal/selection"
+	"balsamfork/internal/serverload"
+	"balsamfork/internal/table"
+)
+
+const (
+	// minEstimateFlows is the number of flows that an instance must have placed at a
+	// service before it estimates the service's room from its own flows: fewer are chance.
+	minEstimateFlows = 4
+	// roomLogInterval is the shortest time between two log lines on a service's room.
+	roomLogInterval = time.Second
+	// slowSpeed is the speed below which a server counts as slow, and normalSpeed that
+	// above which it counts as normal again.
+	slowSpeed, normalSpeed = 0.5, 0.7
+)
+
+// serviceLoad is what is known of the room of one service.
+type serviceLoad struct {
+	room   overload.Room
+	limits overload.Limits
+	// localSlots are the slots of the service's Local servers.
+	localSlots int
+	// estimated says that the room rests on this instance's own flows, and flows counts
+	// those that it has placed since the last sums.
+	estimated bool
+	flows     int
+	admission overload.Admission
+	spill     overload.Spill
+	// spillKnown says that spillShare is the part of the flows that goes to other data
+	// centres.
+	spillKnown bool
+	spillShare float64
+	// state is the last one that was notified, at notifiedAt.
+	state      overload.State
+	notifiedAt int64
+}
+
+// ServiceSum is the load of a service in this data centre.
+type ServiceSum struct {
+	Service string
+	// Load is the work in progress per slot at the servers' speeds.
+	Load  float64
+	Slots int
+	// MeasuredAt is the time of the oldest report that counts, in nanoseconds.
+	MeasuredAt int64
+}
+
+// sumsPointer publishes sums to other goroutines. A published slice is not changed.
+type sumsPointer = atomic.Pointer[[]ServiceSum]
+
+// RemoteSum is the load of a service in another data centre as of some time ago.
+type RemoteSum struct {
+	Service string
+	Load    float64
+	Slots   int
+	Age     time.Duration
+}
+
+// targets returns the target latency of each service: that of its most urgent route, of
+// several the shortest.
+func targets(c *catalogue.Configuration) map[string]time.Duration {
+	out, ranks := map[string]time.Duration{}, map[string]int{}
+	if c == nil {
+		return out
+	}
+	for i := range c.Routes {
+		requests := &c.Routes[i].Requests
+		for _, share := range c.Routes[i].Shares {
+			if share.Weight <= 0 || requests.Target == 0 {
+				continue
+			}
+			rank, found := ranks[share.Service]
+			shorter := rank == requests.Rank() && requests.Target < out[share.Service]
+			if !found || requests.Rank() < rank || shorter {
+				ranks[share.Service], out[share.Service] = requests.Rank(), requests.Target
+			}
+		}
+	}
+	return out
+}
+
+// refreshServices recomputes the room of each service.
+func (d *Decider) refreshServices(now int64) {
+	var sums []ServiceSum
+	age := time.Duration(0)
+	for _, name := range d.observed.ServiceNames() {
+		s := d.load.services[name]
+		if s == nil {
+			s = &serviceLoad{}
+			d.load.services[name] = s
+		}
+		d.refreshService(name, s, now)
+		d.observer.RoomMeasured(name, s.room, s.admission.Level())
+		age = max(age, s.room.Age)
+		if d.load.fresh && s.localSlots > 0 && s.room.Known {
+			sums = append(sums, ServiceSum{Service: name, Load: s.room.Load, Slots: s.room.Slots, MeasuredAt: now - int64(s.room.Age)})
+		}
+		d.notifyRoom(name, s, now)
+	}
+	d.observer.SumsMeasured(d.load.table.Senders(), age)
+	for name := range d.load.services {
+		if !slices.Contains(d.observed.ServiceNames(), name) {
+			delete(d.load.services, name)
+		}
+	}
+	if sums == nil {
+		d.load.sums.Store(nil)
+		return
+	}
+	d.load.sums.Store(&sums)
+}
+
+// refreshService recomputes the room of a service, and what follows from it.
+func (d *Decider) refreshService(name string, s *serviceLoad, now int64) {
+	local, all := d.usableSlots(name, now)
+	remote := d.load.remote.Rooms(name, now)
+	s.localSlots, s.estimated = local, false
+	switch {
+	case local == 0:
+		s.room = remoteRoom(remote, all)
+	case d.load.fresh:
+		s.room, s.flows = d.sharedRoom(name, now), 0
+	default:
+		s.estimated = true
+		s.room = overload.Room{Slots: local, Known: s.flows >= minEstimateFlows}
+		s.room.Load = d.selector.LocalLoad(d.observed, name, ownLoads{d}, now) * float64(d.localInstances)
+	}
+	s.limits = overload.LimitsFor(d.load.targets[name], s.room.ServiceTime)
+	admissionRoom := s.room
+	admissionRoom.Known = s.room.Known && d.load.fresh
+	s.admission.Update(admissionRoom, s.limits, now)
+	s.spillKnown = d.load.fresh && local > 0 && s.room.Known && len(remote) > 0
+	s.spillShare = 0
+	if s.spillKnown {
+		s.spillShare = s.spill.Share(s.room, remote)
+	}
+}
+
+// usableSlots returns the slots of the Local servers of a service, and those of all that
+// are Local or Remote.
+func (d *Decider) usableSlots(service string, now int64) (local, all int) {
+	for _, b := range d.observed.Backends(service) {
+		switch d.selector.Tier(d.observed, b, d, now) {
+		case selection.Local:
+			local += b.Slots
+			all += b.Slots
+		case selection.Remote:
+			all += b.Slots
+		}
+	}
+	return local, all
+}
+
+// sharedRoom returns the room of a service by the sums of the data centre's instances.
+func (d *Decider) sharedRoom(service string, now int64) overload.Room {
+	sum := d.load.table.Service(service, func(m serverload.Member) bool {
+		b := d.observed.ByCookie(m.Server)
+		return inStart(b, m.Started) && d.selector.Tier(d.observed, b, d, now) == selection.Local
+	})
+	r := overload.Room{Slots: sum.Slots, ServiceTime: sum.ServiceTime, Known: sum.Known, Age: sum.Age}
+	if sum.Capacity > 0 {
+		r.Load = sum.InProgress / sum.Capacity
+	}
+	return r
+}
+
+// remoteRoom returns the room of a service whose usable servers are in other data centres,
+// which have the given slots: the mean of their loads.
+func remoteRoom(remote []overload.Room, slots int) overload.Room {
+	out := overload.Room{Slots: slots}
+	if slots == 0 {
+		return out
+	}
+	weight := 0
+	for _, r := range remote {
+		out.Load += r.Load * float64(r.Slots)
+		weight += r.Slots
+		out.Age = max(out.Age, r.Age)
+	}
+	if weight > 0 {
+		out.Load /= float64(weight)
+		out.Known = true
+	}
+	return out
+}
+
+// notifyRoom tells the observer of a change in a service's state.
+func (d *Decider) notifyRoom(name string, s *serviceLoad, now int64) {
+	state := s.room.State(s.limits)
+	if state == s.state || s.notifiedAt != 0 && now-s.notifiedAt < int64(roomLogInterval) {
+		return
+	}
+	s.state, s.notifiedAt = state, now
+	d.observer.RoomChanged(name, state, s.room, d.load.table.Senders())
+}
+
+// checkSpeeds tells the observer of servers that have become slow or normal again.
+func (d *Decider) checkSpeeds() {
+	if !d.load.fresh {
+		return
+	}
+	for _, name := range d.observed.ServiceNames() {
+		for _, b := range d.observed.Backends(name) {
+			if b.DataCentre == d.selector.DataCentre && !b.Ambiguous {
+				d.checkSpeed(b)
+			}
+		}
+	}
+}
+
+func (d *Decider) checkSpeed(b *catalogue.Backend) {
+	s := d.load.table.Server(b.Cookie, b.Started)
+	slow := d.load.slow[b.Cookie]
+	switch {
+	case s.Speed == 0:
+		return
+	case !slow && s.Speed < slowSpeed:
+		d.load.slow[b.Cookie] = true
+	case slow && s.Speed > normalSpeed:
+		delete(d.load.slow, b.Cookie)
+	default:
+		return
+	}
+	d.observer.SpeedChanged(b, s)
+}
+
+// roomOf returns the room and the limits of a service.
+func (d *Decider) roomOf(service string) (overload.Room, overload.Limits) {
+	if s := d.load.services[service]; s != nil {
+		return s.room, s.limits
+	}
+	return d.unknownRoom(service)
+}
+
+// unknownRoom returns the room of a service of which nothing but its servers is known.
+func (d *Decider) unknownRoom(service string) (overload.Room, overload.Limits) {
+	slots := 0
+	if len(d.observed.Backends(service)) > 0 {
+		slots = 1
+	}
+	return overload.Room{Slots: slots}, overload.LimitsFor(0, 0)
+}
+
+// shouldSpill reports whether a flow is to go to another data centre because the local
+// servers are overloaded: by the sums of the data centres if they are fresh, and otherwise
+// by this instance's own load.
+func (d *Decider) shouldSpill(snap *catalogue.Snapshot, service string, hash uint64, now int64) bool {
+	share := 0.0
+	if s := d.load.services[service]; s != nil && s.spillKnown {
+		share = s.spillShare
+	} else {
+		share = d.ownSpillShare(snap, service, now)
+	}
+	return share > 0 && float64(table.Mix(hash)>>32) < share*(1<<32)
+}
+
+// ownSpillShare returns the part of the flows that is to go to other data centres by this
+// instance's own load. The fabric spreads callers evenly over the instances of a data
+// centre, so each instance sees its share of the load and estimates the total. The load
+// above the threshold is spilled, as a fraction of the flows.
+func (d *Decider) ownSpillShare(snap *catalogue.Snapshot, service string, now int64) float64 {
+	load := d.selector.LocalLoad(snap, service, ownLoads{d}, now) * float64(d.localInstances)
+	if load <= spillThreshold {
+		return 0
+	}
+	return 1 - spillThreshold/load
+}
+
+// ownLoads is a Decider's view of servers with only this instance's own flows as load.
+type ownLoads struct{ *Decider }
+
+// Load implements selection.View.
+func (o ownLoads) Load(b *catalogue.Backend) float64 { return o.ownLoad(b) }
+
+// ownLoad returns the outstanding flows and requests of this instance at a server as a
+// fraction of its slots.
+func (d *Decider) ownLoad(b *catalogue.Backend) float64 {
+	return float64(d.outstanding[b.Cookie]) / float64(b.Slots)
+}
+
+// Load implements selection.View. While the sums of the data centre's instances are fresh,
+// it returns theirs for its servers, and what this instance has placed since its last
+// report.
+func (d *Decider) Load(b *catalogue.Backend) float64 {
+	if !d.load.fresh || b.DataCentre != d.selector.DataCentre {
+		return d.ownLoad(b)
+	}
+	return d.load.table.Load(b.Cookie, b.Started) + float64(d.load.placed[b.Cookie])/float64(b.Slots)
+}
+
+// recordPlacement counts a flow that was placed at a server.
+func (d *Decider) recordPlacement(b *catalogue.Backend) {
+	d.outstanding[b.Cookie]++
+	if !d.load.on {
+		return
+	}
+	d.load.placed[b.Cookie]++
+	s := d.load.services[b.Service]
+	if s == nil {
+		return
+	}
+	s.flows++
+	if s.estimated && b.DataCentre == d.selector.DataCentre && s.localSlots > 0 {
+		s.room.Load += float64(d.localInstances) / float64(s.localSlots)
+		s.room.Known = s.flows >= minEstimateFlows
+	}
+}
+
+// RecordRemoteSums records the loads of services in another data centre, which arrived at
+// a time.
+func (d *Decider) RecordRemoteSums(dataCentre string, sums []RemoteSum, arrived int64) {
+	if !d.load.on {
+		return
+	}
+	for _, s := range sums {
+		room := overload.Room{Load: s.Load, Slots: s.Slots, Known: true, Age: s.Age}
+		d.load.remote.Record(dataCentre, s.Service, room, s.Age, arrived)
+	}
+}
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -58,6 +58,8 @@
 	// AwaitingAnswer says that a request has been forwarded since the
 	// acknowledgement number last advanced.
 	AwaitingAnswer bool
+	// Sampled says that the request in progress counts in the instance's load report.
+	Sampled bool
 }
 
 // Includes reports whether an established packet with the given sequence and
@@ -84,6 +86,8 @@
 	// maxAge is the longest time that a flow may last, and so the age at which an entry
 	// expires.
 	maxAge time.Duration
+	// OnRemove, if set, is called with each entry that is removed or replaced, before that.
+	OnRemove func(*Entry)
 }
 
 // New returns an empty table for flows that last up to maxAge.
@@ -125,23 +129,32 @@
 			entry = &set[i]
 		}
 	}
+	if entry.State != Unused {
+		t.Remove(entry)
+	}
 	*entry = Entry{key: key, added: now, Last: now}
 	return entry
 }
 
 // Remove deletes the entry of a flow.
-func (t *Table) Remove(e *Entry) { *e = Entry{} }
+func (t *Table) Remove(e *Entry) {
+	if t.OnRemove != nil {
+		t.OnRemove(e)
+	}
+	*e = Entry{}
+}
 
-// CountOutstanding calls count for each flow that waits for its handshake or
-// an answer, with the cookie and the start of its server.
-func (t *Table) CountOutstanding(now int64, count func(cookie uint32, started int64)) {
+// Scan calls visit for each flow, and tells whether it waits for its handshake or an
+// answer.
+func (t *Table) Scan(now int64, visit func(e *Entry, outstanding bool)) {
 	for i := range t.entries {
 		e := &t.entries[i]
+		if e.State == Unused {
+			continue
+		}
 		opening := e.State == Opening && now-e.Sent < int64(OpeningTimeout)
 		awaitingAnswer := e.AwaitingAnswer && now-e.Last < int64(requestTimeout)
-		if opening || awaitingAnswer {
-			count(e.Cookie, e.Started)
-		}
+		visit(e, opening || awaitingAnswer)
 	}
 }
 
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -90,7 +90,7 @@
 func (s Selector) LocalLoad(snap *catalogue.Snapshot, service string, v View, now int64) float64 {
 	used, slots := 0.0, 0
 	for _, b := range snap.Backends(service) {
-		if b.DataCentre == s.DataCentre && s.tier(snap, b, v, now) == Local {
+		if b.DataCentre == s.DataCentre && s.Tier(snap, b, v, now) == Local {
 			used += v.Load(b) * float64(b.Slots)
 			slots += b.Slots
 		}
@@ -106,7 +106,7 @@
 	var best [choices]candidate
 	found, tier := 0, Unusable
 	for _, b := range snap.Backends(r.Service) {
-		t := s.tier(snap, b, v, now)
+		t := s.Tier(snap, b, v, now)
 		if r.Spill {
 			t = t.swapped()
 		}
@@ -135,7 +135,7 @@
 func (s Selector) BestTier(snap *catalogue.Snapshot, service string, v View, now int64) Tier {
 	best := Unusable
 	for _, b := range snap.Backends(service) {
-		if best = min(best, s.tier(snap, b, v, now)); best == Local {
+		if best = min(best, s.Tier(snap, b, v, now)); best == Local {
 			break
 		}
 	}
@@ -154,7 +154,8 @@
 	return b.Draining || b.Ambiguous || b.Unreadable || snap.Evacuated(b.DataCentre, now)
 }
 
-func (s Selector) tier(snap *catalogue.Snapshot, b *catalogue.Backend, v View, now int64) Tier {
+// Tier returns how suitable a server is for a new flow.
+func (s Selector) Tier(snap *catalogue.Snapshot, b *catalogue.Backend, v View, now int64) Tier {
 	switch {
 	case excluded(snap, b, now):
 		return Unusable
