Use the real tables and admission in the packet path

Change: responses are limited by the table's median, own placements count with the work that the table expects of a flow, and turns of admission follow Unix time, so that instances refuse the same callers.

--- a/internal/flowpath/admission.go
+++ b/internal/flowpath/admission.go
@@ -52,6 +52,6 @@
 	}
 	source := p.Flow.Source.As4()
 	caller := table.Mix(uint64(binary.BigEndian.Uint32(source[:])))
-	admitted := s.admission.Admit(route.Requests.Rank(), caller, now)
+	admitted := s.admission.Admit(route.Requests.Rank(), caller, now+d.load.origin)
 	return !admitted && d.load.fresh
 }
--- a/internal/flowpath/loadsharing.go
+++ b/internal/flowpath/loadsharing.go
@@ -53,6 +53,9 @@
 	// fresh says that the table's sums counted when they were last computed.
 	fresh      bool
 	reportedAt int64
+	// origin is the Unix time at which the decider's clock was zero, in nanoseconds: turns of
+	// callers are the same at all instances.
+	origin int64
 	// placed counts this instance's placements since its last report, by cookie.
 	placed map[uint32]int
 	// flows holds the flows of this instance at each server, by cookie.
@@ -171,7 +174,7 @@
 	s.reportedAt = now
 	clear(s.placed)
 	r := s.sampler.Report(now)
-	// Only a report of this process can be newer than the one that is replaced.
+	// An error means that the table is full of other senders; the report is sent all the same.
 	_ = s.table.Apply(netip.Addr{}, r, now)
 	s.buffer = r.Append(s.buffer[:0])
 	return s.buffer
@@ -247,6 +250,7 @@
 		d.observer.ShareLoad(report)
 	}
 	s.table.Advance(now)
+	s.sampler.LimitResponses(s.table)
 	s.fresh = s.table.Fresh(now)
 	d.refreshServices(now)
 	d.checkSpeeds()
@@ -275,5 +279,9 @@
 	return d.load.table.Apply(sender, r, arrived)
 }
 
+// SetClockOrigin sets the Unix time at which the clock of this instance was zero, in
+// nanoseconds. Instances refuse the same callers at the same time if it is right.
+func (d *Decider) SetClockOrigin(origin int64) { d.load.origin = origin }
+
 // SharesLoad reports whether the configuration switches load sharing on.
 func (d *Decider) SharesLoad() bool { return d.load.on }
--- a/internal/flowpath/path.go
+++ b/internal/flowpath/path.go
@@ -122,6 +122,7 @@
 		closed:      make(chan struct{}),
 	}
 	p.decider = NewDecider(o.DataCentre, o.Flows, o.Warmup, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), p)
+	p.decider.SetClockOrigin(time.Now().UnixNano() - o.Clock())
 	if err := conn.SetReadBuffer(socketBuffer); err != nil {
 		o.Log.Warn("Failed to set the receive buffer size of the packet socket.", "error", err)
 	}
--- a/internal/flowpath/room.go
+++ b/internal/flowpath/room.go
@@ -128,16 +128,14 @@
 	case local == 0:
 		s.room = remoteRoom(remote, all)
 	case d.load.fresh:
-		s.room, s.flows = d.sharedRoom(name, now), 0
+		s.room, s.flows = d.sharedRoom(name, local, now), 0
 	default:
 		s.estimated = true
 		s.room = overload.Room{Slots: local, Known: s.flows >= minEstimateFlows}
 		s.room.Load = d.selector.LocalLoad(d.observed, name, ownLoads{d}, now) * float64(d.localInstances)
 	}
 	s.limits = overload.LimitsFor(d.load.targets[name], s.room.ServiceTime)
-	admissionRoom := s.room
-	admissionRoom.Known = s.room.Known && d.load.fresh
-	s.admission.Update(admissionRoom, s.limits, now)
+	s.admission.Update(d.admissionRoom(s), s.limits, now+d.load.origin)
 	s.spillKnown = d.load.fresh && local > 0 && s.room.Known && len(remote) > 0
 	s.spillShare = 0
 	if s.spillKnown {
@@ -145,6 +143,19 @@
 	}
 }
 
+// admissionRoom returns the room on which refusals may rest: only the sums of several
+// instances. Its age is the time since this instance's last report, since all instances
+// report once in that time. The age of the oldest report would hold the adaptation up for
+// seconds whenever an instance is lost.
+func (d *Decider) admissionRoom(s *serviceLoad) overload.Room {
+	r := s.room
+	r.Known = r.Known && d.load.fresh
+	if s.localSlots > 0 {
+		r.Age = time.Duration(d.loadCountedAt - d.load.reportedAt)
+	}
+	return r
+}
+
 // usableSlots returns the slots of the Local servers of a service, and those of all that
 // are Local or Remote.
 func (d *Decider) usableSlots(service string, now int64) (local, all int) {
@@ -160,13 +171,14 @@
 	return local, all
 }
 
-// sharedRoom returns the room of a service by the sums of the data centre's instances.
-func (d *Decider) sharedRoom(service string, now int64) overload.Room {
+// sharedRoom returns the room of a service by the sums of the data centre's instances. Slots
+// are those of its Local servers.
+func (d *Decider) sharedRoom(service string, slots int, now int64) overload.Room {
 	sum := d.load.table.Service(service, func(m serverload.Member) bool {
 		b := d.observed.ByCookie(m.Server)
 		return inStart(b, m.Started) && d.selector.Tier(d.observed, b, d, now) == selection.Local
 	})
-	r := overload.Room{Slots: sum.Slots, ServiceTime: sum.ServiceTime, Known: sum.Known, Age: sum.Age}
+	r := overload.Room{Slots: slots, ServiceTime: sum.ServiceTime, Known: sum.Known, Age: sum.Age}
 	if sum.Capacity > 0 {
 		r.Load = sum.InProgress / sum.Capacity
 	}
@@ -288,13 +300,14 @@
 }
 
 // Load implements selection.View. While the sums of the data centre's instances are fresh,
-// it returns theirs for its servers, and what this instance has placed since its last
-// report.
+// it returns theirs for its servers, and the expected work of the flows that this instance
+// has placed since its last report.
 func (d *Decider) Load(b *catalogue.Backend) float64 {
 	if !d.load.fresh || b.DataCentre != d.selector.DataCentre {
 		return d.ownLoad(b)
 	}
-	return d.load.table.Load(b.Cookie, b.Started) + float64(d.load.placed[b.Cookie])/float64(b.Slots)
+	t := d.load.table
+	return t.Load(b.Cookie, b.Started) + float64(d.load.placed[b.Cookie])*t.FlowLoad(b.Cookie, b.Started)
 }
 
 // recordPlacement counts a flow that was placed at a server.
