Share load between the packet paths of a data centre

Cause: an instance compared servers by its own flows alone, and refused nothing. A changed catalogue refreshes the rooms within 25 ms. An instance takes the others to place as many flows at a server as itself.

--- a/internal/flowd/module.go
+++ b/internal/flowd/module.go
@@ -88,6 +88,7 @@
 	dataCentreAnswered func(dataCentre string)
 	instancesChanged   func(all, local int)
 	reachesAnyServer   func() bool
+	shareLoad          func(report []byte)
 	// loadReported, serviceSums and remoteSums serve load sharing, which is off while they
 	// are nil.
 	loadReported func(sender netip.Addr, report []byte)
@@ -177,6 +178,7 @@
 		},
 		Refresh:        func() { w.Refresh(context.Background()) },
 		Report:         func(r suspicion.Report) { h.reportServer(r) },
+		ShareLoad:      func(report []byte) { h.shareLoad(report) },
 		RequestContact: func(dataCentre string) { h.probeDataCentre(dataCentre) },
 		LastResume:     pauses.LastResume,
 		Clock:          processClock.Now,
@@ -206,6 +208,7 @@
 	h.localPeers = e.LocalPeers
 	h.reportServer = e.Report
 	h.probeDataCentre = e.ProbeDataCentre
+	connectLoad(h, e, p, log)
 	h.peerReported = p.PeerReport
 	h.dataCentreAnswered = p.Contact
 	h.instancesChanged = p.SetInstances
--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -42,6 +42,10 @@
 	// loadRefreshInterval is how often the load of backend servers is recomputed from
 	// the flow table.
 	loadRefreshInterval = 250 * time.Millisecond
+	// snapshotRefreshInterval is how often at most that happens because the catalogue has
+	// changed: with the rooms from before an evacuation, flows would go to services that have
+	// no server left.
+	snapshotRefreshInterval = 25 * time.Millisecond
 )
 
 // Action is what happens to a packet.
@@ -232,7 +236,7 @@
 	if snap == d.observed {
 		return
 	}
-	d.load.enable(snap.Configuration != nil && snap.Configuration.HasSplitRoutes(), d.localInstances, d.now)
+	d.load.enable(snap.Configuration != nil && snap.Configuration.HasSplitRoutes(), d.localInstances)
 	unchanged := d.observed != nil && snap.Starts == d.observed.Starts
 	d.observed = snap
 	if unchanged {
@@ -317,9 +321,7 @@
 	if !d.waited {
 		clear(d.waitedOpenings)
 	}
-	if now-d.loadCountedAt > int64(loadRefreshInterval) {
-		d.refreshLoad(now)
-	}
+	d.refreshDueLoad(now)
 	d.checkHandshakes(state.Snapshot, now)
 	d.checkRequests(state.Snapshot, now)
 	switch p.Kind {
--- a/internal/flowpath/loadsharing.go
+++ b/internal/flowpath/loadsharing.go
@@ -83,11 +83,11 @@
 }
 
 // enable switches load sharing on or off. What was known before is discarded.
-func (s *loadSharing) enable(on bool, localInstances int, now int64) {
+func (s *loadSharing) enable(on bool, localInstances int) {
 	if on == s.on {
 		return
 	}
-	s.on, s.fresh, s.reportedAt, s.members = on, false, now, nil
+	s.on, s.fresh, s.reportedAt, s.members = on, false, 0, nil
 	s.sums.Store(nil)
 	s.placed, s.flows, s.services, s.slow = map[uint32]int{}, map[uint32]heldFlows{}, map[string]*serviceLoad{}, map[uint32]bool{}
 	if !on {
@@ -166,8 +166,11 @@
 }
 
 // report makes the report that is due and applies it to the table. It returns nil if none is
-// due.
+// due: the first one is due an interval after the first call.
 func (s *loadSharing) report(localInstances int, now int64) []byte {
+	if s.reportedAt == 0 {
+		s.reportedAt = now
+	}
 	if now-s.reportedAt < int64(reportInterval(localInstances)) {
 		return nil
 	}
@@ -199,11 +202,19 @@
 }
 
 // RefreshLoad recomputes the load of servers and services, and makes the report that is
-// due, if the last time was loadRefreshInterval ago.
+// due, if the last time was loadRefreshInterval ago or the catalogue has changed.
 func (d *Decider) RefreshLoad(snap *catalogue.Snapshot, now int64) {
 	d.now = now
 	d.Observe(snap)
-	if now-d.loadCountedAt > int64(loadRefreshInterval) {
+	d.refreshDueLoad(now)
+}
+
+func (d *Decider) refreshDueLoad(now int64) {
+	interval := loadRefreshInterval
+	if d.load.on && d.load.members != d.observed {
+		interval = snapshotRefreshInterval
+	}
+	if now-d.loadCountedAt > int64(interval) {
 		d.refreshLoad(now)
 	}
 }
--- a/internal/flowpath/loadupdate.go
+++ b/internal/flowpath/loadupdate.go
@@ -89,7 +89,7 @@
 }
 
 // armReportWake makes Run wake up for reports if no packet arrives, while load sharing is
-// on.
+// on. Pending work must be handled after it, since it takes back an earlier interruptRead.
 func (p *Path) armReportWake() {
 	if !p.decider.SharesLoad() {
 		p.wakes = false
--- a/internal/flowpath/path.go
+++ b/internal/flowpath/path.go
@@ -232,6 +232,7 @@
 		p.metrics.readErrors.Inc(1)
 		return
 	}
+	p.decider.Observe(p.CatalogueState().Snapshot)
 	p.armReportWake()
 	now := p.Clock()
 	p.decider.RecordResume(p.LastResume(now))
--- a/internal/flowpath/room.go
+++ b/internal/flowpath/room.go
@@ -132,7 +132,7 @@
 	default:
 		s.estimated = true
 		s.room = overload.Room{Slots: local, Known: s.flows >= minEstimateFlows}
-		s.room.Load = d.selector.LocalLoad(d.observed, name, ownLoads{d}, now) * float64(d.localInstances)
+		s.room.Load = d.estimatedLoad(d.observed, name, now)
 	}
 	s.limits = overload.LimitsFor(d.load.targets[name], s.room.ServiceTime)
 	s.admission.Update(d.admissionRoom(s), s.limits, now+d.load.origin)
@@ -263,24 +263,33 @@
 }
 
 // shouldSpill reports whether a flow is to go to another data centre because the local
-// servers are overloaded: by the sums of the data centres if they are fresh, and otherwise
-// by this instance's own load.
+// servers are overloaded: by the sums of the data centres if they are fresh.
 func (d *Decider) shouldSpill(snap *catalogue.Snapshot, service string, hash uint64, now int64) bool {
-	share := 0.0
-	if s := d.load.services[service]; s != nil && s.spillKnown {
-		share = s.spillShare
-	} else {
-		share = d.ownSpillShare(snap, service, now)
+	s := d.load.services[service]
+	switch {
+	case s != nil && s.spillKnown:
+		return belowShare(hash, s.spillShare)
+	case s != nil && d.load.fresh && s.localSlots > 0 && s.room.Known:
+		return belowShare(hash, thresholdShare(s.room.Load))
 	}
-	return share > 0 && float64(table.Mix(hash)>>32) < share*(1<<32)
+	return belowShare(hash, thresholdShare(d.estimatedLoad(snap, service, now)))
+}
+
+// belowShare reports whether a flow belongs to a part of the flows from 0 to 1.
+func belowShare(hash uint64, share float64) bool {
+	return float64(table.Mix(hash)>>32) < share*(1<<32)
+}
+
+// estimatedLoad returns the load of a service's local servers by this instance's own flows.
+// The fabric spreads callers evenly over the instances of a data centre, so each instance
+// sees its share of the load and estimates the total.
+func (d *Decider) estimatedLoad(snap *catalogue.Snapshot, service string, now int64) float64 {
+	return d.selector.LocalLoad(snap, service, ownLoads{d}, now) * float64(d.localInstances)
 }
 
-// ownSpillShare returns the part of the flows that is to go to other data centres by this
-// instance's own load. The fabric spreads callers evenly over the instances of a data
-// centre, so each instance sees its share of the load and estimates the total. The load
-// above the threshold is spilled, as a fraction of the flows.
-func (d *Decider) ownSpillShare(snap *catalogue.Snapshot, service string, now int64) float64 {
-	load := d.selector.LocalLoad(snap, service, ownLoads{d}, now) * float64(d.localInstances)
+// thresholdShare returns the part of the flows that is to go to other data centres whose
+// loads are not known: the load above the threshold.
+func thresholdShare(load float64) float64 {
 	if load <= spillThreshold {
 		return 0
 	}
@@ -300,14 +309,16 @@
 }
 
 // Load implements selection.View. While the sums of the data centre's instances are fresh,
-// it returns theirs for its servers, and the expected work of the flows that this instance
-// has placed since its last report.
+// it returns theirs for its servers, and the expected work of the flows that were placed
+// since: all instances decide by the same sums, so each takes the others to place as many at
+// a server as itself. With its own placements alone, the busiest of 40 servers gets 1.30
+// times the mean number of short requests at 60% load in trials, and 1.14 times so.
 func (d *Decider) Load(b *catalogue.Backend) float64 {
 	if !d.load.fresh || b.DataCentre != d.selector.DataCentre {
 		return d.ownLoad(b)
 	}
-	t := d.load.table
-	return t.Load(b.Cookie, b.Started) + float64(d.load.placed[b.Cookie])*t.FlowLoad(b.Cookie, b.Started)
+	placed := float64(d.load.placed[b.Cookie]) * float64(d.localInstances)
+	return d.load.table.Load(b.Cookie, b.Started) + placed*d.load.table.FlowLoad(b.Cookie, b.Started)
 }
 
 // recordPlacement counts a flow that was placed at a server.
