Count placements since the sums as work of their service

Cause: sums are up to a second old, so an overflow or an admitted flood went on long after it had filled a service, and the response time under load was taken for that of an uncontended request, which lowered the limit of Full. Change: rooms add what all instances have placed since the sums (Room.WithPlaced), and the response time is divided by the requests a slot.

--- a/internal/flowpath/loadsharing.go
+++ b/internal/flowpath/loadsharing.go
@@ -176,6 +176,9 @@
 	}
 	s.reportedAt = now
 	clear(s.placed)
+	for _, service := range s.services {
+		service.placed = 0
+	}
 	r := s.sampler.Report(now)
 	// An error means that the table is full of other senders; the report is sent all the same.
 	_ = s.table.Apply(netip.Addr{}, r, now)
--- a/internal/flowpath/room.go
+++ b/internal/flowpath/room.go
@@ -29,12 +29,12 @@
 	limits overload.Limits
 	// localSlots are the slots of the service's Local servers.
 	localSlots int
-	// estimated says that the room rests on this instance's own flows, and flows counts
-	// those that it has placed since the last sums.
-	estimated bool
-	flows     int
-	admission overload.Admission
-	spill     overload.Spill
+	// estimated says that the room rests on this instance's own flows. Flows counts those that
+	// it has placed while it had no sums, and placed those since its last report.
+	estimated     bool
+	flows, placed int
+	admission     overload.Admission
+	spill         overload.Spill
 	// spillKnown says that spillShare is the part of the flows that goes to other data
 	// centres.
 	spillKnown bool
@@ -148,7 +148,7 @@
 // report once in that time. The age of the oldest report would hold the adaptation up for
 // seconds whenever an instance is lost.
 func (d *Decider) admissionRoom(s *serviceLoad) overload.Room {
-	r := s.room
+	r := d.roomNow(s)
 	r.Known = r.Known && d.load.fresh
 	if s.localSlots > 0 {
 		r.Age = time.Duration(d.loadCountedAt - d.load.reportedAt)
@@ -178,13 +178,25 @@
 		b := d.observed.ByCookie(m.Server)
 		return inStart(b, m.Started) && d.selector.Tier(d.observed, b, d, now) == selection.Local
 	})
-	r := overload.Room{Slots: slots, ServiceTime: sum.ServiceTime, Known: sum.Known, Age: sum.Age}
+	r := overload.Room{Slots: slots, Known: sum.Known, Age: sum.Age}
 	if sum.Capacity > 0 {
 		r.Load = sum.InProgress / sum.Capacity
 	}
+	// With more than one request a slot, a response takes as many times longer.
+	r.ServiceTime = time.Duration(float64(sum.ServiceTime) / max(1, r.Load))
 	return r
 }
 
+// roomNow returns the room of a service with the flows that were placed since this instance's
+// last report, if each instance has placed as many.
+func (d *Decider) roomNow(s *serviceLoad) overload.Room {
+	if !d.load.fresh || s.localSlots == 0 {
+		return s.room
+	}
+	since := time.Duration(d.now - d.load.reportedAt)
+	return s.room.WithPlaced(float64(s.placed*d.localInstances), since)
+}
+
 // remoteRoom returns the room of a service whose usable servers are in other data centres,
 // which have the given slots: the mean of their loads.
 func remoteRoom(remote []overload.Room, slots int) overload.Room {
@@ -248,7 +260,7 @@
 // roomOf returns the room and the limits of a service.
 func (d *Decider) roomOf(service string) (overload.Room, overload.Limits) {
 	if s := d.load.services[service]; s != nil {
-		return s.room, s.limits
+		return d.roomNow(s), s.limits
 	}
 	return d.unknownRoom(service)
 }
@@ -333,6 +345,7 @@
 		return
 	}
 	s.flows++
+	s.placed++
 	if s.estimated && b.DataCentre == d.selector.DataCentre && s.localSlots > 0 {
 		s.room.Load += float64(d.localInstances) / float64(s.localSlots)
 		s.room.Known = s.flows >= minEstimateFlows
