Test overflow between two sums, evacuation and old acknowledgements

Cause: mutants that left these out passed the tests. Change: a test each; without what it guards, each fails.

--- a/internal/flowpath/loadsharing_test.go
+++ b/internal/flowpath/loadsharing_test.go
@@ -118,6 +118,7 @@
 		{"a response", func(h *harness, b *catalogue.Backend) { h.send(1, b.Cookie, 2, 0) }, 1},
 		{"a response and the next request", func(h *harness, b *catalogue.Backend) { h.send(1, b.Cookie, 2, 100) }, 1},
 		{"an acknowledgement that does not advance", func(h *harness, b *catalogue.Backend) { h.send(1, b.Cookie, 1, 0) }, 0},
+		{"an old acknowledgement", func(h *harness, b *catalogue.Backend) { h.send(1, b.Cookie, 0, 0) }, 0},
 		{"a response that waited", func(h *harness, b *catalogue.Backend) {
 			h.backlogged = true
 			h.now += 600 * ms
@@ -264,6 +265,40 @@
 	}
 }
 
+// TestEvacuationCountsAtOnce guards against flows that go to a service without a server by the
+// rooms from before an evacuation, while another service of the route has servers elsewhere.
+func TestEvacuationCountsAtOnce(t *testing.T) {
+	is := is.New(t)
+	h := newSplitHarness(4)
+	h.share(0.1, time.Second)
+	h.evacuate("a")
+	h.now += 30 * ms
+	for port := range uint16(100) {
+		v := h.open(port, 0)
+		is.Equal(v.Action, Forward)
+		is.Equal(v.Service, "a")
+		is.Equal(v.Backend.DataCentre, "b")
+	}
+}
+
+// TestOverflowEndsBeforeTheNextSums guards against an overflow that goes on until the next
+// report, although it has filled the other service: beyond its weight, service b with 8 slots
+// takes what brings it to its limit Busy of 2 requests a slot.
+func TestOverflowEndsBeforeTheNextSums(t *testing.T) {
+	is := is.New(t)
+	h := newSplitHarness(12)
+	h.share(0.1, time.Second)
+	h.load.services["a"].room.Load = 20
+	overflown := 0
+	for port := range uint16(400) {
+		if h.open(port, 0).Load.OverflowFrom != "" {
+			overflown++
+		}
+	}
+	is.True(overflown > 0)
+	is.True(overflown <= 2*8)
+}
+
 // TestWeightsChangeHalfway covers an operator who takes a service out of a route while the
 // other one is full: no new flow goes to the service that the route no longer names.
 func TestWeightsChangeHalfway(t *testing.T) {
