--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -57,13 +57,13 @@
 func TestExplainRefusal(t *testing.T) {
 	const log = `{"time":"2026-12-04T06:00:00.000Z","msg":"Service room has changed.","instance":"e1","part":"flows","service":"desk","state":"full","load":4.5,"slots":240,"senders":24,"load_age_ms":400}
 {"time":"2026-12-04T06:00:00.100Z","msg":"Service room has changed.","instance":"e1","part":"flows","service":"other","state":"full"}
-{"time":"2026-12-04T06:00:01.000Z","msg":"Flow decided.","instance":"e1","part":"flows","flow":"100.64.0.7:4001","copy":0,"action":"reset","reason":"overloaded","service":"desk","tier":"local","load_age_ms":700,"overflow_from":"sheet","admitted_part":0.49}
+{"time":"2026-12-04T06:00:01.000Z","msg":"Flow decided.","instance":"e1","part":"flows","flow":"100.64.0.7:4001","copy":0,"action":"reset","reason":"overloaded","service":"desk","tier":"unusable","load_age_ms":700,"overflow_from":"sheet","admitted_part":0.49}
 `
 	is := is.New(t)
 	var out bytes.Buffer
 	Explain(read(t, log), Query{Flow: "100.64.0.7:4001"}).Text(&out)
 	is.Equal(out.String(), `  06:00:00.000 e1: Service room has changed., service desk, state full, load 4.5, slots 240, senders 24, load ms ago: 400
-06:00:01.000 e1: reset, overloaded, tier local, load ms ago: 700, overflow from service sheet, admitted part 0.49
+06:00:01.000 e1: reset, overloaded, tier unusable, load ms ago: 700, overflow from service sheet, admitted part 0.49
 gap: e1 has no line after the last decision.
 `)
 }
--- a/internal/flowpath/opening.go
+++ b/internal/flowpath/opening.go
@@ -33,7 +33,7 @@
 	}
 	v := d.selectService(route, hash)
 	if p.Copy == 0 && d.refuses(v.Service, route, p, now) {
-		v.Action, v.Reason = Reset, Overloaded
+		v.Action, v.Reason, v.Tier = Reset, Overloaded, selection.Unusable
 		return v
 	}
 	entry = d.flows.Add(hash, now)
