Count only local placements as work of a service here

Cause: flows that went to other data centres counted as work of the service in this one until the next report. Change: they count no more. BenchmarkRefreshLoad measures fresh sums.

--- a/internal/flowpath/bound_test.go
+++ b/internal/flowpath/bound_test.go
@@ -53,15 +53,17 @@
 }
 
 // BenchmarkRefreshLoad measures the recomputation of loads and rooms, which takes place four
-// times a second, with the servers of one data centre at the planned size.
+// times a second, with the servers of one data centre at the planned size and two senders.
 func BenchmarkRefreshLoad(b *testing.B) {
 	h := newSplitHarness(360)
-	h.share(0.5, time.Second)
 	b.ReportAllocs()
 	for b.Loop() {
+		b.StopTimer()
+		h.share(0.5, 500*time.Millisecond)
 		h.now += 251 * ms
-		h.RefreshLoad(h.mirror.Snapshot(), h.now)
 		h.reports = nil
+		b.StartTimer()
+		h.RefreshLoad(h.mirror.Snapshot(), h.now)
 	}
 }
 
--- a/internal/flowpath/room.go
+++ b/internal/flowpath/room.go
@@ -30,7 +30,8 @@
 	// localSlots are the slots of the service's Local servers.
 	localSlots int
 	// estimated says that the room rests on this instance's own flows. Flows counts those that
-	// it has placed while it had no sums, and placed those since its last report.
+	// it has placed while it had no sums, and placed those that it has placed in the data
+	// centre since its last report.
 	estimated     bool
 	flows, placed int
 	admission     overload.Admission
@@ -345,8 +346,11 @@
 		return
 	}
 	s.flows++
+	if b.DataCentre != d.selector.DataCentre {
+		return
+	}
 	s.placed++
-	if s.estimated && b.DataCentre == d.selector.DataCentre && s.localSlots > 0 {
+	if s.estimated && s.localSlots > 0 {
 		s.room.Load += float64(d.localInstances) / float64(s.localSlots)
 		s.room.Known = s.flows >= minEstimateFlows
 	}
