Test the log lines of load sharing and the target of a service

Cause: neither was covered. Change: a test each; the run number is no longer kept beside the sampler. Conclusion: go test -race of flowpath passes.

--- a/internal/flowpath/loadsharing.go
+++ b/internal/flowpath/loadsharing.go
@@ -43,9 +43,7 @@
 // samples, and the reports of all instances. It does nothing while no route of the
 // configuration has several services.
 type loadSharing struct {
-	on bool
-	// run is the random number of this process in its reports, 0 before the first.
-	run     uint64
+	on      bool
 	random  *rand.Rand
 	sampler *serverload.Sampler
 	table   *serverload.Table
@@ -94,9 +92,8 @@
 		s.sampler, s.table, s.remote = nil, nil, nil
 		return
 	}
-	// Another run makes the others discard the reports from before.
-	s.run = s.random.Uint64()
-	s.sampler, s.table, s.remote = serverload.NewSampler(s.run), serverload.NewTable(), &overload.RemoteSums{}
+	// With another run, the others take the first report for newer than those from before.
+	s.sampler, s.table, s.remote = serverload.NewSampler(s.random.Uint64()), serverload.NewTable(), &overload.RemoteSums{}
 	s.table.SetInstances(localInstances)
 }
 
--- a/internal/flowpath/loadsharing_test.go
+++ b/internal/flowpath/loadsharing_test.go
@@ -299,6 +299,19 @@
 	is.True(overflown <= 2*8)
 }
 
+// TestTargetOfAService covers services with routes of several priorities: the most urgent one
+// that states a target decides, and a route without weight for the service does not.
+func TestTargetOfAService(t *testing.T) {
+	is := is.New(t)
+	c := splitConfiguration(1, 90, 0)
+	c.Routes[0].Requests.Target = 100 * time.Millisecond // of lower priority than the urgent route
+	c.Routes[2].Requests.Target = 900 * time.Millisecond
+	is.Equal(targets(c), map[string]time.Duration{"a": 500 * time.Millisecond, "b": 900 * time.Millisecond})
+	c.Routes[1].Requests.Target = 0
+	is.Equal(targets(c)["a"], 100*time.Millisecond)
+	is.Equal(len(targets(nil)), 0)
+}
+
 // TestWeightsChangeHalfway covers an operator who takes a service out of a route while the
 // other one is full: no new flow goes to the service that the route no longer names.
 func TestWeightsChangeHalfway(t *testing.T) {
--- a/internal/flowpath/log_test.go
+++ b/internal/flowpath/log_test.go
@@ -4,13 +4,17 @@
 	"bytes"
 	"encoding/json"
 	"log/slog"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 
 	"balsamfork/internal/decisionlog"
+	"balsamfork/internal/overload"
 	"balsamfork/internal/selection"
+	"balsamfork/internal/serverload"
 	"balsamfork/internal/suspicion"
 )
 
@@ -61,6 +65,25 @@
 	}
 }
 
+// TestLoadLinesNameTheirInputs checks the log lines on rooms and speeds, and that a refusal is
+// counted by its priority.
+func TestLoadLinesNameTheirInputs(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	scope := tally.NewTestScope("", nil)
+	p := &Path{Options: Options{Log: slog.New(slog.NewJSONHandler(&out, nil))}, metrics: newMetrics(scope)}
+	p.RoomChanged("desk", overload.Full, overload.Room{Load: 4.5, Slots: 80, Age: 700 * time.Millisecond}, 24)
+	p.SpeedChanged(newHarness(1, nil).mirror.Snapshot().Backends("desk")[0], serverload.Server{Speed: 0.25, Response: 90 * time.Millisecond})
+	for _, want := range []string{
+		`"msg":"Service room has changed.","service":"desk","state":"full","load":4.5,"slots":80,"senders":24,"load_age_ms":700}`,
+		`"msg":"Backend server's speed has changed.","server":"s0","data_centre":"a","service":"desk","speed":0.25,"response_ms":90}`,
+	} {
+		is.True(strings.Contains(out.String(), want))
+	}
+	p.metrics.count(&Packet{Kind: Opening}, &Verdict{Action: Reset, Reason: Overloaded, Load: LoadInputs{Rank: 2}}, 0, 0)
+	is.Equal(scope.Snapshot().Counters()["load.refusals+priority=2"].Value(), int64(1))
+}
+
 // TestSuspicionLogsItsInputs checks the log line of a server that becomes suspected.
 func TestSuspicionLogsItsInputs(t *testing.T) {
 	is := is.New(t)
