--- a/internal/overload/admission.go
+++ b/internal/overload/admission.go
@@ -148,6 +148,7 @@
 			continue
 		}
 		if lowerAsked > minorPart*p.asked {
+			a.restoreOrder(now)
 			return
 		}
 		if p.part > floorPart {
@@ -187,16 +188,19 @@
 }
 
 // restoreOrder lifts the limit of each priority for which a lower one asks that is not at
-// its floor, at once.
+// its floor, or beside which the lower ones ask for much, at once.
 func (a *Admission) restoreOrder(now int64) {
-	lift := false
+	lift, lowerAsked := false, 0.0
 	for i := a.count - 1; i >= 0; i-- {
 		p := &a.priorities[i]
-		if lift && p.part < 1 {
+		if p.part < 1 && (lift || lowerAsked > minorPart*p.asked) {
 			p.part = 1
 			p.startTurn()
 		}
-		lift = lift || p.asks(now) && p.part > floorPart
+		if p.asks(now) {
+			lift = lift || p.part > floorPart
+			lowerAsked += p.asked
+		}
 	}
 }
 
