Switch load sharing on by priorities too, and place by load where it differs

Sums were scaled by instances that were lost a minute ago. Reports are up to a second late while a flood fills all queues. Change: sharing is on with split routes or with different priorities of one service; placement uses the sums only with split routes, uneven speeds, or from Busy on, so other deployments place as before.

--- a/internal/catalogue/record.go
+++ b/internal/catalogue/record.go
@@ -154,6 +154,25 @@
 	return slices.ContainsFunc(c.Routes, func(r Route) bool { return len(r.Shares) > 1 })
 }
 
+// RanksRequests reports whether routes of one service state different priorities, so that
+// some flows go before others where it runs out of room.
+func (c *Configuration) RanksRequests() bool {
+	ranks := map[string]int{}
+	for i := range c.Routes {
+		if c.Routes[i].Requests.Priority == nil {
+			continue
+		}
+		rank := *c.Routes[i].Requests.Priority
+		for _, s := range c.Routes[i].Shares {
+			if known, found := ranks[s.Service]; found && known != rank {
+				return true
+			}
+			ranks[s.Service] = rank
+		}
+	}
+	return false
+}
+
 // Delta holds the changes up to a revision of the store.
 type Delta struct {
 	// Complete is set if Records holds all records that exist at Revision.
--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -236,7 +236,7 @@
 	if snap == d.observed {
 		return
 	}
-	d.load.enable(snap.Configuration != nil && snap.Configuration.HasSplitRoutes(), d.localInstances)
+	d.load.configure(snap.Configuration, d.localInstances)
 	unchanged := d.observed != nil && snap.Starts == d.observed.Starts
 	d.observed = snap
 	if unchanged {
--- a/internal/flowpath/loadsharing.go
+++ b/internal/flowpath/loadsharing.go
@@ -40,10 +40,15 @@
 }
 
 // loadSharing is what a Decider knows of the load of its data centre's servers: its own
-// samples, and the reports of all instances. It does nothing while no route of the
-// configuration has several services.
+// samples, and the reports of all instances. It does nothing unless the configuration calls
+// for it.
 type loadSharing struct {
-	on      bool
+	on bool
+	// configuration is the one that on and split follow from; split says that it has routes
+	// with several services.
+	configuration *catalogue.Configuration
+	split         bool
+
 	random  *rand.Rand
 	sampler *serverload.Sampler
 	table   *serverload.Table
@@ -80,8 +85,15 @@
 	return &loadSharing{random: random}
 }
 
-// enable switches load sharing on or off. What was known before is discarded.
-func (s *loadSharing) enable(on bool, localInstances int) {
+// configure switches load sharing on or off, as the configuration calls for it: by routes with
+// several services, or routes of one service with different priorities. What was known before
+// is discarded.
+func (s *loadSharing) configure(c *catalogue.Configuration, localInstances int) {
+	if c == s.configuration {
+		return
+	}
+	s.configuration, s.split = c, c != nil && c.HasSplitRoutes()
+	on := s.split || c != nil && c.RanksRequests()
 	if on == s.on {
 		return
 	}
@@ -122,6 +134,12 @@
 	e.Sampled = false
 }
 
+// overdue reports whether the response to the request on a flow has probably passed through
+// another instance.
+func (s *loadSharing) overdue(e *flowtable.Entry, now int64) bool {
+	return s.on && s.sampler.Overdue(e.Cookie, e.RequestSent, now)
+}
+
 // resume discards the samples of a time in which the instance was paused.
 func (s *loadSharing) resume(at int64) {
 	if s.on {
@@ -239,7 +257,7 @@
 	if outstanding && current {
 		d.outstanding[e.Cookie]++
 	}
-	if !outstanding {
+	if !outstanding || e.Sampled && d.load.overdue(e, now) {
 		d.load.abandon(e, now)
 	}
 	open := e.State == flowtable.Open || outstanding
--- a/internal/flowpath/room.go
+++ b/internal/flowpath/room.go
@@ -16,6 +16,15 @@
 	// minEstimateFlows is the number of flows that an instance must have placed at a
 	// service before it estimates the service's room from its own flows: fewer are chance.
 	minEstimateFlows = 4
+	// minOwnRequests is the number of requests in progress at a service from which an
+	// instance takes its own traffic, times the instances, as the load of the data centre if
+	// that is higher: with as many, chance changes it by less than a third. Reports are up
+	// to a second late, and a flood fills all queues in that time.
+	minOwnRequests = 10
+	// unevenSpread is the ratio of the speeds of a service's fast and slow servers from which
+	// it is served better by load than by hash: estimates of servers that are alike differ by
+	// less.
+	unevenSpread = 1.5
 	// roomLogInterval is the shortest time between two log lines on a service's room.
 	roomLogInterval = time.Second
 	// slowSpeed is the speed below which a server counts as slow, and normalSpeed that
@@ -27,6 +36,10 @@
 type serviceLoad struct {
 	room   overload.Room
 	limits overload.Limits
+	// speedSpread is the ratio of the speeds of its fast and slow servers, and byLoad says that
+	// flows are placed by the shared load of its servers.
+	speedSpread float64
+	byLoad      bool
 	// localSlots are the slots of the service's Local servers.
 	localSlots int
 	// estimated says that the room rests on this instance's own flows. Flows counts those that
@@ -124,19 +137,21 @@
 func (d *Decider) refreshService(name string, s *serviceLoad, now int64) {
 	local, all := d.usableSlots(name, now)
 	remote := d.load.remote.Rooms(name, now)
-	s.localSlots, s.estimated = local, false
+	s.localSlots, s.estimated, s.speedSpread = local, false, 1
 	switch {
 	case local == 0:
 		s.room = remoteRoom(remote, all)
 	case d.load.fresh:
-		s.room, s.flows = d.sharedRoom(name, local, now), 0
+		s.room, s.speedSpread = d.sharedRoom(name, local, now)
+		s.flows = 0
 	default:
 		s.estimated = true
 		s.room = overload.Room{Slots: local, Known: s.flows >= minEstimateFlows}
 		s.room.Load = d.estimatedLoad(d.observed, name, now)
 	}
 	s.limits = overload.LimitsFor(d.load.targets[name], s.room.ServiceTime)
-	s.admission.Update(d.admissionRoom(s), s.limits, now+d.load.origin)
+	s.byLoad = d.load.fresh && (d.load.split || s.speedSpread >= unevenSpread || s.room.State(s.limits) >= overload.Busy)
+	s.admission.Update(d.admissionRoom(name, s, now), s.limits, now+d.load.origin)
 	s.spillKnown = d.load.fresh && local > 0 && s.room.Known && len(remote) > 0
 	s.spillShare = 0
 	if s.spillKnown {
@@ -148,15 +163,41 @@
 // instances. Its age is the time since this instance's last report, since all instances
 // report once in that time. The age of the oldest report would hold the adaptation up for
 // seconds whenever an instance is lost.
-func (d *Decider) admissionRoom(s *serviceLoad) overload.Room {
-	r := d.roomNow(s)
+func (d *Decider) admissionRoom(name string, s *serviceLoad, now int64) overload.Room {
+	r := s.room
 	r.Known = r.Known && d.load.fresh
-	if s.localSlots > 0 {
-		r.Age = time.Duration(d.loadCountedAt - d.load.reportedAt)
+	if s.localSlots == 0 {
+		return r
+	}
+	r.Age = time.Duration(d.loadCountedAt - d.load.reportedAt)
+	if own, requests := d.ownRoom(name, now); requests >= minOwnRequests && own > r.Load {
+		r.Load, r.Age = own, 0
 	}
 	return r
 }
 
+// ownRoom returns the load of a service's Local servers by this instance's own requests, if
+// all instances have as many, and their number.
+func (d *Decider) ownRoom(service string, now int64) (load float64, requests int) {
+	slots := 0
+	for _, b := range d.observed.Backends(service) {
+		if d.selector.Tier(d.observed, b, d, now) == selection.Local {
+			requests += d.outstanding[b.Cookie]
+			slots += b.Slots
+		}
+	}
+	return float64(requests*d.reportingInstances()) / float64(max(slots, 1)), requests
+}
+
+// reportingInstances returns the number of instances whose reports count, or of those known in
+// the data centre if too few do. Lost instances are known for a minute.
+func (d *Decider) reportingInstances() int {
+	if d.load.fresh {
+		return d.load.table.Senders()
+	}
+	return d.localInstances
+}
+
 // usableSlots returns the slots of the Local servers of a service, and those of all that
 // are Local or Remote.
 func (d *Decider) usableSlots(service string, now int64) (local, all int) {
@@ -173,8 +214,8 @@
 }
 
 // sharedRoom returns the room of a service by the sums of the data centre's instances. Slots
-// are those of its Local servers.
-func (d *Decider) sharedRoom(service string, slots int, now int64) overload.Room {
+// are those of its Local servers. It also returns the spread of their speeds.
+func (d *Decider) sharedRoom(service string, slots int, now int64) (overload.Room, float64) {
 	sum := d.load.table.Service(service, func(m serverload.Member) bool {
 		b := d.observed.ByCookie(m.Server)
 		return inStart(b, m.Started) && d.selector.Tier(d.observed, b, d, now) == selection.Local
@@ -185,17 +226,17 @@
 	}
 	// With more than one request a slot, a response takes as many times longer.
 	r.ServiceTime = time.Duration(float64(sum.ServiceTime) / max(1, r.Load))
-	return r
+	return r, sum.SpeedSpread
 }
 
 // roomNow returns the room of a service with the flows that were placed since this instance's
-// last report, if each instance has placed as many.
+// last report, if each instance has placed as many. Fewer than minEstimateFlows are chance.
 func (d *Decider) roomNow(s *serviceLoad) overload.Room {
-	if !d.load.fresh || s.localSlots == 0 {
+	if !d.load.fresh || s.localSlots == 0 || s.placed < minEstimateFlows {
 		return s.room
 	}
 	since := time.Duration(d.now - d.load.reportedAt)
-	return s.room.WithPlaced(float64(s.placed*d.localInstances), since)
+	return s.room.WithPlaced(float64(s.placed*d.reportingInstances()), since)
 }
 
 // remoteRoom returns the room of a service whose usable servers are in other data centres,
@@ -280,9 +321,9 @@
 func (d *Decider) shouldSpill(snap *catalogue.Snapshot, service string, hash uint64, now int64) bool {
 	s := d.load.services[service]
 	switch {
-	case s != nil && s.spillKnown:
+	case s != nil && s.byLoad && s.spillKnown:
 		return belowShare(hash, s.spillShare)
-	case s != nil && d.load.fresh && s.localSlots > 0 && s.room.Known:
+	case s != nil && s.byLoad && s.localSlots > 0 && s.room.Known:
 		return belowShare(hash, thresholdShare(s.room.Load))
 	}
 	return belowShare(hash, thresholdShare(d.estimatedLoad(snap, service, now)))
@@ -321,16 +362,17 @@
 	return float64(d.outstanding[b.Cookie]) / float64(b.Slots)
 }
 
-// Load implements selection.View. While the sums of the data centre's instances are fresh,
-// it returns theirs for its servers, and the expected work of the flows that were placed
-// since: all instances decide by the same sums, so each takes the others to place as many at
-// a server as itself. With its own placements alone, the busiest of 40 servers gets 1.30
+// Load implements selection.View. Where flows are placed by shared load, it returns the sums of
+// the data centre's instances, and the expected work of the flows that were placed since: all
+// instances decide by the same sums, so each takes the others to place as many at a server as
+// itself. With its own placements alone, the busiest of 40 servers gets 1.30
 // times the mean number of short requests at 60% load in trials, and 1.14 times so.
 func (d *Decider) Load(b *catalogue.Backend) float64 {
-	if !d.load.fresh || b.DataCentre != d.selector.DataCentre {
+	s := d.load.services[b.Service]
+	if s == nil || !s.byLoad || b.DataCentre != d.selector.DataCentre {
 		return d.ownLoad(b)
 	}
-	placed := float64(d.load.placed[b.Cookie]) * float64(d.localInstances)
+	placed := float64(d.load.placed[b.Cookie] * d.reportingInstances())
 	return d.load.table.Load(b.Cookie, b.Started) + placed*d.load.table.FlowLoad(b.Cookie, b.Started)
 }
 
--- a/internal/overload/admission.go
+++ b/internal/overload/admission.go
@@ -67,8 +67,8 @@
 	part    float64 // admitted part, from floorPart to 1
 	askedAt int64
 	asked   float64 // flows asked for, halved at each turn
-	cutAt   int64  // time of the last cut
-	window  window // callers admitted in the turn in force
+	cutAt   int64   // time of the last cut
+	window  window  // callers admitted in the turn in force
 }
 
 func (p *priority) asks(now int64) bool { return now-p.askedAt <= int64(askPeriod) }
--- a/internal/serverload/load.go
+++ b/internal/serverload/load.go
@@ -45,6 +45,9 @@
 	Slots    int
 	// ServiceTime is the median of the servers' mean response times.
 	ServiceTime time.Duration
+	// SpeedSpread is the ratio of the speeds at the upper and the lower fifth of the servers,
+	// 1 if they are alike.
+	SpeedSpread float64
 	Age         time.Duration
 	// Known is false if no recent report exists.
 	Known bool
@@ -70,7 +73,7 @@
 	if s == nil {
 		return Service{}
 	}
-	out := Service{Age: t.age, Known: t.known > 0, ServiceTime: seconds(s.median)}
+	out := Service{Age: t.age, Known: t.known > 0, ServiceTime: seconds(s.median), SpeedSpread: s.speedSpread}
 	for _, m := range s.members {
 		if usable != nil && !usable(m) {
 			continue
--- a/internal/serverload/sampler.go
+++ b/internal/serverload/sampler.go
@@ -6,6 +6,14 @@
 	"time"
 )
 
+const (
+	// overdueLimits is the time after which a request is Overdue, in limits of response
+	// times, and minOverdue the least: a server five times slower than its service answers
+	// nearly all of its requests by then.
+	overdueLimits = 2
+	minOverdue    = 500 * time.Millisecond
+)
+
 // Sampler measures the traffic of one instance. It is not safe for concurrent use. It
 // keeps at most MaxServers servers; the traffic of others is not measured.
 type Sampler struct {
@@ -79,6 +87,14 @@
 	}
 }
 
+// Overdue reports whether a request that began at a time has been in progress for so long
+// that its response has probably passed through another instance: the fabric moves flows
+// when instances come and go.
+func (s *Sampler) Overdue(server uint32, began, now int64) bool {
+	a := s.servers[server]
+	return a != nil && a.limit > 0 && now-began > int64(max(overdueLimits*a.limit, minOverdue))
+}
+
 // Report returns the samples since the last report, those with the most requests first,
 // and starts the next interval.
 func (s *Sampler) Report(now int64) Report {
--- a/internal/serverload/speed.go
+++ b/internal/serverload/speed.go
@@ -98,3 +98,14 @@
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// spread returns the ratio of the values at the upper and the lower fifth, 1 if there are
+// none. It sorts them.
+func spread(values []float64) float64 {
+	if len(values) == 0 {
+		return 1
+	}
+	slices.Sort(values)
+	fifth := len(values) / 5
+	return values[len(values)-1-fifth] / values[fifth]
+}
--- a/internal/serverload/table.go
+++ b/internal/serverload/table.go
@@ -14,8 +14,6 @@
 	// retention is how long the table remembers the run and sequence of a sender that has
 	// stopped, so that a delayed report of it is not taken for a new one.
 	retention = time.Minute
-	// maxScale limits how far the sums are scaled up for instances that do not report.
-	maxScale = 2
 	// maxOmitted limits how far the samples of a report are scaled up for those that did
 	// not fit into it. An instance that has flows at all of 472 servers, a seventh of the
 	// planned 3,300, can send a sixth of its samples.
@@ -68,7 +66,8 @@
 	members           []Member
 	flows, inProgress float64
 	median            float64 // of the mean response times, s; 0: not known
-	means             []float64
+	speedSpread       float64 // see Service.SpeedSpread
+	means, speeds     []float64
 }
 
 // NewTable returns an empty table.
@@ -170,7 +169,8 @@
 	return nil
 }
 
-// SetInstances sets the number of instances of the data centre.
+// SetInstances sets the number of instances of the data centre. The sums are not scaled by
+// it: lost instances count for a minute, and would make idle servers look full.
 func (t *Table) SetInstances(local int) { t.instances = local }
 
 // SetMembers sets the servers of the data centre, at most MaxServers. What is known of a
@@ -245,13 +245,9 @@
 
 // sum adds up the reports that count.
 func (t *Table) sum() {
-	scale := 1.0
-	if t.known > 0 && t.instances > t.known {
-		scale = min(float64(t.instances)/float64(t.known), maxScale)
-	}
 	for i := range t.senders {
 		from := &t.senders[i]
-		flows, perSecond := scale*from.flows, scale*from.work/from.interval.Seconds()
+		flows, perSecond := from.flows, from.work/from.interval.Seconds()
 		for j := range from.samples {
 			s := &from.samples[j]
 			e := t.observe(s)
@@ -268,7 +264,7 @@
 // estimate computes the sums and medians of the services and the speeds of their servers.
 func (t *Table) estimate() {
 	for _, s := range t.services {
-		s.flows, s.inProgress, s.means = 0, 0, s.means[:0]
+		s.flows, s.inProgress, s.means, s.speeds = 0, 0, s.means[:0], s.speeds[:0]
 		for _, m := range s.members {
 			e := t.servers[m.Server]
 			s.flows += e.flows
@@ -284,7 +280,9 @@
 		for _, m := range s.members {
 			e := t.servers[m.Server]
 			e.speed = e.responses.speed(s.median)
+			s.speeds = append(s.speeds, e.speed)
 		}
+		s.speedSpread = spread(s.speeds)
 	}
 }
 
