Estimate the room of all services once a starting instance has placed four flows

Cause: an instance without sums took a service for unknown until it had placed four flows there, and an unknown service takes no overflow; in a rush the small service of a split shed while the other one was hardly used. Change: the four flows count over all services of the data centre. Result: TestRushOverflowsFromTheFirstFlows fails before.

--- a/internal/flowpath/loadsharing.go
+++ b/internal/flowpath/loadsharing.go
@@ -59,6 +59,8 @@
 	// origin is the Unix time at which the decider's clock was zero, in nanoseconds: turns of
 	// callers are the same at all instances.
 	origin int64
+	// estimateFlows counts the flows placed in the data centre while there were no sums.
+	estimateFlows int
 	// placed counts this instance's placements since its last report, by cookie.
 	placed map[uint32]int
 	// flows holds the flows of this instance at each server, by cookie.
@@ -280,7 +282,9 @@
 	}
 	s.table.Advance(now)
 	s.sampler.LimitResponses(s.table)
-	s.fresh = s.table.Fresh(now)
+	if s.fresh = s.table.Fresh(now); s.fresh {
+		s.estimateFlows = 0
+	}
 	d.refreshServices(now)
 	d.checkSpeeds()
 }
--- a/internal/flowpath/room.go
+++ b/internal/flowpath/room.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// minEstimateFlows is the number of flows that an instance must have placed at a
-	// service before it estimates the service's room from its own flows: fewer are chance.
+	// minEstimateFlows is the number of flows that an instance must have placed before it
+	// estimates the room of services from its own flows: fewer are chance.
 	minEstimateFlows = 4
 	// minOwnRequests is the number of requests in progress at a service from which an
 	// instance takes its own traffic, times the instances, as the load of the data centre if
@@ -42,13 +42,12 @@
 	byLoad      bool
 	// localSlots are the slots of the service's Local servers.
 	localSlots int
-	// estimated says that the room rests on this instance's own flows. Flows counts those that
-	// it has placed while it had no sums, and placed those that it has placed in the data
-	// centre since its last report.
-	estimated     bool
-	flows, placed int
-	admission     overload.Admission
-	spill         overload.Spill
+	// estimated says that the room rests on this instance's own flows, and placed counts the
+	// flows that it has placed in the data centre since its last report.
+	estimated bool
+	placed    int
+	admission overload.Admission
+	spill     overload.Spill
 	// spillKnown says that spillShare is the part of the flows that goes to other data
 	// centres.
 	spillKnown bool
@@ -143,10 +142,9 @@
 		s.room = remoteRoom(remote, all)
 	case d.load.fresh:
 		s.room, s.speedSpread = d.sharedRoom(name, local, now)
-		s.flows = 0
 	default:
 		s.estimated = true
-		s.room = overload.Room{Slots: local, Known: s.flows >= minEstimateFlows}
+		s.room = overload.Room{Slots: local, Known: d.load.estimateFlows >= minEstimateFlows}
 		s.room.Load = d.estimatedLoad(d.observed, name, now)
 	}
 	s.limits = overload.LimitsFor(d.load.targets[name], s.room.ServiceTime)
@@ -232,6 +230,11 @@
 // roomNow returns the room of a service with the flows that were placed since this instance's
 // last report, if each instance has placed as many. Fewer than minEstimateFlows are chance.
 func (d *Decider) roomNow(s *serviceLoad) overload.Room {
+	if s.estimated {
+		r := s.room
+		r.Known = d.load.estimateFlows >= minEstimateFlows
+		return r
+	}
 	if !d.load.fresh || s.localSlots == 0 || s.placed < minEstimateFlows {
 		return s.room
 	}
@@ -387,14 +390,13 @@
 	if s == nil {
 		return
 	}
-	s.flows++
 	if b.DataCentre != d.selector.DataCentre {
 		return
 	}
 	s.placed++
 	if s.estimated && s.localSlots > 0 {
 		s.room.Load += float64(d.localInstances) / float64(s.localSlots)
-		s.room.Known = s.flows >= minEstimateFlows
+		d.load.estimateFlows++
 	}
 }
 
--- a/internal/flowpath/rush_test.go
+++ b/internal/flowpath/rush_test.go
@@ -34,6 +34,29 @@
 	}
 }
 
+// TestRushOverflowsFromTheFirstFlows covers callers that all come back to an instance that has
+// just started, while the weights give most flows to the smaller service. It guards against a
+// small service that sheds while the other one, of which the instance has used little, is
+// taken for unknown.
+func TestRushOverflowsFromTheFirstFlows(t *testing.T) {
+	is := is.New(t)
+	h := newSplitHarness(4)
+	h.SetInstances(134, 45)
+	c := splitConfiguration(100, 25, 75)
+	h.apply(catalogue.Record{ID: catalogue.ID{Kind: catalogue.KindConfiguration}, Configuration: c})
+	h.RefreshLoad(h.mirror.Snapshot(), h.now)
+	placed := map[string]int{}
+	for port := range uint16(24) {
+		h.now += 5 * ms
+		h.known = h.now
+		v := h.openAt(1+port, splitPort, 0)
+		is.Equal(v.Action, Forward)
+		placed[v.Service]++
+	}
+	is.True(placed["b"] <= 10)
+	is.True(placed["a"] > 0)
+}
+
 // TestFloodLeavesUrgentFlowsAlone covers a flood at six times the usual rate beside an
 // unchanged urgent kind of request: urgent flows are all admitted, and the flood is refused
 // instead of shed by servers.
