End refusals when slots are free, and refuse nothing by the first sums

Change: an overdue request is taken out of the interval, also before the usual response time is known; sums justify refusals once they have counted for 2 s; the admitted part doubles while less than half of a request a slot is in progress.

--- a/internal/flowpath/loadsharing.go
+++ b/internal/flowpath/loadsharing.go
@@ -16,6 +16,9 @@
 	// reports: an instance sends and receives at most 50 reports a second.
 	minReportInterval         = 500 * time.Millisecond
 	reportIntervalPerInstance = 20 * time.Millisecond
+	// settlingTime is how long sums must have counted before flows are refused by them: two
+	// intervals between reports of a data centre of 50 instances.
+	settlingTime = 2 * time.Second
 	// recentFlow is the time since its last packet up to which a flow counts as held by
 	// its server: several times the usual pause between two requests, about 1 s.
 	recentFlow = 4 * time.Second
@@ -53,6 +56,8 @@
 	sampler *serverload.Sampler
 	table   *serverload.Table
 	remote  *overload.RemoteSums
+	// freshSince is the time from which the sums have counted without interruption.
+	freshSince int64
 	// fresh says that the table's sums counted when they were last computed.
 	fresh      bool
 	reportedAt int64
@@ -136,6 +141,12 @@
 	e.Sampled = false
 }
 
+// discard records that the request on a flow does not count.
+func (s *loadSharing) discard(e *flowtable.Entry, now int64) {
+	s.sampler.Discard(e.Cookie, e.Started, e.RequestSent, now)
+	e.Sampled = false
+}
+
 // overdue reports whether the response to the request on a flow has probably passed through
 // another instance.
 func (s *loadSharing) overdue(e *flowtable.Entry, now int64) bool {
@@ -259,7 +270,10 @@
 	if outstanding && current {
 		d.outstanding[e.Cookie]++
 	}
-	if !outstanding || e.Sampled && d.load.overdue(e, now) {
+	if e.Sampled && d.load.overdue(e, now) {
+		d.load.discard(e, now)
+	}
+	if !outstanding {
 		d.load.abandon(e, now)
 	}
 	open := e.State == flowtable.Open || outstanding
@@ -282,13 +296,28 @@
 	}
 	s.table.Advance(now)
 	s.sampler.LimitResponses(s.table)
-	if s.fresh = s.table.Fresh(now); s.fresh {
-		s.estimateFlows = 0
-	}
+	s.refreshFresh(now)
 	d.refreshServices(now)
 	d.checkSpeeds()
 }
 
+// refreshFresh notes whether the sums count.
+func (s *loadSharing) refreshFresh(now int64) {
+	fresh := s.table.Fresh(now)
+	if fresh && !s.fresh {
+		s.freshSince = now
+	}
+	if s.fresh = fresh; fresh {
+		s.estimateFlows = 0
+	}
+}
+
+// justifiesRefusals reports whether the sums are settled. The first ones after a start include
+// the rush of callers that come back, which is over when they arrive.
+func (s *loadSharing) justifiesRefusals(now int64) bool {
+	return s.fresh && now-s.freshSince >= int64(settlingTime)
+}
+
 // refreshMembers takes over the servers of the data centre and the targets of services from
 // the observed snapshot.
 func (d *Decider) refreshMembers() {
--- a/internal/flowpath/loadsharing_test.go
+++ b/internal/flowpath/loadsharing_test.go
@@ -189,6 +189,23 @@
 	}
 }
 
+// TestFirstSumsRefuseNothing covers callers that all come back after a loss: the first sums
+// show services that were full for a moment. Nothing is refused before sums have counted for
+// settlingTime.
+func TestFirstSumsRefuseNothing(t *testing.T) {
+	is := is.New(t)
+	h := newSplitHarness(4)
+	for port := range uint16(4) {
+		h.openAt(1000+port, splitPort, 0)
+		h.share(20, 500*time.Millisecond)
+		for n := range uint16(20) {
+			is.Equal(h.openAt(2000+20*port+n, otherPort, 0).Action, Forward)
+		}
+	}
+	h.share(20, time.Second)
+	is.True(h.load.services["b"].admission.Level() < 1)
+}
+
 // TestRefusalComesBeforeAnyServer covers a full service without an alternative: a refused
 // flow leaves nothing behind here, and copies of opening packets that were placed before are
 // not refused.
--- a/internal/flowpath/room.go
+++ b/internal/flowpath/room.go
@@ -163,7 +163,7 @@
 // seconds whenever an instance is lost.
 func (d *Decider) admissionRoom(name string, s *serviceLoad, now int64) overload.Room {
 	r := s.room
-	r.Known = r.Known && d.load.fresh
+	r.Known = r.Known && d.load.justifiesRefusals(now)
 	if s.localSlots == 0 {
 		return r
 	}
--- a/internal/overload/admission.go
+++ b/internal/overload/admission.go
@@ -15,6 +15,9 @@
 	laterCutFactor = 0.7
 	// riseStep is added to an admitted part if the load is below Busy.
 	riseStep = 0.1
+	// freePart is the part of Busy below which an admitted part doubles, without waiting for
+	// the effect of the last rise: slots are free, so a refusal would be needless.
+	freePart = 0.25
 	// keptPart is the part of the room up to Full that is kept for the higher priorities that
 	// ask.
 	keptPart = 0.25
@@ -92,7 +95,8 @@
 		return
 	}
 	limit := a.limit(l, now)
-	if r.Load < l.Busy && sumAt < a.effectiveAt && now-a.cutAt <= int64(settlePeriod) {
+	free := r.Load < l.Busy*freePart
+	if r.Load < l.Busy && !free && sumAt < a.effectiveAt && now-a.cutAt <= int64(settlePeriod) {
 		return
 	}
 	a.adapted, a.adaptedAt, a.sumAt = true, now, sumAt
@@ -100,7 +104,7 @@
 	case r.Load > limit:
 		a.cutLowest(r.Load, limit, sumAt, now)
 	case r.Load < l.Busy:
-		a.riseHighest(now)
+		a.riseHighest(free, now)
 	}
 }
 
@@ -132,7 +136,7 @@
 
 func (a *Admission) riseAll(now int64) {
 	for i := range a.priorities[:a.count] {
-		a.priorities[i].rise()
+		a.priorities[i].rise(false)
 	}
 	a.restoreOrder(now)
 }
@@ -167,21 +171,25 @@
 // riseHighest lets the highest limited priority that asks rise, the reverse of the order in
 // which they were cut. One that has not asked for a turn rises too, but does not keep lower
 // ones from it. The rise is in force from the next turn on.
-func (a *Admission) riseHighest(now int64) {
+func (a *Admission) riseHighest(free bool, now int64) {
 	a.effectiveAt = (now/int64(turnDuration) + 1) * int64(turnDuration)
 	risen := false
 	for i := range a.priorities[:a.count] {
 		p := &a.priorities[i]
 		if !risen && p.part < 1 {
-			p.rise()
+			p.rise(free)
 			risen = now-p.askedAt <= int64(turnDuration)
 		}
 	}
 	a.restoreOrder(now)
 }
 
-func (p *priority) rise() {
-	p.part += riseStep
+func (p *priority) rise(free bool) {
+	if free {
+		p.part = max(2*p.part, p.part+riseStep)
+	} else {
+		p.part += riseStep
+	}
 	if p.part > 1-riseStep/2 { // rounding errors must not cost a further step
 		p.part = 1
 	}
--- a/internal/serverload/sampler.go
+++ b/internal/serverload/sampler.go
@@ -9,9 +9,10 @@
 const (
 	// overdueLimits is the time after which a request is Overdue, in limits of response
 	// times, and minOverdue the least: a server five times slower than its service answers
-	// nearly all of its requests by then.
-	overdueLimits = 2
-	minOverdue    = 500 * time.Millisecond
+	// nearly all of its requests by then. Where the limit is not known, it is defaultOverdue.
+	overdueLimits  = 2
+	minOverdue     = 500 * time.Millisecond
+	defaultOverdue = time.Second
 )
 
 // Sampler measures the traffic of one instance. It is not safe for concurrent use. It
@@ -92,7 +93,21 @@
 // when instances come and go.
 func (s *Sampler) Overdue(server uint32, began, now int64) bool {
 	a := s.servers[server]
-	return a != nil && a.limit > 0 && now-began > int64(max(overdueLimits*a.limit, minOverdue))
+	if a == nil {
+		return false
+	}
+	if a.limit == 0 {
+		return now-began > int64(defaultOverdue)
+	}
+	return now-began > int64(max(overdueLimits*a.limit, minOverdue))
+}
+
+// Discard records that an overdue request that began at a time does not count. What has been
+// reported of it stays.
+func (s *Sampler) Discard(server uint32, started, began, now int64) {
+	if a := s.finish(server, started, now); a != nil {
+		a.Busy = max(a.Busy-time.Duration(now-max(began, s.since)), 0)
+	}
 }
 
 // Report returns the samples since the last report, those with the most requests first,
--- a/internal/serverload/sampler_test.go
+++ b/internal/serverload/sampler_test.go
@@ -29,6 +29,29 @@
 	is.Equal(len(s.Report(2000*ms).Samples), 0)
 }
 
+// Failure: the fabric moves flows when instances come and go, and the responses of their
+// requests pass elsewhere. Guards against requests that count as work in progress for seconds
+// and make an idle server look full.
+func TestMovedRequestsDoNotCount(t *testing.T) {
+	is := is.New(t)
+	s := NewSampler(1)
+	for range 20 {
+		s.Begin(1, 7, 0)
+	}
+	is.True(!s.Overdue(1, 0, 1000*ms))
+	is.True(s.Overdue(1, 0, 1001*ms)) // the usual response time is not known
+	s.servers[1].limit = 200 * time.Millisecond
+	is.True(!s.Overdue(1, 0, 500*ms))
+	is.True(s.Overdue(1, 0, 501*ms))
+	for range 20 {
+		s.Discard(1, 7, 0, 600*ms)
+	}
+	s.Discard(1, 7, 0, 600*ms) // none is left
+	r := s.Report(800 * ms)
+	is.Equal(r.Samples[0].Busy, time.Duration(0))
+	is.Equal(r.Samples[0].Completed, 0)
+}
+
 // Failure: a server started again under its id. Responses of requests to the last start
 // do not count for the next.
 func TestSamplerSeparatesStartsOfAServer(t *testing.T) {
