Never refuse an opening packet that was held

Cause: an opening packet that was held for a read of the catalogue was asked for admission when it came back. Its caller repeats it after 200 ms, and the copy may go to another instance, which places the flow. The reset that refused the first packet then ended a flow that a server might have accepted.

Change: only packets that were neither held nor waited through a pause are refused. They still count as asked for.

--- a/internal/flowpath/admission.go
+++ b/internal/flowpath/admission.go
@@ -44,7 +44,8 @@
 
 // refuses reports whether a service has no room for a new flow of the route's priority.
 // Only sums of the data centre's instances justify a refusal. A copy of an opening packet
-// must not be asked for: another instance may have placed the flow.
+// must not be asked for, and a packet that was held or waited through a pause is not refused:
+// another instance may have placed the flow.
 func (d *Decider) refuses(service string, route *catalogue.Route, p *Packet, now int64) bool {
 	s := d.load.services[service]
 	if s == nil || !d.load.on {
@@ -53,5 +54,5 @@
 	source := p.Flow.Source.As4()
 	caller := table.Mix(uint64(binary.BigEndian.Uint32(source[:])))
 	admitted := s.admission.Admit(route.Requests.Rank(), caller, now+d.load.origin)
-	return !admitted && d.load.fresh
+	return !admitted && d.load.fresh && d.isCurrent()
 }
--- a/internal/flowpath/loadsharing_test.go
+++ b/internal/flowpath/loadsharing_test.go
@@ -107,6 +107,44 @@
 	is.True(!h.SharesLoad())
 }
 
+// TestNoRefusalOfPacketsThatWaited guards against untrue refusals: of an opening packet that
+// was held or waited through a pause, a copy may have been placed by another instance.
+func TestNoRefusalOfPacketsThatWaited(t *testing.T) {
+	for name, wait := range map[string]func(h *harness, p *Packet){
+		"held": func(h *harness, p *Packet) {
+			p.Arrived = h.now
+			h.now += 300 * ms
+			h.known = h.now
+		},
+		"waited": func(h *harness, _ *Packet) {
+			h.now += 600 * ms
+			h.known, h.resumedAt, h.backlogged = h.now, h.now, true
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newSplitHarness(4)
+			h.fill()
+			refused, waited := 0, 0
+			for port := range uint16(40) {
+				if h.openAt(2000+port, otherPort, 0).Reason == Overloaded {
+					refused++
+				}
+				p := Packet{Flow: flow(3000 + port), Kind: Opening}
+				p.Flow.DestinationPort = otherPort
+				wait(h, &p)
+				if h.decide(p).Reason == Overloaded {
+					waited++
+				}
+				h.backlogged = false
+				h.share(20, time.Second)
+			}
+			is := is.New(t)
+			is.True(refused > 10) // the service refuses packets that did not wait
+			is.Equal(waited, 0)
+		})
+	}
+}
+
 // TestSamplesOfRequests guards against response times that do not show the server's speed:
 // those of packets that waited here, of requests that got no response, and of earlier starts.
 func TestSamplesOfRequests(t *testing.T) {
