Name the service that an overflow comes from

Cause: overflow_from was computed by a second selection without loads. If the service that the weights give has no servers, that selection overflows too, so the decision named the service that takes the flow as the one that it comes from.

Change: SelectService returns the service that the weights give with the one that takes the overflow, in place of a flag.

--- a/internal/flowpath/admission.go
+++ b/internal/flowpath/admission.go
@@ -16,10 +16,7 @@
 		return Verdict{Service: overload.SelectService(route.Shares, hash, d.unknownRoom).Service}
 	}
 	selected := overload.SelectService(route.Shares, hash, d.roomOf)
-	v := Verdict{Service: selected.Service, Load: LoadInputs{Rank: route.Requests.Rank()}}
-	if selected.Overflow {
-		v.Load.OverflowFrom = overload.SelectService(route.Shares, hash, d.unknownRoom).Service
-	}
+	v := Verdict{Service: selected.Service, Load: LoadInputs{Rank: route.Requests.Rank(), OverflowFrom: selected.OverflowFrom}}
 	if s := d.load.services[v.Service]; s != nil && d.load.fresh {
 		v.Load.Known, v.Load.Age = true, s.room.Age
 		v.Load.AdmittedPart = s.admission.Level()
--- a/internal/flowpath/loadsharing_test.go
+++ b/internal/flowpath/loadsharing_test.go
@@ -145,6 +145,21 @@
 	}
 }
 
+// TestOverflowFromServiceWithoutServers guards against a decision that names the service which
+// takes an overflow as the one that it comes from.
+func TestOverflowFromServiceWithoutServers(t *testing.T) {
+	h := newSplitHarness(4)
+	route := &catalogue.Route{Shares: []catalogue.Share{{Service: "none", Weight: 1}, {Service: "a", Weight: 1}}}
+	for port := range uint16(20) {
+		hash := flow(port).Hash()
+		v := h.selectService(route, hash)
+		is := is.New(t)
+		is.Equal(v.Service, "a")
+		is.Equal(v.Load.OverflowFrom == "none", hash%2 == 0)
+		is.True(v.Load.OverflowFrom != "a")
+	}
+}
+
 // TestSamplesOfRequests guards against response times that do not show the server's speed:
 // those of packets that waited here, of requests that got no response, and of earlier starts.
 func TestSamplesOfRequests(t *testing.T) {
--- a/internal/overload/split.go
+++ b/internal/overload/split.go
@@ -11,12 +11,9 @@
 // a random part of those of the full service.
 const overflowKey = 0x6f766572666c6f77
 
-// Selection is the service that takes a flow. Overflow says that it is another one than
-// the weights give.
-type Selection struct {
-	Service  string
-	Overflow bool
-}
+// Selection is the service that takes a flow. If that is another one than the weights give,
+// OverflowFrom is the service that they give, otherwise "".
+type Selection struct{ Service, OverflowFrom string }
 
 // SelectService returns the service of a route that takes a flow with the given hash. The
 // weights decide unless the service that they give is Full or has no usable server. Then
@@ -65,7 +62,7 @@
 	if other == "" || !takesOverflow(other, draw, room) {
 		return Selection{Service: weighted}
 	}
-	return Selection{Service: other, Overflow: true}
+	return Selection{Service: other, OverflowFrom: weighted}
 }
 
 // pickInState returns one of the services in the given state that have a usable server,
--- a/internal/overload/split_test.go
+++ b/internal/overload/split_test.go
@@ -73,13 +73,17 @@
 			return
 		}
 		weighted := byWeight(shares, hash)
-		is.Equal(got.Overflow, got.Service != weighted)
+		from := ""
+		if got.Service != weighted {
+			from = weighted
+		}
+		is.Equal(got.OverflowFrom, from)
 		is.True(slices.ContainsFunc(shares, func(s catalogue.Share) bool { return s.Service == got.Service && s.Weight > 0 }))
 		r, l := rooms(weighted)
 		if r.Slots > 0 && r.State(l) != Full {
 			is.Equal(got, Selection{Service: weighted})
 		}
-		if o, l := rooms(got.Service); got.Overflow {
+		if o, l := rooms(got.Service); got.OverflowFrom != "" {
 			is.True(o.Slots > 0 && o.State(l) != Full && o.State(l) != Busy)
 		}
 	})
@@ -144,7 +148,7 @@
 		if at := hash % 100; at < 90 {
 			for kind, group := range [2]uint64{at / 30, table.Mix(hash) >> 32 * 3 >> 32} {
 				count[kind][group]++
-				if SelectService(shares, hash, rooms).Overflow {
+				if SelectService(shares, hash, rooms).OverflowFrom != "" {
 					moved[kind][group]++
 				}
 			}
