Do not use sums from before a pause

Cause: after a pause of the process of up to some seconds, the reports received before it still counted as fresh. With this instance's first report after the pause they counted as a new sum, so they could cut an admitted part and refuse flows.

Change: reports received before the end of the last pause no longer count. Until others have reported again, the instance decides as it does without sums, and refuses nothing.

--- a/internal/flowpath/loadsharing.go
+++ b/internal/flowpath/loadsharing.go
@@ -140,10 +140,13 @@
 	return s.on && s.sampler.Overdue(e.Cookie, e.RequestSent, now)
 }
 
-// resume discards the samples of a time in which the instance was paused.
+// resume discards the samples of a time in which the instance was paused, and the reports from
+// before: servers have had other work since.
 func (s *loadSharing) resume(at int64) {
 	if s.on {
 		s.sampler.Report(at)
+		s.table.Resume(at)
+		s.fresh = false
 	}
 }
 
--- a/internal/flowpath/loadsharing_test.go
+++ b/internal/flowpath/loadsharing_test.go
@@ -160,6 +160,21 @@
 	}
 }
 
+// TestSumsFromBeforePause guards against decisions by sums from before a pause: they are not
+// fresh until other instances have reported again.
+func TestSumsFromBeforePause(t *testing.T) {
+	is := is.New(t)
+	h := newSplitHarness(4)
+	h.share(20, 2*time.Second)
+	is.True(h.load.fresh)
+	h.now += 700 * ms
+	h.RecordResume(h.now)
+	h.RefreshLoad(h.mirror.Snapshot(), h.now)
+	is.True(!h.load.fresh)
+	h.share(20, time.Second)
+	is.True(h.load.fresh)
+}
+
 // TestSamplesOfRequests guards against response times that do not show the server's speed:
 // those of packets that waited here, of requests that got no response, and of earlier starts.
 func TestSamplesOfRequests(t *testing.T) {
--- a/internal/serverload/table.go
+++ b/internal/serverload/table.go
@@ -27,6 +27,7 @@
 	servers   map[uint32]*entry
 	services  map[string]*service
 	instances int
+	resumedAt int64 // reports from before do not count
 
 	// As of the last call of Advance:
 	now   int64
@@ -51,6 +52,12 @@
 	return s.received + int64(min(max(lifetimeIntervals*s.interval, minLifetime), maxLifetime))
 }
 
+// isRecent reports whether the report counts: it was received after the last pause of the
+// process and has not expired.
+func (t *Table) isRecent(s *sender, now int64) bool {
+	return s.received >= t.resumedAt && now < s.expires()
+}
+
 // entry is what is known of one start of a server.
 type entry struct {
 	started                 int64
@@ -173,6 +180,10 @@
 // it: lost instances count for a minute, and would make idle servers look full.
 func (t *Table) SetInstances(local int) { t.instances = local }
 
+// Resume records the end of a pause of the process: reports that were received before it no
+// longer count.
+func (t *Table) Resume(at int64) { t.resumedAt = at }
+
 // SetMembers sets the servers of the data centre, at most MaxServers. What is known of a
 // server stays unless it has started again.
 func (t *Table) SetMembers(members []Member) {
@@ -233,7 +244,7 @@
 	t.known, t.age = 0, 0
 	for i := range t.senders {
 		s := &t.senders[i]
-		s.counts = now < s.expires()
+		s.counts = t.isRecent(s, now)
 		if !s.counts {
 			s.samples = nil
 			continue
@@ -292,7 +303,7 @@
 func (t *Table) Fresh(now int64) bool {
 	n := 0
 	for i := range t.senders {
-		if t.senders[i].counts && now < t.senders[i].expires() {
+		if s := &t.senders[i]; s.counts && t.isRecent(s, now) {
 			n++
 		}
 	}
