Keep the limit of response times from overflowing

Cause: the limit of a mean response time was multiplied by the number of responses. With the largest values that a report may carry the product overflowed, and the mean of the server became negative: a mean limit of 4 h and a million responses gave -20,234 s.

Change: the mean of the sample is compared with the limit, so the product is computed only if it is at most the sum.

--- a/internal/serverload/speed.go
+++ b/internal/serverload/speed.go
@@ -53,8 +53,8 @@
 
 // add adds responses and the sum of their times. Each counts up to the limit, 0 for none.
 func (r *responses) add(completed int, sum, limit time.Duration) {
-	if limit > 0 {
-		sum = min(sum, limit*time.Duration(completed))
+	if count := time.Duration(completed); limit > 0 && sum/count >= limit {
+		sum = limit * count // at most the sum, so that it cannot overflow
 	}
 	r.all.add(float64(completed), sum.Seconds())
 	keep := math.Pow(recentShare, float64(completed))
