Bound the data centres of which sums are kept

Cause: a sum of a known service stayed for each name of a data centre that a message brought, for as long as the service existed. 10,000 names left 10,000 sums.

Change: a sum of a new data centre removes those of the service that are too old to count.

--- a/internal/overload/spill.go
+++ b/internal/overload/spill.go
@@ -58,6 +58,8 @@
 	at         int64
 }
 
+func (s *remoteSum) expired(now int64) bool { return now-s.at > int64(maxRoomAge) }
+
 // Record records the room of a service in another data centre, as of an age ago; now is in
 // nanoseconds. It ignores what is older than 5 s or than what is recorded, and a load or
 // number of slots below 0. A negative age counts as 0.
@@ -79,7 +81,8 @@
 	})
 	switch {
 	case !found:
-		r.services[service] = slices.Insert(sums, at, sum)
+		sums = slices.Insert(sums, at, sum)
+		r.services[service] = slices.DeleteFunc(sums, func(s remoteSum) bool { return s.expired(now) })
 	case sums[at].at <= sum.at:
 		sums[at] = sum
 	}
@@ -89,7 +92,7 @@
 // no longer exist take no memory.
 func (r *RemoteSums) removeExpired(now int64) {
 	for service, sums := range r.services {
-		if !slices.ContainsFunc(sums, func(s remoteSum) bool { return now-s.at <= int64(maxRoomAge) }) {
+		if !slices.ContainsFunc(sums, func(s remoteSum) bool { return !s.expired(now) }) {
 			delete(r.services, service)
 		}
 	}
@@ -101,12 +104,11 @@
 func (r *RemoteSums) Rooms(service string, now int64) []Room {
 	var rooms []Room
 	for _, s := range r.services[service] {
-		age := time.Duration(now - s.at)
-		if age > maxRoomAge {
+		if s.expired(now) {
 			continue
 		}
 		room := s.room
-		room.Known, room.Age = true, max(age, 0)
+		room.Known, room.Age = true, max(time.Duration(now-s.at), 0)
 		rooms = append(rooms, room)
 	}
 	return rooms
--- a/internal/overload/spill_test.go
+++ b/internal/overload/spill_test.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -81,3 +82,14 @@
 	r.Record("x", "c", known(1), 0, now+6*sec)
 	is.Equal(len(r.services), 1) // services that are gone take no memory
 }
+
+// TestSumsOfUnknownDataCentres guards against memory that grows with each name of a data centre
+// that a message brings.
+func TestSumsOfUnknownDataCentres(t *testing.T) {
+	is := is.New(t)
+	var r RemoteSums
+	for i := range 10_000 {
+		r.Record(fmt.Sprint(i), "a", known(1), 0, int64(i)*int64(100*time.Millisecond))
+	}
+	is.True(len(r.services["a"]) <= 52) // those of the last 5 s
+}
