Survive weights whose sum overflows

Cause: the weights of a route were added without a limit. Four weights of 2^62 add up to 0, so one entry of the configuration stopped every instance with a division by zero at the next opening packet.

Change: a weight counts up to 2^31-1, and the draw for an overflow has 128 bits. TestHugeWeights panicked before. Other weights give the same choice as before.

--- a/internal/overload/split.go
+++ b/internal/overload/split.go
@@ -1,6 +1,9 @@
 package overload
 
 import (
+	"math"
+	"math/bits"
+
 	"balsamfork/internal/catalogue"
 	"balsamfork/internal/table"
 )
@@ -11,6 +14,12 @@
 // a random part of those of the full service.
 const overflowKey = 0x6f766572666c6f77
 
+// maxWeight is the largest weight that counts, so that the sum of a route's weights does not
+// overflow.
+const maxWeight = math.MaxInt32
+
+func weightOf(s catalogue.Share) int { return min(max(s.Weight, 0), maxWeight) }
+
 // Selection is the service that takes a flow. If that is another one than the weights give,
 // OverflowFrom is the service that they give, otherwise "".
 type Selection struct{ Service, OverflowFrom string }
@@ -28,8 +37,8 @@
 func SelectService(shares []catalogue.Share, hash uint64, room func(service string) (Room, Limits)) Selection {
 	total, services := 0, 0
 	for _, s := range shares {
-		if s.Weight > 0 {
-			total += s.Weight
+		if weight := weightOf(s); weight > 0 {
+			total += weight
 			services++
 		}
 	}
@@ -39,10 +48,7 @@
 	at := int(hash % uint64(total))
 	weighted := ""
 	for _, s := range shares {
-		if s.Weight <= 0 {
-			continue
-		}
-		if at -= s.Weight; at < 0 {
+		if at -= weightOf(s); at < 0 {
 			weighted = s.Service
 			break
 		}
@@ -72,18 +78,19 @@
 	total := 0
 	for _, s := range shares {
 		if isCandidate(s, except, state, room) {
-			total += s.Weight
+			total += weightOf(s)
 		}
 	}
 	if total == 0 {
 		return ""
 	}
-	at := int(uint64(uint32(draw)) * uint64(total) >> 32)
+	product, _ := bits.Mul64(draw<<32, uint64(total))
+	at := int(product)
 	for _, s := range shares {
 		if !isCandidate(s, except, state, room) {
 			continue
 		}
-		if at -= s.Weight; at < 0 {
+		if at -= weightOf(s); at < 0 {
 			return s.Service
 		}
 	}
--- a/internal/overload/split_test.go
+++ b/internal/overload/split_test.go
@@ -244,3 +244,18 @@
 	shed, _ = splitLoop(split(50, 50), 1200, true)
 	is.True(shed <= before+0.01)
 }
+
+// TestHugeWeights guards against a division by zero, and against services that get no flow,
+// where the sum of the weights overflows.
+func TestHugeWeights(t *testing.T) {
+	is := is.New(t)
+	huge := split(1<<62, 1<<62, 1<<62, 1<<62)
+	counts := map[string]int{}
+	for i := range uint64(4000) {
+		counts[SelectService(huge, table.Mix(i), roomsOf(unknownRoom, unknownRoom, unknownRoom, unknownRoom)).Service]++
+		counts[SelectService(huge, table.Mix(i), roomsOf(known(9), known(0), known(0), known(0))).Service]++
+	}
+	for _, s := range huge {
+		is.True(counts[s.Service] > 800)
+	}
+}
