Count the flows of a returning priority anew

Cause: the flows that a priority had asked for are halved once a turn, but only at turns with a flow. After a silence of the service the number from long ago still counted: 5,001 in place of 1 after a minute. It kept the next higher priority from being limited for some seconds.

--- a/internal/overload/admission.go
+++ b/internal/overload/admission.go
@@ -288,7 +288,7 @@
 			entering.part = floorPart
 		}
 	}
-	entering.askedAt = now
+	entering.asked, entering.askedAt = 0, now
 	a.restoreOrder(now)
 	entering.startTurn()
 }
--- a/internal/overload/admission_test.go
+++ b/internal/overload/admission_test.go
@@ -159,3 +159,17 @@
 	a.Update(known(9), LimitsFor(0, 0), 6*sec)
 	is.Equal(a.Level(), firstCut)
 }
+
+// TestReturnOfALowerPriority guards against the flows of a lower priority from long ago, which
+// kept the higher one from being limited when both began to ask again.
+func TestReturnOfALowerPriority(t *testing.T) {
+	is := is.New(t)
+	var a Admission
+	for range 10_000 {
+		a.Admit(2, 1, 0)
+	}
+	now := 60 * sec
+	a.Admit(1, 1, now)
+	a.Admit(2, 1, now)
+	is.Equal(a.find(2, now).asked, 1.0)
+}
