Move a flow whose service has lost its servers

Cause: the copy of an opening packet keeps the service of the first one. If that service had lost its servers in between, for example by an evacuation, the flow was reset although another service of the route had room.

Change: the copy keeps the service only while it has a usable server.

--- a/internal/flowpath/admission.go
+++ b/internal/flowpath/admission.go
@@ -27,11 +27,11 @@
 
 // keepService returns a verdict with the service of a flow whose opening packet was placed
 // before: that of its server, whose selection may rest on loads that have changed since. If
-// the route no longer names that service, the flow gets a new one.
+// the route no longer names that service, or it has no usable server, the flow gets a new one.
 func (d *Decider) keepService(route *catalogue.Route, e *flowtable.Entry, hash uint64, snap *catalogue.Snapshot) Verdict {
 	if b := snap.ByCookie(e.Cookie); b != nil && d.load.on {
 		for _, share := range route.Shares {
-			if share.Service == b.Service && share.Weight > 0 {
+			if share.Service == b.Service && share.Weight > 0 && d.hasServers(b.Service) {
 				return Verdict{Service: b.Service, Load: LoadInputs{Rank: route.Requests.Rank()}}
 			}
 		}
@@ -39,6 +39,12 @@
 	return d.selectService(route, hash)
 }
 
+// hasServers reports whether a service has usable servers.
+func (d *Decider) hasServers(service string) bool {
+	r, _ := d.roomOf(service)
+	return r.Slots > 0
+}
+
 // refuses reports whether a service has no room for a new flow of the route's priority.
 // Only sums of the data centre's instances justify a refusal. A copy of an opening packet
 // must not be asked for, and a packet that was held or waited through a pause is not refused:
--- a/internal/flowpath/loadsharing_test.go
+++ b/internal/flowpath/loadsharing_test.go
@@ -333,6 +333,25 @@
 	}
 }
 
+// TestCopyLeavesServiceWithoutServers guards against the reset of a flow whose service has lost
+// its servers since the opening packet, while another service of the route has some.
+func TestCopyLeavesServiceWithoutServers(t *testing.T) {
+	is := is.New(t)
+	h := newSplitHarness(40)
+	h.share(0.1, time.Second)
+	h.load.services["a"].room.Load = 20
+	for port := range uint16(20) {
+		h.open(port, 0)
+	}
+	h.evacuate("a")
+	h.now += 200 * ms
+	for port := range uint16(20) {
+		v := h.open(port, 1)
+		is.Equal(v.Action, Forward)
+		is.Equal(v.Backend.DataCentre, "b")
+	}
+}
+
 // TestEvacuationCountsAtOnce guards against flows that go to a service without a server by the
 // rooms from before an evacuation, while another service of the route has servers elsewhere.
 func TestEvacuationCountsAtOnce(t *testing.T) {
