Keep requests from before load sharing out of the samples

Cause: an entry of the flow table kept the mark that its request is sampled when the configuration switched load sharing off. When it was on again, the response to that request ended a request of another flow at the server, with a response time from before.

Change: switching load sharing on or off removes the marks. The samples had 1 completed request in TestRequestFromBeforeSharing before, 0 now.

--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -236,7 +236,9 @@
 	if snap == d.observed {
 		return
 	}
-	d.load.configure(snap.Configuration, d.localInstances)
+	if d.load.configure(snap.Configuration, d.localInstances) {
+		d.flows.Scan(d.now, func(e *flowtable.Entry, _ bool) { e.Sampled = false })
+	}
 	unchanged := d.observed != nil && snap.Starts == d.observed.Starts
 	d.observed = snap
 	if unchanged {
--- a/internal/flowpath/loadsharing.go
+++ b/internal/flowpath/loadsharing.go
@@ -87,26 +87,27 @@
 
 // configure switches load sharing on or off, as the configuration calls for it: by routes with
 // several services, or routes of one service with different priorities. What was known before
-// is discarded.
-func (s *loadSharing) configure(c *catalogue.Configuration, localInstances int) {
+// is discarded. It returns true if load sharing has been switched.
+func (s *loadSharing) configure(c *catalogue.Configuration, localInstances int) bool {
 	if c == s.configuration {
-		return
+		return false
 	}
 	s.configuration, s.split = c, c != nil && c.HasSplitRoutes()
 	on := s.split || c != nil && c.RanksRequests()
 	if on == s.on {
-		return
+		return false
 	}
 	s.on, s.fresh, s.reportedAt, s.members = on, false, 0, nil
 	s.sums.Store(nil)
 	s.placed, s.flows, s.services, s.slow = map[uint32]int{}, map[uint32]heldFlows{}, map[string]*serviceLoad{}, map[uint32]bool{}
 	if !on {
 		s.sampler, s.table, s.remote = nil, nil, nil
-		return
+		return true
 	}
 	// With another run, the others take the first report for newer than those from before.
 	s.sampler, s.table, s.remote = serverload.NewSampler(s.random.Uint64()), serverload.NewTable(), &overload.RemoteSums{}
 	s.table.SetInstances(localInstances)
+	return true
 }
 
 // begin records that a request begins on a flow.
--- a/internal/flowpath/loadsharing_test.go
+++ b/internal/flowpath/loadsharing_test.go
@@ -333,6 +333,36 @@
 	}
 }
 
+// TestRequestFromBeforeSharing guards against a response to a request from before load sharing
+// was switched off and on again, which ended another flow's request in its place.
+func TestRequestFromBeforeSharing(t *testing.T) {
+	is := is.New(t)
+	h := newSplitHarness(1)
+	configure := func(version int64, c *catalogue.Configuration) {
+		h.apply(catalogue.Record{ID: catalogue.ID{Kind: catalogue.KindConfiguration}, Revision: 2000 + uint64(version), Configuration: c})
+		h.RefreshLoad(h.mirror.Snapshot(), h.now)
+	}
+	b := h.local()[0]
+	request := func(port uint16) {
+		h.openAt(port, urgentPort, 0)
+		p := Packet{Flow: flow(port), Kind: Established, Cookie: b.Cookie, Acknowledged: 1, Data: 100, Sequence: 1}
+		p.Flow.DestinationPort = urgentPort
+		h.decide(p)
+	}
+	request(1)
+	configure(2, &catalogue.Configuration{Version: 2, Routes: []catalogue.Route{route(urgentPort, "a")}})
+	is.True(!h.SharesLoad())
+	configure(3, splitConfiguration(3, 90, 10))
+	request(2)
+	p := Packet{Flow: flow(1), Kind: Established, Cookie: b.Cookie, Acknowledged: 2, Sequence: 101}
+	p.Flow.DestinationPort = urgentPort
+	h.decide(p)
+	samples := h.sampler().Report(h.now + ms).Samples
+	is.Equal(len(samples), 1)
+	is.Equal(samples[0].Requests, 1)
+	is.Equal(samples[0].Completed, 0)
+}
+
 // TestCopyLeavesServiceWithoutServers guards against the reset of a flow whose service has lost
 // its servers since the opening packet, while another service of the route has some.
 func TestCopyLeavesServiceWithoutServers(t *testing.T) {
