--- a/internal/flowpath/room.go
+++ b/internal/flowpath/room.go
@@ -2,14 +2,12 @@
 
 import (
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"balsamfork/internal/catalogue"
 	"balsamfork/internal/overload"
 	"balsamfork/internal/selection"
 	"balsamfork/internal/serverload"
-	"balsamfork/internal/table"
 )
 
 const (
@@ -25,11 +23,6 @@
 	// it is served better by load than by hash: estimates of servers that are alike differ by
 	// less.
 	unevenSpread = 1.5
-	// roomLogInterval is the shortest time between two log lines on a service's room.
-	roomLogInterval = time.Second
-	// slowSpeed is the speed below which a server counts as slow, and normalSpeed that
-	// above which it counts as normal again.
-	slowSpeed, normalSpeed = 0.5, 0.7
 )
 
 // serviceLoad is what is known of the room of one service.
@@ -58,27 +51,6 @@
 	notifiedAt int64
 }
 
-// ServiceSum is the load of a service in this data centre.
-type ServiceSum struct {
-	Service string
-	// Load is the work in progress per slot at the servers' speeds.
-	Load  float64
-	Slots int
-	// MeasuredAt is the time of the oldest report that counts, in nanoseconds.
-	MeasuredAt int64
-}
-
-// sumsPointer publishes sums to other goroutines. A published slice is not changed.
-type sumsPointer = atomic.Pointer[[]ServiceSum]
-
-// RemoteSum is the load of a service in another data centre as of some time ago.
-type RemoteSum struct {
-	Service string
-	Load    float64
-	Slots   int
-	Age     time.Duration
-}
-
 // targets returns the target latency of each service: that of its most urgent route, of
 // several the shortest.
 func targets(c *catalogue.Configuration) map[string]time.Duration {
@@ -259,46 +231,6 @@
 	return out
 }
 
-// notifyRoom tells the observer of a change in a service's state.
-func (d *Decider) notifyRoom(name string, s *serviceLoad, now int64) {
-	state := s.room.State(s.limits)
-	if state == s.state || s.notifiedAt != 0 && now-s.notifiedAt < int64(roomLogInterval) {
-		return
-	}
-	s.state, s.notifiedAt = state, now
-	d.observer.RoomChanged(name, state, s.room, d.load.table.Senders())
-}
-
-// checkSpeeds tells the observer of servers that have become slow or normal again.
-func (d *Decider) checkSpeeds() {
-	if !d.load.fresh {
-		return
-	}
-	for _, name := range d.observed.ServiceNames() {
-		for _, b := range d.observed.Backends(name) {
-			if b.DataCentre == d.selector.DataCentre && !b.Ambiguous {
-				d.checkSpeed(b)
-			}
-		}
-	}
-}
-
-func (d *Decider) checkSpeed(b *catalogue.Backend) {
-	s := d.load.table.Server(b.Cookie, b.Started)
-	slow := d.load.slow[b.Cookie]
-	switch {
-	case s.Speed == 0:
-		return
-	case !slow && s.Speed < slowSpeed:
-		d.load.slow[b.Cookie] = true
-	case slow && s.Speed > normalSpeed:
-		delete(d.load.slow, b.Cookie)
-	default:
-		return
-	}
-	d.observer.SpeedChanged(b, s)
-}
-
 // roomOf returns the room and the limits of a service.
 func (d *Decider) roomOf(service string) (overload.Room, overload.Limits) {
 	if s := d.load.services[service]; s != nil {
@@ -315,97 +247,3 @@
 	}
 	return overload.Room{Slots: slots}, overload.LimitsFor(0, 0)
 }
-
-// shouldSpill reports whether a flow is to go to another data centre because the local
-// servers are overloaded: by the sums of the data centres if they are fresh.
-func (d *Decider) shouldSpill(snap *catalogue.Snapshot, service string, hash uint64, now int64) bool {
-	s := d.load.services[service]
-	switch {
-	case s != nil && s.byLoad && s.spillKnown:
-		return belowShare(hash, s.spillShare)
-	case s != nil && s.byLoad && s.localSlots > 0 && s.room.Known:
-		return belowShare(hash, thresholdShare(s.room.Load))
-	}
-	return belowShare(hash, thresholdShare(d.estimatedLoad(snap, service, now)))
-}
-
-// belowShare reports whether a flow belongs to a part of the flows from 0 to 1.
-func belowShare(hash uint64, share float64) bool {
-	return float64(table.Mix(hash)>>32) < share*(1<<32)
-}
-
-// estimatedLoad returns the load of a service's local servers by this instance's own flows.
-// The fabric spreads callers evenly over the instances of a data centre, so each instance
-// sees its share of the load and estimates the total.
-func (d *Decider) estimatedLoad(snap *catalogue.Snapshot, service string, now int64) float64 {
-	return d.selector.LocalLoad(snap, service, ownLoads{d}, now) * float64(d.localInstances)
-}
-
-// thresholdShare returns the part of the flows that is to go to other data centres whose
-// loads are not known: the load above the threshold.
-func thresholdShare(load float64) float64 {
-	if load <= spillThreshold {
-		return 0
-	}
-	return 1 - spillThreshold/load
-}
-
-// ownLoads is a Decider's view of servers with only this instance's own flows as load.
-type ownLoads struct{ *Decider }
-
-// Load implements selection.View.
-func (o ownLoads) Load(b *catalogue.Backend) float64 { return o.ownLoad(b) }
-
-// ownLoad returns the outstanding flows and requests of this instance at a server as a
-// fraction of its slots.
-func (d *Decider) ownLoad(b *catalogue.Backend) float64 {
-	return float64(d.outstanding[b.Cookie]) / float64(b.Slots)
-}
-
-// Load implements selection.View. Where flows are placed by shared load, it returns the sums of
-// the data centre's instances, and the expected work of the flows that were placed since: all
-// instances decide by the same sums, so each takes the others to place as many at a server as
-// itself. With its own placements alone, the busiest of 40 servers gets 1.30
-// times the mean number of short requests at 60% load in trials, and 1.14 times so.
-func (d *Decider) Load(b *catalogue.Backend) float64 {
-	s := d.load.services[b.Service]
-	if s == nil || !s.byLoad || b.DataCentre != d.selector.DataCentre {
-		return d.ownLoad(b)
-	}
-	placed := float64(d.load.placed[b.Cookie] * d.reportingInstances())
-	return d.load.table.Load(b.Cookie, b.Started) + placed*d.load.table.FlowLoad(b.Cookie, b.Started)
-}
-
-// recordPlacement counts a flow that was placed at a server.
-func (d *Decider) recordPlacement(b *catalogue.Backend) {
-	d.outstanding[b.Cookie]++
-	if !d.load.on {
-		return
-	}
-	d.load.placed[b.Cookie]++
-	s := d.load.services[b.Service]
-	if s == nil {
-		return
-	}
-	s.flows++
-	if b.DataCentre != d.selector.DataCentre {
-		return
-	}
-	s.placed++
-	if s.estimated && s.localSlots > 0 {
-		s.room.Load += float64(d.localInstances) / float64(s.localSlots)
-		s.room.Known = s.flows >= minEstimateFlows
-	}
-}
-
-// RecordRemoteSums records the loads of services in another data centre, which arrived at
-// a time.
-func (d *Decider) RecordRemoteSums(dataCentre string, sums []RemoteSum, arrived int64) {
-	if !d.load.on {
-		return
-	}
-	for _, s := range sums {
-		room := overload.Room{Load: s.Load, Slots: s.Slots, Known: true, Age: s.Age}
-		d.load.remote.Record(dataCentre, s.Service, room, s.Age, arrived)
-	}
-}
