Refuse nothing for requests that were answered elsewhere

Cause: admission takes the requests of an instance times the instances as load, if that is more than the sums tell. It counted requests for up to 3 s after the fabric had moved their flows to other instances, although the load reports leave them out after 8 medians of the response time, at least 0.5 s. After a move in a flood that is a load that does not exist.

Placement by own work and the estimate without sums are unchanged.

--- a/internal/flowpath/loadsharing.go
+++ b/internal/flowpath/loadsharing.go
@@ -63,6 +63,9 @@
 	placed map[uint32]int
 	// flows holds the flows of this instance at each server, by cookie.
 	flows map[uint32]heldFlows
+	// inProgress counts the handshakes and requests in progress at each server, by cookie,
+	// without the requests whose responses have probably passed through another instance.
+	inProgress map[uint32]int
 	// members is the snapshot from which the table has its members, and targets the
 	// target latency of each service in its configuration.
 	members  *catalogue.Snapshot
@@ -99,7 +102,8 @@
 	}
 	s.on, s.fresh, s.reportedAt, s.members = on, false, 0, nil
 	s.sums.Store(nil)
-	s.placed, s.flows, s.services, s.slow = map[uint32]int{}, map[uint32]heldFlows{}, map[string]*serviceLoad{}, map[uint32]bool{}
+	s.placed, s.inProgress, s.slow = map[uint32]int{}, map[uint32]int{}, map[uint32]bool{}
+	s.flows, s.services = map[uint32]heldFlows{}, map[string]*serviceLoad{}
 	if !on {
 		s.sampler, s.table, s.remote = nil, nil, nil
 		return true
@@ -157,13 +161,15 @@
 		s.sampler.Remove(cookie)
 		delete(s.placed, cookie)
 		delete(s.flows, cookie)
+		delete(s.inProgress, cookie)
 		delete(s.slow, cookie)
 	}
 }
 
-// clearFlows begins a count of the flows at each server. Servers that had none in the last
-// count are forgotten.
+// clearFlows begins a count of the flows and requests at each server. Servers that had no flows
+// in the last count are forgotten.
 func (s *loadSharing) clearFlows() {
+	clear(s.inProgress)
 	for cookie, held := range s.flows {
 		if held.flows == 0 {
 			delete(s.flows, cookie)
@@ -264,6 +270,9 @@
 	if !outstanding || e.Sampled && d.load.overdue(e, now) {
 		d.load.abandon(e, now)
 	}
+	if d.load.on && outstanding && current && (e.State == flowtable.Opening || e.Sampled) {
+		d.load.inProgress[e.Cookie]++
+	}
 	open := e.State == flowtable.Open || outstanding
 	if d.load.on && current && open && b.DataCentre == d.selector.DataCentre && now-e.Last < int64(recentFlow) {
 		d.load.countFlow(e)
--- a/internal/flowpath/loadsharing_test.go
+++ b/internal/flowpath/loadsharing_test.go
@@ -363,6 +363,37 @@
 	is.Equal(samples[0].Completed, 0)
 }
 
+// TestRequestsAnsweredElsewhereAreNoLoad guards against refusals after the fabric has moved
+// flows to other instances: their requests have been answered there, and count no longer here.
+func TestRequestsAnsweredElsewhereAreNoLoad(t *testing.T) {
+	is := is.New(t)
+	h := newSplitHarness(4)
+	request := func(port uint16, c uint32, acknowledged uint32, data int) {
+		p := Packet{Flow: flow(port), Kind: Established, Cookie: c, Acknowledged: acknowledged, Data: data, Sequence: acknowledged * 1000}
+		p.Flow.DestinationPort = urgentPort
+		h.decide(p)
+	}
+	cookies := map[uint16]uint32{}
+	for port := range uint16(20) {
+		cookies[port] = h.openAt(port, urgentPort, 0).Backend.Cookie
+		request(port, cookies[port], 1, 100)
+		h.now += 25 * ms
+		request(port, cookies[port], 2, 0)
+	}
+	h.share(0.1, time.Second)
+	is.True(h.load.table.Service("a", nil).ServiceTime > 0)
+	for port, c := range cookies {
+		request(port, c, 2, 100)
+	}
+	h.now += 300 * ms
+	h.RefreshLoad(h.mirror.Snapshot(), h.now)
+	_, requests := h.ownRoom("a", h.now)
+	is.Equal(requests, 20)
+	h.share(0.1, time.Second)
+	_, requests = h.ownRoom("a", h.now)
+	is.Equal(requests, 0)
+}
+
 // TestCopyLeavesServiceWithoutServers guards against the reset of a flow whose service has lost
 // its servers since the opening packet, while another service of the route has some.
 func TestCopyLeavesServiceWithoutServers(t *testing.T) {
--- a/internal/flowpath/room.go
+++ b/internal/flowpath/room.go
@@ -154,7 +154,7 @@
 	slots := 0
 	for _, b := range d.observed.Backends(service) {
 		if d.selector.Tier(d.observed, b, d, now) == selection.Local {
-			requests += d.outstanding[b.Cookie]
+			requests += d.load.inProgress[b.Cookie]
 			slots += b.Slots
 		}
 	}
