Do not let one lost instance make all sums unknown

Cause: a report over 2 s, as of 100 instances, counted for 6 s. Sums are as old as their oldest report, and what is older than 5 s is unknown, so after the loss of one instance all services of the data centre were unknown from 5 to 6 s after its last report: no overflow and no placement by room meanwhile. At the planned size, 59 instances, reports last 3.5 s.

Change: a report counts up to an age of 5 s. TestOldTableIsUnknown keeps its checks and also checks that the reports end after 5 s; TestLostSenderLeavesSumsUsable failed before.

--- a/internal/serverload/table.go
+++ b/internal/serverload/table.go
@@ -7,10 +7,13 @@
 )
 
 const (
-	// A report expires after lifetimeIntervals of its intervals, within these bounds.
+	// A report expires after lifetimeIntervals of its intervals, at least minLifetime.
 	lifetimeIntervals = 3
 	minLifetime       = 2 * time.Second
-	maxLifetime       = 6 * time.Second
+	// maxAge is the greatest age at which a report counts. Sums are as old as the oldest
+	// report, and of no use beyond 5 s (internal/overload): with a greater age a single lost
+	// instance of 100 would make all sums unknown for a time.
+	maxAge = 5 * time.Second
 	// retention is how long the table remembers the run and sequence of a sender that has
 	// stopped, so that a delayed report of it is not taken for a new one.
 	retention = time.Minute
@@ -49,13 +52,13 @@
 }
 
 func (s *sender) expires() int64 {
-	return s.received + int64(min(max(lifetimeIntervals*s.interval, minLifetime), maxLifetime))
+	return s.received + int64(max(lifetimeIntervals*s.interval, minLifetime))
 }
 
 // isRecent reports whether the report counts: it was received after the last pause of the
 // process and has not expired.
 func (t *Table) isRecent(s *sender, now int64) bool {
-	return s.received >= t.resumedAt && now < s.expires()
+	return s.received >= t.resumedAt && now < s.expires() && now-s.received <= int64(maxAge)
 }
 
 // entry is what is known of one start of a server.
@@ -98,7 +101,7 @@
 	}
 	if !found {
 		if len(t.senders) >= MaxSenders {
-			t.senders = slices.DeleteFunc(t.senders, func(s sender) bool { return now >= s.expires() })
+			t.senders = slices.DeleteFunc(t.senders, func(s sender) bool { return !t.isRecent(&s, now) })
 			if len(t.senders) >= MaxSenders {
 				return Full.New("sender %v: %d senders are known", from, MaxSenders)
 			}
--- a/internal/serverload/table_test.go
+++ b/internal/serverload/table_test.go
@@ -122,7 +122,7 @@
 	is.True(!table.Service("a", nil).Known)
 	is.Equal(table.Senders(), 0)
 
-	// Reports over 2 s, as of 100 instances, last 6 s; their age is stated.
+	// Reports over 2 s, as of 100 instances, last 5 s; their age is stated.
 	for i := range 3 {
 		r := report(1, 2, 1, 4)
 		r.Interval = 2 * time.Second
@@ -132,6 +132,7 @@
 	is.True(table.Fresh(10_000 * ms))
 	is.Equal(table.Server(1, 0).Age, 5*time.Second)
 	is.Equal(table.Service("a", nil).Age, 5*time.Second)
+	is.True(!table.Fresh(10_001 * ms))
 }
 
 // Failures: a slow server that holds as many flows as others looks as free as they, or a
@@ -246,3 +247,22 @@
 	is.True(near(got.Rate, rate*472))
 	is.True(near(got.InProgress, rate*472*0.026))
 }
+
+// TestLostSenderLeavesSumsUsable guards against sums that count as unknown, since older than
+// 5 s, because a single one of 100 instances is lost.
+func TestLostSenderLeavesSumsUsable(t *testing.T) {
+	is := is.New(t)
+	table := filled(t, 100)
+	for now := int64(0); now <= 12_000*ms; now += 250 * ms {
+		for i := range 100 {
+			if now%(2000*ms) == 0 && (i > 0 || now == 0) {
+				r := report(2, uint64(1+now), uint32(i), 4)
+				r.Interval = 2 * time.Second
+				is.NoErr(table.Apply(address(i), r, now))
+			}
+		}
+		table.Advance(now)
+		is.True(table.Fresh(now))
+		is.True(table.Service("a", nil).Age <= 5*time.Second)
+	}
+}
