--- a/internal/flowpath/admission.go
+++ b/internal/flowpath/admission.go
@@ -16,10 +16,7 @@
 		return Verdict{Service: overload.SelectService(route.Shares, hash, d.unknownRoom).Service}
 	}
 	selected := overload.SelectService(route.Shares, hash, d.roomOf)
-	v := Verdict{Service: selected.Service, Load: LoadInputs{Rank: route.Requests.Rank()}}
-	if selected.Overflow {
-		v.Load.OverflowFrom = overload.SelectService(route.Shares, hash, d.unknownRoom).Service
-	}
+	v := Verdict{Service: selected.Service, Load: LoadInputs{Rank: route.Requests.Rank(), OverflowFrom: selected.OverflowFrom}}
 	if s := d.load.services[v.Service]; s != nil && d.load.fresh {
 		v.Load.Known, v.Load.Age = true, s.room.Age
 		v.Load.AdmittedPart = s.admission.Level()
@@ -30,11 +27,11 @@
 
 // keepService returns a verdict with the service of a flow whose opening packet was placed
 // before: that of its server, whose selection may rest on loads that have changed since. If
-// the route no longer names that service, the flow gets a new one.
+// the route no longer names that service, or it has no usable server, the flow gets a new one.
 func (d *Decider) keepService(route *catalogue.Route, e *flowtable.Entry, hash uint64, snap *catalogue.Snapshot) Verdict {
 	if b := snap.ByCookie(e.Cookie); b != nil && d.load.on {
 		for _, share := range route.Shares {
-			if share.Service == b.Service && share.Weight > 0 {
+			if share.Service == b.Service && share.Weight > 0 && d.hasServers(b.Service) {
 				return Verdict{Service: b.Service, Load: LoadInputs{Rank: route.Requests.Rank()}}
 			}
 		}
@@ -42,9 +39,16 @@
 	return d.selectService(route, hash)
 }
 
+// hasServers reports whether a service has usable servers.
+func (d *Decider) hasServers(service string) bool {
+	r, _ := d.roomOf(service)
+	return r.Slots > 0
+}
+
 // refuses reports whether a service has no room for a new flow of the route's priority.
 // Only sums of the data centre's instances justify a refusal. A copy of an opening packet
-// must not be asked for: another instance may have placed the flow.
+// must not be asked for, and a packet that was held or waited through a pause is not refused:
+// another instance may have placed the flow.
 func (d *Decider) refuses(service string, route *catalogue.Route, p *Packet, now int64) bool {
 	s := d.load.services[service]
 	if s == nil || !d.load.on {
@@ -53,5 +57,5 @@
 	source := p.Flow.Source.As4()
 	caller := table.Mix(uint64(binary.BigEndian.Uint32(source[:])))
 	admitted := s.admission.Admit(route.Requests.Rank(), caller, now+d.load.origin)
-	return !admitted && d.load.fresh
+	return !admitted && d.load.fresh && d.isCurrent()
 }
--- a/internal/flowpath/loadsharing.go
+++ b/internal/flowpath/loadsharing.go
@@ -27,7 +27,7 @@
 // LoadObserver is notified of what load sharing finds. No method may block.
 type LoadObserver interface {
 	// ShareLoad is called with each encoded report of this instance, for the other
-	// instances of the data centre.
+	// instances of the data centre. The bytes are valid during the call only.
 	ShareLoad(report []byte)
 	// RoomChanged is called when the state of a service has changed. Senders is the
 	// number of instances whose reports count.
@@ -70,6 +70,9 @@
 	placed map[uint32]int
 	// flows holds the flows of this instance at each server, by cookie.
 	flows map[uint32]heldFlows
+	// inProgress counts the handshakes and requests in progress at each server, by cookie,
+	// without the requests whose responses have probably passed through another instance.
+	inProgress map[uint32]int
 	// members is the snapshot from which the table has its members, and targets the
 	// target latency of each service in its configuration.
 	members  *catalogue.Snapshot
@@ -94,26 +97,28 @@
 
 // configure switches load sharing on or off, as the configuration calls for it: by routes with
 // several services, or routes of one service with different priorities. What was known before
-// is discarded.
-func (s *loadSharing) configure(c *catalogue.Configuration, localInstances int) {
+// is discarded. It returns true if load sharing has been switched.
+func (s *loadSharing) configure(c *catalogue.Configuration, localInstances int) bool {
 	if c == s.configuration {
-		return
+		return false
 	}
 	s.configuration, s.split = c, c != nil && c.HasSplitRoutes()
 	on := s.split || c != nil && c.RanksRequests()
 	if on == s.on {
-		return
+		return false
 	}
 	s.on, s.fresh, s.reportedAt, s.members = on, false, 0, nil
 	s.sums.Store(nil)
-	s.placed, s.flows, s.services, s.slow = map[uint32]int{}, map[uint32]heldFlows{}, map[string]*serviceLoad{}, map[uint32]bool{}
+	s.placed, s.inProgress, s.slow = map[uint32]int{}, map[uint32]int{}, map[uint32]bool{}
+	s.flows, s.services = map[uint32]heldFlows{}, map[string]*serviceLoad{}
 	if !on {
 		s.sampler, s.table, s.remote = nil, nil, nil
-		return
+		return true
 	}
 	// With another run, the others take the first report for newer than those from before.
 	s.sampler, s.table, s.remote = serverload.NewSampler(s.random.Uint64()), serverload.NewTable(), &overload.RemoteSums{}
 	s.table.SetInstances(localInstances)
+	return true
 }
 
 // begin records that a request begins on a flow.
@@ -153,10 +158,13 @@
 	return s.on && s.sampler.Overdue(e.Cookie, e.RequestSent, now)
 }
 
-// resume discards the samples of a time in which the instance was paused.
+// resume discards the samples of a time in which the instance was paused, and the reports from
+// before: servers have had other work since.
 func (s *loadSharing) resume(at int64) {
 	if s.on {
 		s.sampler.Report(at)
+		s.table.Resume(at)
+		s.fresh = false
 	}
 }
 
@@ -166,13 +174,15 @@
 		s.sampler.Remove(cookie)
 		delete(s.placed, cookie)
 		delete(s.flows, cookie)
+		delete(s.inProgress, cookie)
 		delete(s.slow, cookie)
 	}
 }
 
-// clearFlows begins a count of the flows at each server. Servers that had none in the last
-// count are forgotten.
+// clearFlows begins a count of the flows and requests at each server. Servers that had no flows
+// in the last count are forgotten.
 func (s *loadSharing) clearFlows() {
+	clear(s.inProgress)
 	for cookie, held := range s.flows {
 		if held.flows == 0 {
 			delete(s.flows, cookie)
@@ -232,106 +242,6 @@
 	d.load.abandon(e, now)
 }
 
-// RefreshLoad recomputes the load of servers and services, and makes the report that is
-// due, if the last time was loadRefreshInterval ago or the catalogue has changed.
-func (d *Decider) RefreshLoad(snap *catalogue.Snapshot, now int64) {
-	d.now = now
-	d.Observe(snap)
-	d.refreshDueLoad(now)
-}
-
-func (d *Decider) refreshDueLoad(now int64) {
-	interval := loadRefreshInterval
-	if d.load.on && d.load.members != d.observed {
-		interval = snapshotRefreshInterval
-	}
-	if now-d.loadCountedAt > int64(interval) {
-		d.refreshLoad(now)
-	}
-}
-
-// refreshLoad counts the flows at each server in one pass over the flow table.
-func (d *Decider) refreshLoad(now int64) {
-	clear(d.outstanding)
-	if d.load.on {
-		d.load.clearFlows()
-	}
-	d.flows.Scan(now, func(e *flowtable.Entry, outstanding bool) { d.countFlow(e, outstanding, now) })
-	d.loadCountedAt = now
-	if d.load.on {
-		d.refreshSharing(now)
-	}
-}
-
-// countFlow counts one flow of the flow table.
-func (d *Decider) countFlow(e *flowtable.Entry, outstanding bool, now int64) {
-	b := d.observed.ByCookie(e.Cookie)
-	current := inStart(b, e.Started)
-	if outstanding && current {
-		d.outstanding[e.Cookie]++
-	}
-	if e.Sampled && d.load.overdue(e, now) {
-		d.load.discard(e, now)
-	}
-	if !outstanding {
-		d.load.abandon(e, now)
-	}
-	open := e.State == flowtable.Open || outstanding
-	if d.load.on && current && open && b.DataCentre == d.selector.DataCentre && now-e.Last < int64(recentFlow) {
-		d.load.countFlow(e)
-	}
-}
-
-// refreshSharing makes the report that is due, and recomputes sums and rooms.
-func (d *Decider) refreshSharing(now int64) {
-	s := d.load
-	for cookie, held := range s.flows {
-		s.sampler.SetFlows(cookie, held.started, held.flows)
-	}
-	if s.members != d.observed {
-		d.refreshMembers()
-	}
-	if report := s.report(d.localInstances, now); report != nil {
-		d.observer.ShareLoad(report)
-	}
-	s.table.Advance(now)
-	s.sampler.LimitResponses(s.table)
-	s.refreshFresh(now)
-	d.refreshServices(now)
-	d.checkSpeeds()
-}
-
-// refreshFresh notes whether the sums count.
-func (s *loadSharing) refreshFresh(now int64) {
-	fresh := s.table.Fresh(now)
-	if fresh && !s.fresh {
-		s.freshSince = now
-	}
-	if s.fresh = fresh; fresh {
-		s.estimateFlows = 0
-	}
-}
-
-// justifiesRefusals reports whether the sums are settled. The first ones after a start include
-// the rush of callers that come back, which is over when they arrive.
-func (s *loadSharing) justifiesRefusals(now int64) bool {
-	return s.fresh && now-s.freshSince >= int64(settlingTime)
-}
-
-// refreshMembers takes over the servers of the data centre and the targets of services from
-// the observed snapshot.
-func (d *Decider) refreshMembers() {
-	var members []serverload.Member
-	for b := range d.observed.Servers() {
-		if b.DataCentre == d.selector.DataCentre {
-			members = append(members, serverload.Member{Server: b.Cookie, Started: b.Started, Service: b.Service, Slots: b.Slots})
-		}
-	}
-	d.load.table.SetMembers(members)
-	d.load.targets = targets(d.observed.Configuration)
-	d.load.members = d.observed
-}
-
 // PeerLoad processes the report of another instance of the data centre, which arrived at a
 // time.
 func (d *Decider) PeerLoad(sender netip.Addr, r serverload.Report, arrived int64) error {
--- a/internal/flowpath/loadsharing_test.go
+++ b/internal/flowpath/loadsharing_test.go
@@ -107,6 +107,74 @@
 	is.True(!h.SharesLoad())
 }
 
+// TestNoRefusalOfPacketsThatWaited guards against untrue refusals: of an opening packet that
+// was held or waited through a pause, a copy may have been placed by another instance.
+func TestNoRefusalOfPacketsThatWaited(t *testing.T) {
+	for name, wait := range map[string]func(h *harness, p *Packet){
+		"held": func(h *harness, p *Packet) {
+			p.Arrived = h.now
+			h.now += 300 * ms
+			h.known = h.now
+		},
+		"waited": func(h *harness, _ *Packet) {
+			h.now += 600 * ms
+			h.known, h.resumedAt, h.backlogged = h.now, h.now, true
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newSplitHarness(4)
+			h.fill()
+			refused, waited := 0, 0
+			for port := range uint16(40) {
+				if h.openAt(2000+port, otherPort, 0).Reason == Overloaded {
+					refused++
+				}
+				p := Packet{Flow: flow(3000 + port), Kind: Opening}
+				p.Flow.DestinationPort = otherPort
+				wait(h, &p)
+				if h.decide(p).Reason == Overloaded {
+					waited++
+				}
+				h.backlogged = false
+				h.share(20, settlingTime+2*time.Second) // sums settle anew after a pause
+			}
+			is := is.New(t)
+			is.True(refused > 10) // the service refuses packets that did not wait
+			is.Equal(waited, 0)
+		})
+	}
+}
+
+// TestOverflowFromServiceWithoutServers guards against a decision that names the service which
+// takes an overflow as the one that it comes from.
+func TestOverflowFromServiceWithoutServers(t *testing.T) {
+	h := newSplitHarness(4)
+	route := &catalogue.Route{Shares: []catalogue.Share{{Service: "none", Weight: 1}, {Service: "a", Weight: 1}}}
+	for port := range uint16(20) {
+		hash := flow(port).Hash()
+		v := h.selectService(route, hash)
+		is := is.New(t)
+		is.Equal(v.Service, "a")
+		is.Equal(v.Load.OverflowFrom == "none", hash%2 == 0)
+		is.True(v.Load.OverflowFrom != "a")
+	}
+}
+
+// TestSumsFromBeforePause guards against decisions by sums from before a pause: they are not
+// fresh until other instances have reported again.
+func TestSumsFromBeforePause(t *testing.T) {
+	is := is.New(t)
+	h := newSplitHarness(4)
+	h.share(20, 2*time.Second)
+	is.True(h.load.fresh)
+	h.now += 700 * ms
+	h.RecordResume(h.now)
+	h.RefreshLoad(h.mirror.Snapshot(), h.now)
+	is.True(!h.load.fresh)
+	h.share(20, time.Second)
+	is.True(h.load.fresh)
+}
+
 // TestSamplesOfRequests guards against response times that do not show the server's speed:
 // those of packets that waited here, of requests that got no response, and of earlier starts.
 func TestSamplesOfRequests(t *testing.T) {
@@ -282,6 +350,86 @@
 	}
 }
 
+// TestRequestFromBeforeSharing guards against a response to a request from before load sharing
+// was switched off and on again, which ended another flow's request in its place.
+func TestRequestFromBeforeSharing(t *testing.T) {
+	is := is.New(t)
+	h := newSplitHarness(1)
+	configure := func(version int64, c *catalogue.Configuration) {
+		h.apply(catalogue.Record{ID: catalogue.ID{Kind: catalogue.KindConfiguration}, Revision: 2000 + uint64(version), Configuration: c})
+		h.RefreshLoad(h.mirror.Snapshot(), h.now)
+	}
+	b := h.local()[0]
+	request := func(port uint16) {
+		h.openAt(port, urgentPort, 0)
+		p := Packet{Flow: flow(port), Kind: Established, Cookie: b.Cookie, Acknowledged: 1, Data: 100, Sequence: 1}
+		p.Flow.DestinationPort = urgentPort
+		h.decide(p)
+	}
+	request(1)
+	configure(2, &catalogue.Configuration{Version: 2, Routes: []catalogue.Route{route(urgentPort, "a")}})
+	is.True(!h.SharesLoad())
+	configure(3, splitConfiguration(3, 90, 10))
+	request(2)
+	p := Packet{Flow: flow(1), Kind: Established, Cookie: b.Cookie, Acknowledged: 2, Sequence: 101}
+	p.Flow.DestinationPort = urgentPort
+	h.decide(p)
+	samples := h.sampler().Report(h.now + ms).Samples
+	is.Equal(len(samples), 1)
+	is.Equal(samples[0].Requests, 1)
+	is.Equal(samples[0].Completed, 0)
+}
+
+// TestRequestsAnsweredElsewhereAreNoLoad guards against refusals after the fabric has moved
+// flows to other instances: their requests have been answered there, and count no longer here.
+func TestRequestsAnsweredElsewhereAreNoLoad(t *testing.T) {
+	is := is.New(t)
+	h := newSplitHarness(4)
+	request := func(port uint16, c uint32, acknowledged uint32, data int) {
+		p := Packet{Flow: flow(port), Kind: Established, Cookie: c, Acknowledged: acknowledged, Data: data, Sequence: acknowledged * 1000}
+		p.Flow.DestinationPort = urgentPort
+		h.decide(p)
+	}
+	cookies := map[uint16]uint32{}
+	for port := range uint16(20) {
+		cookies[port] = h.openAt(port, urgentPort, 0).Backend.Cookie
+		request(port, cookies[port], 1, 100)
+		h.now += 25 * ms
+		request(port, cookies[port], 2, 0)
+	}
+	h.share(0.1, time.Second)
+	is.True(h.load.table.Service("a", nil).ServiceTime > 0)
+	for port, c := range cookies {
+		request(port, c, 2, 100)
+	}
+	h.now += 300 * ms
+	h.RefreshLoad(h.mirror.Snapshot(), h.now)
+	_, requests := h.ownRoom("a", h.now)
+	is.Equal(requests, 20)
+	h.share(0.1, time.Second)
+	_, requests = h.ownRoom("a", h.now)
+	is.Equal(requests, 0)
+}
+
+// TestCopyLeavesServiceWithoutServers guards against the reset of a flow whose service has lost
+// its servers since the opening packet, while another service of the route has some.
+func TestCopyLeavesServiceWithoutServers(t *testing.T) {
+	is := is.New(t)
+	h := newSplitHarness(40)
+	h.share(0.1, time.Second)
+	h.load.services["a"].room.Load = 20
+	for port := range uint16(20) {
+		h.open(port, 0)
+	}
+	h.evacuate("a")
+	h.now += 200 * ms
+	for port := range uint16(20) {
+		v := h.open(port, 1)
+		is.Equal(v.Action, Forward)
+		is.Equal(v.Backend.DataCentre, "b")
+	}
+}
+
 // TestEvacuationCountsAtOnce guards against flows that go to a service without a server by the
 // rooms from before an evacuation, while another service of the route has servers elsewhere.
 func TestEvacuationCountsAtOnce(t *testing.T) {
--- a/internal/overload/split.go
+++ b/internal/overload/split.go
@@ -1,6 +1,9 @@
 package overload
 
 import (
+	"math"
+	"math/bits"
+
 	"balsamfork/internal/catalogue"
 	"balsamfork/internal/table"
 )
@@ -11,12 +14,15 @@
 // a random part of those of the full service.
 const overflowKey = 0x6f766572666c6f77
 
-// Selection is the service that takes a flow. Overflow says that it is another one than
-// the weights give.
-type Selection struct {
-	Service  string
-	Overflow bool
-}
+// maxWeight is the largest weight that counts, so that the sum of a route's weights does not
+// overflow.
+const maxWeight = math.MaxInt32
+
+func weightOf(s catalogue.Share) int { return min(max(s.Weight, 0), maxWeight) }
+
+// Selection is the service that takes a flow. If that is another one than the weights give,
+// OverflowFrom is the service that they give, otherwise "".
+type Selection struct{ Service, OverflowFrom string }
 
 // SelectService returns the service of a route that takes a flow with the given hash. The
 // weights decide unless the service that they give is Full or has no usable server. Then
@@ -31,8 +37,8 @@
 func SelectService(shares []catalogue.Share, hash uint64, room func(service string) (Room, Limits)) Selection {
 	total, services := 0, 0
 	for _, s := range shares {
-		if s.Weight > 0 {
-			total += s.Weight
+		if weight := weightOf(s); weight > 0 {
+			total += weight
 			services++
 		}
 	}
@@ -42,10 +48,7 @@
 	at := int(hash % uint64(total))
 	weighted := ""
 	for _, s := range shares {
-		if s.Weight <= 0 {
-			continue
-		}
-		if at -= s.Weight; at < 0 {
+		if at -= weightOf(s); at < 0 {
 			weighted = s.Service
 			break
 		}
@@ -65,7 +68,7 @@
 	if other == "" || !takesOverflow(other, draw, room) {
 		return Selection{Service: weighted}
 	}
-	return Selection{Service: other, Overflow: true}
+	return Selection{Service: other, OverflowFrom: weighted}
 }
 
 // pickInState returns one of the services in the given state that have a usable server,
@@ -75,18 +78,19 @@
 	total := 0
 	for _, s := range shares {
 		if isCandidate(s, except, state, room) {
-			total += s.Weight
+			total += weightOf(s)
 		}
 	}
 	if total == 0 {
 		return ""
 	}
-	at := int(uint64(uint32(draw)) * uint64(total) >> 32)
+	product, _ := bits.Mul64(draw<<32, uint64(total))
+	at := int(product)
 	for _, s := range shares {
 		if !isCandidate(s, except, state, room) {
 			continue
 		}
-		if at -= s.Weight; at < 0 {
+		if at -= weightOf(s); at < 0 {
 			return s.Service
 		}
 	}
--- a/internal/serverload/table.go
+++ b/internal/serverload/table.go
@@ -7,10 +7,13 @@
 )
 
 const (
-	// A report expires after lifetimeIntervals of its intervals, within these bounds.
+	// A report expires after lifetimeIntervals of its intervals, at least minLifetime.
 	lifetimeIntervals = 3
 	minLifetime       = 2 * time.Second
-	maxLifetime       = 6 * time.Second
+	// maxAge is the greatest age at which a report counts. Sums are as old as the oldest
+	// report, and of no use beyond 5 s (internal/overload): with a greater age a single lost
+	// instance of 100 would make all sums unknown for a time.
+	maxAge = 5 * time.Second
 	// retention is how long the table remembers the run and sequence of a sender that has
 	// stopped, so that a delayed report of it is not taken for a new one.
 	retention = time.Minute
@@ -27,6 +30,7 @@
 	servers   map[uint32]*entry
 	services  map[string]*service
 	instances int
+	resumedAt int64 // reports from before do not count
 
 	// As of the last call of Advance:
 	now   int64
@@ -48,7 +52,13 @@
 }
 
 func (s *sender) expires() int64 {
-	return s.received + int64(min(max(lifetimeIntervals*s.interval, minLifetime), maxLifetime))
+	return s.received + int64(max(lifetimeIntervals*s.interval, minLifetime))
+}
+
+// isRecent reports whether the report counts: it was received after the last pause of the
+// process and has not expired.
+func (t *Table) isRecent(s *sender, now int64) bool {
+	return s.received >= t.resumedAt && now < s.expires() && now-s.received <= int64(maxAge)
 }
 
 // entry is what is known of one start of a server.
@@ -91,7 +101,7 @@
 	}
 	if !found {
 		if len(t.senders) >= MaxSenders {
-			t.senders = slices.DeleteFunc(t.senders, func(s sender) bool { return now >= s.expires() })
+			t.senders = slices.DeleteFunc(t.senders, func(s sender) bool { return !t.isRecent(&s, now) })
 			if len(t.senders) >= MaxSenders {
 				return Full.New("sender %v: %d senders are known", from, MaxSenders)
 			}
@@ -173,6 +183,10 @@
 // it: lost instances count for a minute, and would make idle servers look full.
 func (t *Table) SetInstances(local int) { t.instances = local }
 
+// Resume records the end of a pause of the process: reports that were received before it no
+// longer count.
+func (t *Table) Resume(at int64) { t.resumedAt = at }
+
 // SetMembers sets the servers of the data centre, at most MaxServers. What is known of a
 // server stays unless it has started again.
 func (t *Table) SetMembers(members []Member) {
@@ -233,7 +247,7 @@
 	t.known, t.age = 0, 0
 	for i := range t.senders {
 		s := &t.senders[i]
-		s.counts = now < s.expires()
+		s.counts = t.isRecent(s, now)
 		if !s.counts {
 			s.samples = nil
 			continue
@@ -292,7 +306,7 @@
 func (t *Table) Fresh(now int64) bool {
 	n := 0
 	for i := range t.senders {
-		if t.senders[i].counts && now < t.senders[i].expires() {
+		if s := &t.senders[i]; s.counts && t.isRecent(s, now) {
 			n++
 		}
 	}
