Let the daemon's heap grow by the default of the runtime

Cause: the heap grew to five times the live data, and to 16 MB before the first collection, so the peak memory of a process was 18 MB with 2 to 3 MB of live data. Change: the garbage collection target is the runtime's default.

--- a/cmd/balsamfork-flowd/main.go
+++ b/cmd/balsamfork-flowd/main.go
@@ -30,9 +30,6 @@
 )
 
 const (
-	// gcPercent lets the heap grow to five times the live data: at a few MB of live
-	// data, processor time is scarcer than memory.
-	gcPercent = 400
 	// memoryLimitShare is the share of the instance's memory limit that is set as the
 	// memory limit of the Go runtime.
 	memoryLimitShare = 0.7
@@ -61,7 +58,6 @@
 	if *check {
 		return exitOK
 	}
-	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryLimit)))
 	out := decisionlog.NewWriter(os.Stdout)
 	defer out.Close(logCloseTimeout)
