--- a/cmd/balsamfork-flowd/deployment_test.go
+++ b/cmd/balsamfork-flowd/deployment_test.go
@@ -94,6 +94,8 @@
 	// partitioned is indexed by the data centre of instances and that of servers; it
 	// says that packets from the former to the latter are lost.
 	partitioned [dataCentres][dataCentres]atomic.Bool
+	// work is how long a slot of a backend server works on a request, in nanoseconds.
+	work atomic.Int64
 	// lossy says that a share of the callers' packets is lost.
 	lossy atomic.Bool
 	done  chan struct{}
@@ -156,11 +158,13 @@
 	}
 }
 
-// The addresses of the two services, and that of the route that is split over them.
+// The addresses of the two services, that of the route that is split over them, and that of
+// the desk service's route of the lowest priority.
 var (
 	deskAddress   = netip.MustParseAddrPort("198.18.0.1:443")
 	sheetsAddress = netip.MustParseAddrPort("198.18.0.2:443")
 	splitAddress  = netip.MustParseAddrPort("198.18.0.3:443")
+	floodAddress  = netip.MustParseAddrPort("198.18.0.4:443")
 )
 
 // versionStep is the difference between the versions of two configurations.
@@ -173,8 +177,9 @@
 	routes := []platformtest.Route{{To: deskAddress, Service: "desk"}, {To: sheetsAddress, Service: "sheets"}, {To: versionAddress(d.version), Service: "desk"}}
 	if d.split {
 		weight := 10 + 40*(d.version/versionStep%3) // 10, 50 or 90 percent
-		routes = append(routes, platformtest.Route{To: splitAddress, Service: "desk", Second: "sheets", SecondWeight: weight, Priority: 2})
-		routes[0].Priority, routes[1].Priority = 2, 1
+		routes = append(routes, platformtest.Route{To: splitAddress, Service: "desk", Second: "sheets", SecondWeight: weight, Priority: 2},
+			platformtest.Route{To: floodAddress, Service: "desk", Priority: 3})
+		routes[0].Priority, routes[1].Priority = 1, 2
 	}
 	d.store.Configure(d.version, routes...)
 }
@@ -194,7 +199,7 @@
 	address := netip.AddrPortFrom(d.address(10+c, int(d.nextID)), serverPort)
 	s := &platformtest.Server{
 		Number: d.nextID, Port: packetPort, Entry: platformtest.NewEntry(service, dataCentreName(c), address, serverSlots),
-		DropFrom: func(from netip.Addr) bool { return d.isPartitioned(from, c) },
+		Work: &d.work, DropFrom: func(from netip.Addr) bool { return d.isPartitioned(from, c) },
 	}
 	s.Entry.WarmupMS = int(warmup.Milliseconds())
 	d.must(s.Start())
--- a/cmd/balsamfork-flowd/soak_test.go
+++ b/cmd/balsamfork-flowd/soak_test.go
@@ -87,6 +87,8 @@
 	drainStarts map[*platformtest.Server]time.Time
 	// replacedSheets holds the replaced servers of the sheets service.
 	replacedSheets []*platformtest.Server
+	// asked and answered count the requests during a flood by destination.
+	asked, answered map[netip.AddrPort]int
 }
 
 func soak(t *testing.T, seed uint64, span time.Duration) {
@@ -96,6 +98,8 @@
 		random:      rand.New(rand.NewPCG(seed, 0)),
 		drainStarts: map[*platformtest.Server]time.Time{},
 		losses:      map[string]int{},
+		asked:       map[netip.AddrPort]int{},
+		answered:    map[netip.AddrPort]int{},
 	}
 	time.Sleep(2 * time.Second)
 	stop := make(chan struct{})
@@ -118,6 +122,12 @@
 	}
 	s.faults.Add(1)
 	go s.injectRestores(span)
+	if s.split {
+		s.faults.Go(func() { s.injectFlood(callers, span) })
+		for _, caller := range callers {
+			traffic.Go(func() { s.generateTraffic(caller, floodSource, stop) })
+		}
+	}
 	s.injectFaults(span)
 	s.faults.Wait()
 	s.checkRecovery(callers)
@@ -127,6 +137,7 @@
 	s.checkDrains()
 	s.checkWarmUps()
 	s.checkRefusals(callers)
+	s.checkFlood()
 	s.report(seed)
 	s.close()
 }
@@ -140,7 +151,8 @@
 }
 
 // generateTraffic sends requests until stop is closed. An odd k sends each request on a
-// flow of its own; k = 3 uses the sheets service, and k = 1 the split route if there is one.
+// flow of its own, and so does floodSource, which uses the route of the lowest priority; k = 3
+// uses the sheets service, and k = 1 the split route if there is one.
 func (s *soakRun) generateTraffic(c *platformtest.Caller, k int, stop <-chan struct{}) {
 	to, services, requests := deskAddress, []string{"desk"}, 20
 	if k%2 == 1 {
@@ -151,16 +163,18 @@
 		to, services = sheetsAddress, []string{"sheets"}
 	case k == 1 && s.split:
 		to, services = splitAddress, []string{"desk", "sheets"}
+	case k == floodSource:
+		to, requests = floodAddress, 1
 	}
 	for {
 		flow, outcome := c.Open(to)
-		s.outcomes[outcome].Add(1)
+		s.count(to, outcome, flow == nil)
 		if flow == nil && s.mustServe.Load() {
 			s.unservedf("a flow did not open: outcome %d", outcome)
 		}
 		for n := 0; flow != nil && n < requests; n++ {
 			outcome = flow.Request(services...)
-			s.outcomes[outcome].Add(1)
+			s.count(to, outcome, true)
 			s.checkOutcome(flow, outcome)
 			if outcome != platformtest.Answered {
 				break
