Let two runs of the process tests work side by side

Cause: the tests of internal/flowd and the soak bind fixed loopback addresses, so two runs on one machine failed with "address already in use". Change: platformtest.ClaimNetwork claims a network 127.n.0.0/16 by a listener that is held until the test ends; a run takes the next number if the first one is claimed. Ports, sizes and what is checked stay.

--- a/cmd/balsamfork-flowd/deployment_test.go
+++ b/cmd/balsamfork-flowd/deployment_test.go
@@ -110,8 +110,13 @@
 }
 
 // newDeployment starts a platform and the given number of instances in each data
-// centre. Deployments with different networks can run at the same time.
+// centre, on the loopback network of the given number or the next one that is not claimed.
 func newDeployment(t testing.TB, network byte, each int, split bool) *deployment {
+	network, release, err := platformtest.ClaimNetwork(network)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(release)
 	d := &deployment{t: t, network: network, split: split, store: platformtest.NewStore(), nextID: 0xa0, done: make(chan struct{})}
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	d.must(err)
--- a/internal/flowd/daemon_test.go
+++ b/internal/flowd/daemon_test.go
@@ -15,8 +15,20 @@
 	"go.uber.org/fx"
 
 	"balsamfork/platform"
+	"balsamfork/platform/platformtest"
 )
 
+// claimNetwork returns the second number of the loopback addresses 127.n.0.0/16 that the test
+// may use: no other test run on the machine uses them until it ends.
+func claimNetwork(t *testing.T) byte {
+	n, release, err := platformtest.ClaimNetwork(230) // soaks begin below
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(release)
+	return n
+}
+
 // occupied takes a port of an instance, so that the instance cannot open it.
 type occupied struct {
 	network string
@@ -35,7 +47,7 @@
 // cannot be built or started, and leaves no socket open.
 func TestFailedStartClosesSockets(t *testing.T) {
 	const packets, readiness, internal = 18172, 18167, 17720
-	a := netip.MustParseAddr("127.0.77.1")
+	a := netip.AddrFrom4([4]byte{127, claimNetwork(t), 77, 1})
 	settings := platform.Settings{
 		Instance: "i", DataCentre: "a", Address: a, Packets: netip.AddrPortFrom(a, packets), Readiness: netip.AddrPortFrom(a, readiness),
 		FirstPort: internal, LastPort: internal + 1, Store: netip.AddrPortFrom(a, 1), Grace: time.Second,
@@ -65,7 +77,7 @@
 // stopTimeout at the latest.
 func TestStopEndsInTime(t *testing.T) {
 	is := is.New(t)
-	a := netip.MustParseAddr("127.0.77.2")
+	a := netip.AddrFrom4([4]byte{127, claimNetwork(t), 77, 2})
 	hangs := fx.Invoke(func(lc fx.Lifecycle) {
 		lc.Append(fx.StopHook(func(ctx context.Context) error {
 			<-ctx.Done()
@@ -90,7 +102,7 @@
 // without time for it to begin to serve: closing it returns no error, and frees the port.
 func TestHTTPServerClosesWithoutError(t *testing.T) {
 	is := is.New(t)
-	address := netip.MustParseAddrPort("127.0.77.4:18167")
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, claimNetwork(t), 77, 4}), 18167)
 	for n := range 1500 {
 		s := &httpServer{address: address, server: &http.Server{ReadHeaderTimeout: headerTimeout}}
 		is.NoErr(s.start())
--- a/internal/flowd/load_test.go
+++ b/internal/flowd/load_test.go
@@ -62,13 +62,14 @@
 	is := is.New(t)
 	var daemons []*Daemon
 	logs := []*roomLog{{}, {}, {}}
+	network := claimNetwork(t)
 	for n, dataCentre := range []string{"a", "a", "b"} {
-		address := netip.AddrFrom4([4]byte{127, 0, 79, 1 + byte(n)})
+		address := netip.AddrFrom4([4]byte{127, network, 79, 1 + byte(n)})
 		var mirror *catalogue.Mirror
 		d, err := newDaemon(platform.Settings{
 			Instance: fmt.Sprint("i", n), DataCentre: dataCentre, Address: address, Packets: netip.AddrPortFrom(address, 18172),
 			Readiness: netip.AddrPortFrom(address, 18167), FirstPort: 17720, LastPort: 17721, Store: netip.AddrPortFrom(address, 1),
-			Seeds: []netip.Addr{netip.AddrFrom4([4]byte{127, 0, 79, 1})}, Grace: time.Second, MaxFlowAge: time.Minute,
+			Seeds: []netip.Addr{netip.AddrFrom4([4]byte{127, network, 79, 1})}, Grace: time.Second, MaxFlowAge: time.Minute,
 		}, slog.New(logs[n]), fx.Populate(&mirror))
 		is.NoErr(err)
 		mirror.Apply(splitCatalogue(), processClock.Now(), 0)
--- a/internal/flowd/restart_test.go
+++ b/internal/flowd/restart_test.go
@@ -61,6 +61,7 @@
 func startRestartFleet(t *testing.T) *restartFleet {
 	is := is.New(t)
 	f := &restartFleet{store: platformtest.NewStore()}
+	network := claimNetwork(t)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
 	server := &http.Server{Handler: f.store, ReadHeaderTimeout: time.Second}
@@ -76,12 +77,12 @@
 		proxy, err := platformtest.NewProxy(listener.Addr().String())
 		is.NoErr(err)
 		t.Cleanup(proxy.Close)
-		address := netip.AddrFrom4([4]byte{127, 0, 78, 1 + n})
+		address := netip.AddrFrom4([4]byte{127, network, 78, 1 + n})
 		l := &learned{at: map[uint64]time.Time{}, read: map[uint64]bool{}}
 		d, err := New(platform.Settings{
 			Instance: fmt.Sprint("i", n), DataCentre: string('a' + rune(n/2)), Address: address, Packets: netip.AddrPortFrom(address, 18172),
 			Readiness: netip.AddrPortFrom(address, 18167), FirstPort: 17720, LastPort: 17721, Store: netip.MustParseAddrPort(proxy.Address()),
-			Seeds: []netip.Addr{netip.AddrFrom4([4]byte{127, 0, 78, 1})}, Grace: time.Second, MaxFlowAge: time.Minute, WarmupFactor: 1, WarmupSlack: 5,
+			Seeds: []netip.Addr{netip.AddrFrom4([4]byte{127, network, 78, 1})}, Grace: time.Second, MaxFlowAge: time.Minute, WarmupFactor: 1, WarmupSlack: 5,
 		}, slog.New(l))
 		is.NoErr(err)
 		is.NoErr(d.Start(t.Context()))
