--- a/internal/flowpath/opening.go
+++ b/internal/flowpath/opening.go
@@ -95,9 +95,6 @@
 		e.Last = now
 		return v
 	}
-	if !early {
-		d.recordCopy(e, hash, state.Snapshot, now)
-	}
 	tried := e.Cookie
 	v = d.placeFlow(v, e, hash, tried, state, now)
 	if v.Backend == nil && accepts {
--- a/internal/flowpath/path.go
+++ b/internal/flowpath/path.go
@@ -189,7 +189,7 @@
 		}
 		now := p.Clock()
 		p.lastRead.Store(now)
-		p.decider.RecordRead(in.drained, in.emptyUntil)
+		p.decider.RecordRead(in.drained)
 		p.decider.RecordResume(p.LastResume(now))
 		if p.updatesPending.Load() {
 			p.applyPeerUpdates()
--- a/internal/flowpath/responsequeue.go
+++ b/internal/flowpath/responsequeue.go
@@ -56,16 +56,6 @@
 
 func (q *responseQueue) clear() { q.first, q.count = 0, 0 }
 
-// contains reports whether the answer to a packet is waited for.
-func (q *responseQueue) contains(flow uint64, sent int64) bool {
-	for n := range q.count {
-		if q.ring[(q.first+n)%maxPendingResponses] == (pendingResponse{flow: flow, sent: sent}) {
-			return true
-		}
-	}
-	return false
-}
-
 // overdue removes and returns the oldest packet that should have been answered by
 // now. Drained is when the socket was last empty: on a slow instance, the packet that
 // shows the answer may still wait to be read.
