--- a/internal/flowpath/admission.go
+++ b/internal/flowpath/admission.go
@@ -47,7 +47,7 @@
 
 // refuses reports whether a service has no room for a new flow of the route's priority.
 // Only sums of the data centre's instances justify a refusal. A copy of an opening packet
-// must not be asked for, and a packet that was held or waited through a pause is not refused:
+// must not be asked for, and a packet that was held or may have waited to be read is not refused:
 // another instance may have placed the flow.
 func (d *Decider) refuses(service string, route *catalogue.Route, p *Packet, now int64) bool {
 	s := d.load.services[service]
@@ -57,5 +57,5 @@
 	source := p.Flow.Source.As4()
 	caller := table.Mix(uint64(binary.BigEndian.Uint32(source[:])))
 	admitted := s.admission.Admit(route.Requests.Rank(), caller, now+d.load.origin)
-	return !admitted && d.load.fresh && d.isCurrent()
+	return !admitted && d.load.fresh && d.readsPromptly(now)
 }
