--- a/review/standin2/consumer.go
+++ b/review/standin2/consumer.go
@@ -34,6 +34,8 @@
 	local, to netip.AddrPort
 	in        chan arrival
 	seq, ack  uint32
+	// answeredAt is the time of the last answer.
+	answeredAt time.Time
 
 	mu     sync.Mutex
 	echo   uint32
@@ -148,6 +150,7 @@
 		}
 		f.seq += uint32(len(text))
 		f.ack += uint32(len(a.data))
+		f.answeredAt = time.Now()
 		f.send(flagACK, f.ack, nil)
 		return true
 	}
--- a/review/standin2/full.go
+++ b/review/standin2/full.go
@@ -18,6 +18,9 @@
 	pauseOfFeeds = time.Second
 	// calmFlows is the number of flows up to which the backend is filled without trouble.
 	calmFlows = maxConns * 9 / 10
+	// maxIdle is how long a backend keeps an idle flow; flows that were idle for longer don't
+	// count.
+	maxIdle = 12 * time.Second
 	// margin is how many flows are opened one by one at the end.
 	margin = 60
 )
@@ -53,7 +56,7 @@
 	for n, f := range flows {
 		all.Go(func() {
 			time.Sleep(2 * time.Second * time.Duration(n) / time.Duration(len(flows)))
-			held := target.holds(f.local)
+			held := target.holds(f.local) && time.Since(f.answeredAt) < maxIdle
 			ok := f.request(fmt.Sprintf("feed %d again", n), 2500*time.Millisecond)
 			from, bySystem, _, reset := f.foreignReset()
 			mu.Lock()
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -14,6 +14,7 @@
 
 // cases holds the cases by name. Each returns how often the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (broken int, err error){
+	"lapse": lapse,
 	"full":  full,
 	"cold":  cold,
 	"twice": twice,
