--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disturbance out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/balsamfork-flowd ] && [ -x target/standin2 ] || exit 2
-exec target/standin2 lapse review/6/record.txt
+exec target/standin2 full review/6/record.txt
--- a/review/standin2/lapse.go
+++ b/review/standin2/lapse.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,9 +76,29 @@
 	}
 	all.Wait()
 	w.note("of %d feeds %d were answered at the end", restoreFeeds, answered.Load())
+	for _, b := range w.backends {
+		w.note("store servers/%s: %s", b.id, w.entry(b))
+	}
 	return int(broken.Load()), nil
 }
 
+// entry returns the entry of a backend in the store, as a machine would read it.
+func (w *world) entry(b *backend) string {
+	response, err := http.Get("http://" + netip.AddrPortFrom(w.address(200, 0), storePort).String() + "/kv-key?key=servers/" + b.id)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	var item struct {
+		Value    []byte `json:"value"`
+		Revision uint64 `json:"revision"`
+	}
+	if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(&item) != nil {
+		return response.Status
+	}
+	return fmt.Sprintf("revision %d %s", item.Revision, item.Value)
+}
+
 // loseEntries makes the store fail, lose the entries of the backends, and come back from a
 // copy.
 func (w *world) loseEntries(start time.Time) {
