--- a/review/standin2/backend.go
+++ b/review/standin2/backend.go
@@ -189,6 +189,7 @@
 	case len(p.data) > 0 && p.seq == f.rcv:
 		f.rcv += uint32(len(p.data))
 		b.requests++
+		b.w.note("run backend=%s flow=%v %q", b.id, p.src, p.data)
 		f.answer = []byte(b.id + " " + string(p.data))
 		f.expects, f.retries = f.next+uint32(len(f.answer)), 0
 		b.sendAnswer(p.src, p.dst, f, firstRetry)
--- a/review/standin2/consumer.go
+++ b/review/standin2/consumer.go
@@ -126,8 +126,10 @@
 		f.openAt = a.from
 		f.mu.Unlock()
 		f.send(flagACK, f.ack, nil)
+		c.w.note("opened flow=%v at %v, packets sent: %d", f.local, f.openAt, copies+1)
 		return f, true
 	}
+	c.w.note("not opened flow=%v", f.local)
 	f.forget()
 	return nil, false
 }
@@ -136,6 +138,7 @@
 // if the flow was reset or the time is over.
 func (f *flow) request(text string, deadline time.Duration) bool {
 	end, wait := time.Now().Add(deadline), firstRetry
+	f.c.w.note("sent flow=%v %q", f.local, text)
 	for time.Now().Before(end) {
 		f.send(flagACK, f.ack, []byte(text))
 		a, got := f.wait(time.Now().Add(min(wait, time.Until(end))), func(a *arrival) bool {
@@ -146,8 +149,10 @@
 			continue
 		}
 		if a.flags&flagRST != 0 {
+			f.c.w.note("reset flow=%v by %v, system's own %v", f.local, a.from, a.sum == 0)
 			return false
 		}
+		f.c.w.note("answered flow=%v by %v %q", f.local, a.from, text)
 		f.seq += uint32(len(text))
 		f.ack += uint32(len(a.data))
 		f.answeredAt = time.Now()
