--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -55,6 +55,8 @@
 	nodes    []*node
 	backends []*backend
 	done     chan struct{}
+	// maxConns is the number of flows that a backend holds.
+	maxConns int
 	routeTo  netip.AddrPort
 	second   netip.AddrPort
 }
@@ -76,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{record: file, started: time.Now(), store: platformtest.NewStore(), done: make(chan struct{})}
+	w := &world{record: file, started: time.Now(), store: platformtest.NewStore(), maxConns: siteMaxConns, done: make(chan struct{})}
 	if w.dir, err = os.MkdirTemp("", "review-2-"); err != nil {
 		return nil, err
 	}
@@ -103,7 +105,7 @@
 			"timeout_ms": 2500, "target_latency_ms": 250, "priority": 2, "service": services[i], "max_attempts": 2,
 		})
 		list = append(list, map[string]any{
-			"name": services[i], "health_path": "/health", "max_conns": maxConns, "protocol": "h1", "tls": false, "warmup_s": 2.0, "warmup_per_s": perSecond,
+			"name": services[i], "health_path": "/health", "max_conns": w.maxConns, "protocol": "h1", "tls": false, "warmup_s": 2.0, "warmup_per_s": perSecond,
 		})
 	}
 	w.store.Put("op/config", map[string]any{
@@ -112,14 +114,14 @@
 	})
 }
 
-// maxConns is the number of flows that a backend holds.
-const maxConns = 4333
+// siteMaxConns is the max_conns of the site's services.
+const siteMaxConns = 4333
 
 // addBackend starts a backend in a zone and registers it.
 func (w *world) addBackend(service string, zone int) (*backend, error) {
 	n := len(w.backends)
 	b := &backend{
-		w: w, number: 0x7f3a91c0 + uint64(n), service: service, zone: zones[zone], slots: 4, cap: maxConns,
+		w: w, number: 0x7f3a91c0 + uint64(n), service: service, zone: zones[zone], slots: 4, cap: w.maxConns,
 		addr: netip.AddrPortFrom(w.address(10+zone, n), 8367),
 	}
 	b.id = fmt.Sprintf("i-%x", b.number)
