Reset no flows of a server that only ignores opening packets

Cause: four opening packets without an answer, through two instances, counted as proof that a server is dead. A full server answers none either, and flows that pause show no sign of life. Ruled out: a higher number of them, as a burst to a full server has any number; max_conns as proof, as sums of flows are partial and late. Change: the verdict rests on data on open flows that was sent again without an acknowledgement, as often and through as many instances as before. What was sent again before the suspicion counts too, so a dead server is found no later. A new request that acknowledges data shows that its server was alive after the flow's previous packet. Tests: TestFullServerKeepsItsFlows fails on ("reset != forward"); four more. TestDead, TestDeadEnds, TestVerdictFitsTheWindow, TestLateReport and the tests of the packet path that stated a verdict by opening packets alone stated the fault; they now state retransmissions as well, with the same numbers.

--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -144,9 +144,9 @@
 	// it and the resulting finding.
 	RecordFailure(b *catalogue.Backend, r suspicion.Report, f suspicion.Finding)
 	// Refuted is called when a server with missing responses on record has
-	// shown that it is alive. By is the kind of the evidence; ended says whether it
-	// ends a suspicion.
-	Refuted(b *catalogue.Backend, by suspicion.Kind, ended bool)
+	// shown that it is alive, with the report on it; ended says whether it ends a
+	// suspicion.
+	Refuted(b *catalogue.Backend, r suspicion.Report, ended bool)
 	LoadObserver
 }
 
@@ -272,16 +272,24 @@
 	case suspicion.Handshake:
 		d.suspicion.RecordHandshake(r.Server, r.DataCentre, now)
 	case suspicion.Data:
-		d.suspicion.RecordData(r.Server, r.DataCentre, now)
-	case suspicion.NoHandshake, suspicion.NoData:
+		d.suspicion.RecordPossibleData(r.Server, r.DataCentre, now-int64(max(0, r.Age)), now)
+	case suspicion.NoHandshake, suspicion.NoAcknowledgement, suspicion.NoData:
 		r.Age = max(0, r.Age)
 		if now-d.resumedAt >= int64(reportResumeDelay) {
-			return d.suspicion.RecordFailure(r, now)
+			return d.recordPeerFailure(r, now)
 		}
 	}
 	return suspicion.Finding{}
 }
 
+func (d *Decider) recordPeerFailure(r suspicion.Report, now int64) suspicion.Finding {
+	f := d.suspicion.RecordFailure(r, now)
+	if b := d.observed.ByCookie(r.Server); f.Suspected && r.Kind == suspicion.NoHandshake && b != nil {
+		d.reportRetransmissions(b, now)
+	}
+	return f
+}
+
 // RecordRead records that a packet was read, and when the socket was last empty before.
 func (d *Decider) RecordRead(lastDrained int64) { d.lastDrained = lastDrained }
 
--- a/internal/flowpath/established.go
+++ b/internal/flowpath/established.go
@@ -103,7 +103,7 @@
 	if p.Acknowledged != e.Acknowledged {
 		d.sampleResponse(e, int32(p.Acknowledged-e.Acknowledged) > 0, now)
 		e.Acknowledged, e.AwaitingAnswer = p.Acknowledged, false
-		d.recordAcknowledgement(p, b, now)
+		d.recordAcknowledgement(p, b, e.Last, now)
 	}
 }
 
--- a/internal/flowpath/evidence.go
+++ b/internal/flowpath/evidence.go
@@ -68,7 +68,20 @@
 	}
 	r := reportOn(b, kind)
 	r.Age = time.Duration(now - sent)
-	d.observer.RecordFailure(b, r, d.suspicion.RecordFailure(r, now))
+	f := d.suspicion.RecordFailure(r, now)
+	d.observer.RecordFailure(b, r, f)
+	if f.Suspected && kind == suspicion.NoHandshake {
+		d.reportRetransmissions(b, now)
+	}
+}
+
+// reportRetransmissions reports the retransmissions from before a server was suspected.
+func (d *Decider) reportRetransmissions(b *catalogue.Backend, now int64) {
+	for at := range d.suspicion.Retransmissions(b.Cookie, now) {
+		r := reportOn(b, suspicion.NoAcknowledgement)
+		r.Age = time.Duration(now - at)
+		d.observer.RecordFailure(b, r, suspicion.Finding{})
+	}
 }
 
 // reportOn returns a report of this instance on a server.
@@ -95,9 +108,14 @@
 // also accepts no flows and sends no data to others. It shows that the server has not
 // answered since the flow's previous packet, gap nanoseconds ago.
 func (d *Decider) recordRetransmission(b *catalogue.Backend, gap, now int64) {
-	if d.isCurrent() && gap <= int64(maxRetransmissionGap) && d.suspicion.Silent(b.Cookie, now) {
-		d.recordFailure(b, suspicion.NoHandshake, now-gap, now)
+	if !d.isCurrent() || gap > int64(maxRetransmissionGap) {
+		return
+	}
+	if d.suspicion.Silent(b.Cookie, now) {
+		d.recordFailure(b, suspicion.NoAcknowledgement, now-gap, now)
+		return
 	}
+	d.suspicion.RecordRetransmission(b.Cookie, b.DataCentre, now-gap)
 }
 
 func (d *Decider) recordHandshake(b *catalogue.Backend, now int64) {
@@ -105,25 +123,27 @@
 		return
 	}
 	if r := d.suspicion.RecordHandshake(b.Cookie, b.DataCentre, now); r.Refutes {
-		d.observer.Refuted(b, suspicion.Handshake, r.Ended)
+		d.observer.Refuted(b, reportOn(b, suspicion.Handshake), r.Ended)
 	}
 }
 
-// recordAcknowledgement handles an acknowledgement number that has advanced. Data
-// packets and the end of a flow are retransmitted, and may carry an old
-// acknowledgement that passed through another instance before; a packet without data
-// is only sent when data arrives.
-func (d *Decider) recordAcknowledgement(p *Packet, b *catalogue.Backend, now int64) {
+// recordAcknowledgement handles an acknowledgement number that differs from that of the
+// flow's previous packet, which was forwarded at a time. Data packets and the end of a flow
+// are retransmitted, and may carry an old acknowledgement that passed through another
+// instance before; a packet without data is only sent when data arrives.
+func (d *Decider) recordAcknowledgement(p *Packet, b *catalogue.Backend, previous, now int64) {
 	if !d.isCurrent() {
 		return
 	}
+	report := reportOn(b, suspicion.Data)
 	var r suspicion.Refutation
 	if p.Data == 0 && !p.Finish {
 		r = d.suspicion.RecordData(b.Cookie, b.DataCentre, now)
 	} else {
-		r = d.suspicion.RecordPossibleData(b.Cookie, b.DataCentre, now)
+		report.Age = time.Duration(now - previous)
+		r = d.suspicion.RecordPossibleData(b.Cookie, b.DataCentre, previous, now)
 	}
 	if r.Refutes {
-		d.observer.Refuted(b, suspicion.Data, r.Ended)
+		d.observer.Refuted(b, report, r.Ended)
 	}
 }
--- a/internal/flowpath/metrics.go
+++ b/internal/flowpath/metrics.go
@@ -23,6 +23,7 @@
 	holdsDropped   tally.Counter
 	updatesDropped tally.Counter
 	unanswered     tally.Counter
+	unacknowledged tally.Counter
 	stalled        tally.Counter
 	refuted        tally.Counter
 	suspicions     tally.Counter
@@ -56,6 +57,7 @@
 		holdsDropped:   scope.Counter("holds_dropped"),
 		updatesDropped: scope.Counter("news_dropped"),
 		unanswered:     scope.Counter("openings_unanswered"),
+		unacknowledged: scope.Counter("requests_unacknowledged"),
 		stalled:        scope.Counter("requests_stalled"),
 		refuted:        scope.Counter("suspicions_refuted"),
 		suspicions:     scope.Counter("suspicions"),
@@ -89,8 +91,11 @@
 
 // failureCounter returns the counter of a kind of missing response.
 func (m *metrics) failureCounter(kind suspicion.Kind) tally.Counter {
-	if kind == suspicion.NoData {
+	switch kind {
+	case suspicion.NoData:
 		return m.stalled
+	case suspicion.NoAcknowledgement:
+		return m.unacknowledged
 	}
 	return m.unanswered
 }
--- a/internal/flowpath/peerupdate.go
+++ b/internal/flowpath/peerupdate.go
@@ -98,12 +98,12 @@
 }
 
 // Refuted implements Observer.
-func (p *Path) Refuted(b *catalogue.Backend, by suspicion.Kind, ended bool) {
+func (p *Path) Refuted(b *catalogue.Backend, r suspicion.Report, ended bool) {
 	p.metrics.refuted.Inc(1)
 	if ended {
-		p.Log.Info("Backend server is responding again.", "server", b.Name, "data_centre", b.DataCentre, "sign", by)
+		p.Log.Info("Backend server is responding again.", "server", b.Name, "data_centre", b.DataCentre, "sign", r.Kind)
 	}
-	p.Report(reportOn(b, by))
+	p.Report(r)
 }
 
 // handleFinding logs a new suspicion, and requests contact with a data centre that has
--- a/internal/suspicion/circuit.go
+++ b/internal/suspicion/circuit.go
@@ -9,13 +9,38 @@
 	at     int64
 }
 
+// failureList holds the newest failures of one kind, the newest first.
+type failureList [deadThreshold]failure
+
+// insert adds a failure, unless all that are held are newer. It reports whether it did.
+func (l *failureList) insert(f failure) bool {
+	for i := range l {
+		if f.at >= l[i].at {
+			copy(l[i+1:], l[i:])
+			l[i] = f
+			return true
+		}
+	}
+	return false
+}
+
+// count returns the number of failures that are later than after and not older than span.
+func (l *failureList) count(after, now int64, span time.Duration) int {
+	n := 0
+	for _, f := range l {
+		if f.at > after && now-f.at <= int64(span) {
+			n++
+		}
+	}
+	return n
+}
+
 // circuit is a circuit breaker for one kind of failure of a server. It opens on
 // several failures without a success between them. When the suspicion ends, it is
 // half-open and allows trials.
 type circuit struct {
-	// failures holds the newest failures, the newest first. Those not later than
-	// lastSuccess, the time of the last success, don't count.
-	failures    [deadThreshold]failure
+	// failures not later than lastSuccess, the time of the last success, don't count.
+	failures    failureList
 	lastSuccess int64
 	// since and until are the start and the end of the last suspicion, duration is its
 	// length. The circuit stays tripped (open, then half-open) until a success.
@@ -30,7 +55,7 @@
 	if !c.insert(f) || c.until > now {
 		return false
 	}
-	if !c.tripped && c.countFailures(c.lastSuccess, c.failures[0].at, failureWindow) < suspicionThreshold {
+	if !c.tripped && c.failures.count(c.lastSuccess, c.failures[0].at, failureWindow) < suspicionThreshold {
 		return false
 	}
 	c.trip(now)
@@ -40,17 +65,7 @@
 // insert adds a failure to the newest ones. It returns false if the failure shows nothing
 // new: a later packet was answered, or all failures held are newer.
 func (c *circuit) insert(f failure) bool {
-	if f.at <= c.lastSuccess {
-		return false
-	}
-	for i := range c.failures {
-		if f.at >= c.failures[i].at {
-			copy(c.failures[i+1:], c.failures[i:])
-			c.failures[i] = f
-			return true
-		}
-	}
-	return false
+	return f.at > c.lastSuccess && c.failures.insert(f)
 }
 
 // trip starts a suspicion. If there was no success since the last one started, it
@@ -65,21 +80,9 @@
 	c.since, c.until = now, now+int64(c.duration)
 }
 
-// countFailures returns the number of failures that are later than after and not older
-// than span.
-func (c *circuit) countFailures(after, now int64, span time.Duration) int {
-	n := 0
-	for _, f := range c.failures {
-		if f.at > after && now-f.at <= int64(span) {
-			n++
-		}
-	}
-	return n
-}
-
 // recordSuccess records a success and closes the circuit.
 func (c *circuit) recordSuccess(now int64) Refutation {
-	r := Refutation{Refutes: c.tripped || c.countFailures(c.lastSuccess, now, deadWindow) > 0, Ended: c.tripped}
+	r := Refutation{Refutes: c.tripped || c.failures.count(c.lastSuccess, now, deadWindow) > 0, Ended: c.tripped}
 	c.lastSuccess, c.tripped, c.until = now, false, min(c.until, now)
 	return r
 }
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -6,6 +6,10 @@
 // When a suspicion ends, the server gets single flows as trials until one is answered
 // (the half-open state of a circuit breaker).
 //
+// A server that holds as many flows as it may ignores opening packets as well, but serves
+// its open flows. Only data on open flows that is sent again without an acknowledgement
+// shows that a server is dead.
+//
 // Servers answer callers directly, so a caller may still receive data from a server
 // that the instances can't reach, and a server that accepts flows may answer no
 // request. Hence a handshake shows that a server can be reached, and data shows that it
@@ -15,7 +19,10 @@
 // are in nanoseconds of a monotonic clock.
 package suspicion
 
-import "time"
+import (
+	"iter"
+	"time"
+)
 
 const (
 	// failureWindow is how long an unanswered packet counts towards a suspicion. An
@@ -23,10 +30,10 @@
 	failureWindow = 1500 * time.Millisecond
 	// suspicionThreshold is the number of failures that make a server suspected.
 	suspicionThreshold = 2
-	// deadThreshold is the number of failures within deadWindow, reported by at least
-	// two instances, that make a server dead. The open flows of a dead server are reset,
-	// which must never happen to a server that is alive: at a loss of 1 % of datagrams,
-	// four losses in a row without an answer between have a probability of 10^-8.
+	// deadThreshold is the number of retransmissions within deadWindow, reported by at
+	// least two instances, that make a suspected server dead. The open flows of a dead server
+	// are reset, which must never happen to a server that is alive: at a loss of 1 % of
+	// datagrams, four losses in a row without an answer between have a probability of 10^-8.
 	deadThreshold = 4
 	deadWindow    = 3 * time.Second
 	// verdictMargin is how much sooner a verdict ends than a server's flows must hold
@@ -55,6 +62,9 @@
 const (
 	// NoHandshake is a failure: an opening packet was not answered.
 	NoHandshake Kind = "no_handshake"
+	// NoAcknowledgement is a failure: data on an open flow was sent again, so that nothing
+	// that the server has sent since has reached the caller.
+	NoAcknowledgement Kind = "no_acknowledgement"
 	// NoData is a failure: a request got no data in return.
 	NoData Kind = "no_data"
 	// Handshake is a success: a server that had failures has answered an opening
@@ -85,7 +95,8 @@
 	// centre has become unreachable.
 	Suspected   bool
 	Unreachable bool
-	// Failures is the number of failures within deadWindow since the last success.
+	// Failures is the number of failures of the same circuit within deadWindow since the
+	// last success.
 	// Silent is the time since that success; 0 if there was none.
 	Failures int
 	Silent   time.Duration
@@ -97,6 +108,8 @@
 	// successes; requests records unanswered requests as failures and data as successes.
 	handshakes circuit
 	requests   circuit
+	// unacknowledged holds data that was sent again without an acknowledgement.
+	unacknowledged failureList
 	// lastAlive is the time of the last handshake, or of data that was certainly sent
 	// just then. lastTrial is when a flow was last sent to the server.
 	lastAlive int64
@@ -141,7 +154,10 @@
 		c = &s.requests
 	}
 	failed := failure{source: r.Source, at: now - int64(r.Age)}
-	f := Finding{Suspected: c.recordFailure(failed, now), Failures: c.countFailures(c.lastSuccess, now, deadWindow)}
+	if r.Kind == NoAcknowledgement {
+		s.unacknowledged.insert(failed)
+	}
+	f := Finding{Suspected: c.recordFailure(failed, now), Failures: c.failures.count(c.lastSuccess, now, deadWindow)}
 	if c.lastSuccess != 0 {
 		f.Silent = time.Duration(now - c.lastSuccess)
 	}
@@ -149,22 +165,44 @@
 	return f
 }
 
-// Dead reports whether it is certain that a server answers no instance: opening packets
-// of at least two instances failed deadThreshold times since it was last alive, the last
-// of them within the duration of a verdict.
+// RecordRetransmission records that this instance forwarded data on an open flow at a time,
+// and that it was sent again without an acknowledgement. Unlike a failure, it does not
+// prolong a suspicion.
+func (t *Table) RecordRetransmission(id uint32, dc string, at int64) {
+	t.server(id, dc).unacknowledged.insert(failure{at: at})
+}
+
+// Retransmissions calls yield with the time of each retransmission through this instance
+// since the server was last alive that still counts.
+func (t *Table) Retransmissions(id uint32, now int64) iter.Seq[int64] {
+	return func(yield func(at int64) bool) {
+		s := t.servers[id]
+		if s == nil {
+			return
+		}
+		for _, f := range s.unacknowledged {
+			if f.source == 0 && f.at > s.lastAlive && now-f.at <= int64(deadWindow) && !yield(f.at) {
+				return
+			}
+		}
+	}
+}
+
+// Dead reports whether it is certain that a server answers no instance: it is suspected of
+// not answering opening packets, and data on open flows was sent again without an
+// acknowledgement deadThreshold times, through at least two instances, since the server was
+// last alive, the last of them within the duration of a verdict. Unanswered opening packets
+// alone show only that a server takes no new flows.
 func (t *Table) Dead(id uint32, now int64) bool {
 	s := t.servers[id]
 	if s == nil || !s.handshakes.tripped {
 		return false
 	}
-	newest := s.handshakes.failures[0]
-	if now-newest.at > int64(t.verdict) {
+	newest := s.unacknowledged[0]
+	if now-newest.at > int64(t.verdict) || s.unacknowledged.count(s.lastAlive, newest.at, deadWindow) < deadThreshold {
 		return false
 	}
-	if s.handshakes.countFailures(s.lastAlive, newest.at, deadWindow) < deadThreshold {
-		return false
-	}
-	for _, f := range s.handshakes.failures[1:] {
+	for _, f := range s.unacknowledged[1:] {
 		if f.source != newest.source {
 			return true
 		}
@@ -204,26 +242,46 @@
 func (t *Table) RecordHandshake(id uint32, dc string, now int64) Refutation {
 	s := t.server(id, dc)
 	r := s.handshakes.recordSuccess(now)
-	s.lastAlive = now
+	r.Refutes = s.recordAlive(now, now) || r.Refutes
 	d := t.dataCentre(dc)
 	d.lastAnswer, d.until = now, min(d.until, now)
 	return r
 }
 
-// RecordPossibleData records that a caller may have received data from a server: its
-// acknowledgement number has advanced at this instance, but other instances may have
-// seen that before.
-func (t *Table) RecordPossibleData(id uint32, dc string, now int64) Refutation {
-	return t.server(id, dc).requests.recordSuccess(now)
+// RecordPossibleData records that a caller has received data from a server at some time
+// after since: its acknowledgement number has advanced since then at this instance, but
+// other instances may have seen that before.
+func (t *Table) RecordPossibleData(id uint32, dc string, since, now int64) Refutation {
+	s := t.server(id, dc)
+	r := s.requests.recordSuccess(now)
+	r.Refutes = s.recordAlive(since, now) || r.Refutes
+	return r
 }
 
 // RecordData records that a caller has just received data from a server.
 func (t *Table) RecordData(id uint32, dc string, now int64) Refutation {
-	s := t.server(id, dc)
-	r := s.requests.recordSuccess(now)
-	r.Refutes = r.Refutes || s.handshakes.countFailures(s.lastAlive, now, deadWindow) > 0
-	s.lastAlive = now
-	return r
+	return t.RecordPossibleData(id, dc, now, now)
+}
+
+// recordAlive records that the server was alive at a time, and reports whether failures that
+// still counted are from before that.
+func (s *server) recordAlive(at, now int64) bool {
+	if at <= s.lastAlive {
+		return false
+	}
+	before := s.countSilence(now)
+	s.lastAlive = at
+	return s.countSilence(now) < before
+}
+
+// countSilence returns the number of failures since the server was last alive that still
+// count. Retransmissions don't count against a server that accepts flows.
+func (s *server) countSilence(now int64) int {
+	n := s.handshakes.failures.count(s.lastAlive, now, deadWindow)
+	if s.handshakes.tripped {
+		n += s.unacknowledged.count(s.lastAlive, now, deadWindow)
+	}
+	return n
 }
 
 // RecordContact records that an instance in a data centre has answered this one.
