Send the first copy of an opening packet to the same server

Cause: the first copy, after 200 ms, went to a second server unless this instance had seen the first one answer another flow since, which in a quiet service it never has. Both held half a flow, and each repeated answer replaced the caller's cookie; an instance without an entry followed it. Ruled out: the repair by the entry, which holds as long as the flow's packets pass through the instance that placed it. Change: the first copy stays with its server unless that one is suspected or out of reach. The second one, after 600 ms, goes elsewhere.

--- a/internal/flowpath/opening.go
+++ b/internal/flowpath/opening.go
@@ -78,9 +78,12 @@
 }
 
 // decideCopy returns the verdict on a copy of an opening packet that its server has not
-// answered. If the server has answered others since, a packet was lost; otherwise
-// another server is tried. Copies that were read together have waited in this
-// instance, so the server has had no time to answer yet. If the server has started again
+// answered, as far as this instance knows. The answer may have been lost, and the server
+// goes on repeating it: if a second server answered as well, the caller's cookie would change
+// with each answer. So the first copy goes to the same server, unless that one is suspected,
+// and another server is tried only when the first copy was not answered either. If the server
+// has answered others since, a packet was lost. Copies that were read together have waited in
+// this instance, so the server has had no time to answer yet. If the server has started again
 // since, the start that got the first packet answers none, and the flow is placed anew.
 func (d *Decider) decideCopy(v Verdict, e *flowtable.Entry, hash uint64, state CatalogueState, now int64) Verdict {
 	backend := state.Snapshot.ByCookie(e.Cookie)
@@ -90,9 +93,10 @@
 	accepts := backend != nil && d.selector.Accepts(state.Snapshot, backend, now)
 	alive := d.suspicion.LastHandshake(e.Cookie) > e.Sent
 	early := now-e.Sent < int64(handshakeTimeout)
-	if accepts && (alive || early) {
+	first := !early && !e.Repeated
+	if accepts && (alive || early || first && !(reachabilityView{d}).Suspected(backend, now)) {
 		v.Backend, v.Reason = backend, Repeated
-		e.Last = now
+		e.Repeated, e.Last = e.Repeated || first, now
 		return v
 	}
 	tried := e.Cookie
@@ -104,7 +108,7 @@
 	}
 	v.Unanswered = backend
 	if v.Backend != nil {
-		e.UnansweredCookie, v.Reason = tried, Moved
+		e.UnansweredCookie, e.Repeated, v.Reason = tried, true, Moved
 	}
 	return v
 }
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -53,6 +53,9 @@
 	// Acknowledged is the caller's last acknowledgement number, and Sequence the
 	// sequence number of its last data, or of its first packet here.
 	Acknowledged, Sequence uint32
+	// Repeated says that the opening packet was sent a second time, to the same server or to
+	// another one, since it was not answered.
+	Repeated bool
 	// OpenedHere says that the flow was opened through this instance.
 	OpenedHere bool
 	// AwaitingAnswer says that a request has been forwarded since the
