Tell a server that holds half a flow the cookie of the flow's server

Change: the server that does not hold the flow gets the caller's opening packet once more, with the cookie of the one that does, which its further answers then carry: with the first packet of the open flow, and whenever a cookie is repaired. Weighed: entries passed on between instances (state, and a crash between).

--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -115,6 +115,10 @@
 	// Unanswered is the server that did not answer the previous opening packet, or
 	// nil.
 	Unanswered *catalogue.Backend
+	// HalfOpen is another server that may hold the flow half open and repeats its answer, or
+	// nil. The caller's opening packet is to be sent to it again with the cookie of Backend,
+	// which its answers carry from then on.
+	HalfOpen *catalogue.Backend
 	// Load holds what the decision on a new flow owes to the load of services.
 	Load LoadInputs
 }
--- a/internal/flowpath/decider_test.go
+++ b/internal/flowpath/decider_test.go
@@ -327,6 +327,46 @@
 	is.Equal(v.Backend.Name, first.Name)
 }
 
+// TestHalfOpenServerIsToldTheCookie guards against a flow whose packets go to the wrong server
+// through an instance that did not see it open: a second server, which holds the flow half
+// open, goes on repeating its answer, which would change the caller's cookie each time.
+func TestHalfOpenServerIsToldTheCookie(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		opensSecond bool
+	}{
+		{"the first server's answer is late", false},
+		{"the second server answers first", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(5, nil)
+			first := h.open(1, 0).Backend
+			h.now += 200 * ms
+			h.open(1, 1)
+			h.now += 400 * ms
+			second := h.open(1, 2).Backend
+			is.True(second != first)
+			holder, half := first, second
+			if c.opensSecond {
+				holder, half = second, first
+			}
+			v := h.send(1, holder.Cookie, 1, 0)
+			is.Equal(v.Backend.Name, holder.Name)
+			is.Equal(v.HalfOpen.Name, half.Name)
+			is.True(h.send(1, holder.Cookie, 1, 100).HalfOpen == nil)
+			h.now += 100 * ms
+			v = h.send(1, half.Cookie, 1, 100) // an answer that was on its way
+			is.Equal(v.Reason, Repaired)
+			is.Equal(v.HalfOpen.Name, half.Name)
+			h.apply(record(half.Name, 101, func(s *catalogue.Server) { s.Draining = true }))
+			is.True(h.send(1, half.Cookie, 1, 100).HalfOpen == nil)
+			h.apply(record(half.Name, 102, func(s *catalogue.Server) { s.Warmup = time.Minute }))
+			is.True(h.send(1, half.Cookie, 1, 100).HalfOpen == nil)
+		})
+	}
+}
+
 func TestFlowOfARemovedServerIsResetAfterTheGracePeriod(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(3, nil)
--- a/internal/flowpath/established.go
+++ b/internal/flowpath/established.go
@@ -31,7 +31,9 @@
 		return Verdict{Action: Reset, Reason: ServerGone, Backend: backend}
 	}
 	ended := e != nil && heldByEarlierStart(e, backend)
+	half := cookie.None
 	if e != nil && !ended {
+		half = halfOpenCookie(p, e, backend)
 		d.recordProgress(p, e, backend, now)
 	}
 	if now-max(state.Since, d.resumedAt) > int64(catalogueSettlingTime) && d.isDead(backend, now) {
@@ -44,7 +46,35 @@
 	if !ended {
 		d.recordForwarded(p, e, hash, backend, now)
 	}
-	return Verdict{Action: Forward, Reason: reason, Backend: backend}
+	return Verdict{Action: Forward, Reason: reason, Backend: backend, HalfOpen: d.halfOpenServer(half, state, now)}
+}
+
+// halfOpenCookie returns the cookie of another server that may have answered the opening
+// packet of a flow of b, or cookie.None: at the flow's first packet the server that the
+// packet was also sent to, and later any whose answer has replaced the caller's cookie.
+func halfOpenCookie(p *Packet, e *flowtable.Entry, b *catalogue.Backend) uint32 {
+	switch {
+	case e.State == flowtable.Open && p.Cookie != b.Cookie:
+		return p.Cookie
+	case e.State != flowtable.Opening:
+		return cookie.None
+	case e.Cookie != b.Cookie:
+		return e.Cookie
+	}
+	return e.UnansweredCookie
+}
+
+// halfOpenServer returns the server of a cookie if it may get a repeated opening packet now, or
+// nil. A cold one may not: the packet could open a flow there.
+func (d *Decider) halfOpenServer(c uint32, state CatalogueState, now int64) *catalogue.Backend {
+	if c == cookie.None {
+		return nil
+	}
+	b := state.Snapshot.ByCookie(c)
+	if b == nil || b.Cold(now) || !d.selector.Accepts(state.Snapshot, b, now) {
+		return nil
+	}
+	return b
 }
 
 // heldByEarlierStart reports whether the flow of an entry ended with an earlier start of a
--- a/internal/flowpath/metrics.go
+++ b/internal/flowpath/metrics.go
@@ -14,23 +14,24 @@
 // metrics holds the counters of the packet path. They are created in advance, so that
 // counting takes no lock.
 type metrics struct {
-	actions        [Hold + 1][len(reasonNames)]tally.Counter
-	packets        tally.Counter
-	copies         tally.Counter
-	malformed      tally.Counter
-	readErrors     tally.Counter
-	writeErrors    tally.Counter
-	holdsDropped   tally.Counter
-	updatesDropped tally.Counter
-	unanswered     tally.Counter
-	unacknowledged tally.Counter
-	stalled        tally.Counter
-	refuted        tally.Counter
-	suspicions     tally.Counter
-	age            tally.Gauge
-	handling       tally.Histogram
-	load           loadMetrics
-	seen           uint64
+	actions          [Hold + 1][len(reasonNames)]tally.Counter
+	openingsRepeated tally.Counter
+	packets          tally.Counter
+	copies           tally.Counter
+	malformed        tally.Counter
+	readErrors       tally.Counter
+	writeErrors      tally.Counter
+	holdsDropped     tally.Counter
+	updatesDropped   tally.Counter
+	unanswered       tally.Counter
+	unacknowledged   tally.Counter
+	stalled          tally.Counter
+	refuted          tally.Counter
+	suspicions       tally.Counter
+	age              tally.Gauge
+	handling         tally.Histogram
+	load             loadMetrics
+	seen             uint64
 }
 
 var actionNames = [...]string{"forward", "reset", "drop", "hold"}
@@ -48,21 +49,22 @@
 	load := newLoadMetrics(scope)
 	scope = scope.SubScope("flows")
 	m := metrics{
-		load:           load,
-		packets:        scope.Counter("packets"),
-		copies:         scope.Counter("opening_copies"),
-		malformed:      scope.Counter("packets_malformed"),
-		readErrors:     scope.Counter("read_errors"),
-		writeErrors:    scope.Counter("write_errors"),
-		holdsDropped:   scope.Counter("holds_dropped"),
-		updatesDropped: scope.Counter("news_dropped"),
-		unanswered:     scope.Counter("openings_unanswered"),
-		unacknowledged: scope.Counter("requests_unacknowledged"),
-		stalled:        scope.Counter("requests_stalled"),
-		refuted:        scope.Counter("suspicions_refuted"),
-		suspicions:     scope.Counter("suspicions"),
-		age:            scope.Gauge("catalogue_age_seconds"),
-		handling:       scope.Histogram("handling_seconds", handlingBuckets),
+		load:             load,
+		packets:          scope.Counter("packets"),
+		openingsRepeated: scope.Counter("openings_repeated"),
+		copies:           scope.Counter("opening_copies"),
+		malformed:        scope.Counter("packets_malformed"),
+		readErrors:       scope.Counter("read_errors"),
+		writeErrors:      scope.Counter("write_errors"),
+		holdsDropped:     scope.Counter("holds_dropped"),
+		updatesDropped:   scope.Counter("news_dropped"),
+		unanswered:       scope.Counter("openings_unanswered"),
+		unacknowledged:   scope.Counter("requests_unacknowledged"),
+		stalled:          scope.Counter("requests_stalled"),
+		refuted:          scope.Counter("suspicions_refuted"),
+		suspicions:       scope.Counter("suspicions"),
+		age:              scope.Gauge("catalogue_age_seconds"),
+		handling:         scope.Histogram("handling_seconds", handlingBuckets),
 	}
 	for a := range m.actions {
 		for r := range m.actions[a] {
--- a/internal/flowpath/path.go
+++ b/internal/flowpath/path.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
 
+	"balsamfork/internal/catalogue"
 	"balsamfork/internal/decisionlog"
 	"balsamfork/internal/suspicion"
 )
@@ -80,6 +81,7 @@
 	resetBuffer    []byte
 	metrics        metrics
 	recorder       *decisionlog.Recorder
+	openings       keptOpenings
 	held           chan heldPacket
 	released       chan heldPacket
 	peerUpdate     chan peerUpdate
@@ -266,6 +268,12 @@
 	switch v.Action {
 	case Forward:
 		p.forward(buffer, &v)
+		if packet.Kind == Opening && packet.Copy > 0 {
+			p.openings.add(&packet, buffer, now)
+		}
+		if v.HalfOpen != nil {
+			p.repeatOpening(&packet, v.HalfOpen, v.Backend, now)
+		}
 	case Reset:
 		p.reset(&packet)
 	case Hold:
@@ -281,7 +289,11 @@
 
 func (p *Path) forward(buffer []byte, v *Verdict) {
 	p.Codec.EncodeForServer(buffer, v.Backend.Number, v.Backend.Cookie)
-	if _, err := p.conn.WriteToUDPAddrPort(buffer, v.Backend.Address); err != nil {
+	p.write(buffer, v.Backend)
+}
+
+func (p *Path) write(buffer []byte, to *catalogue.Backend) {
+	if _, err := p.conn.WriteToUDPAddrPort(buffer, to.Address); err != nil {
 		p.metrics.writeErrors.Inc(1)
 	}
 }
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -75,7 +75,11 @@
 // OpenedBy reports whether an opening packet with the given sequence number can be one of
 // the flow of the entry. If not, it opens another flow that has the same addresses and
 // ports.
-func (e *Entry) OpenedBy(sequence uint32) bool { return e.Sequence-sequence <= maxAdvance }
+func (e *Entry) OpenedBy(sequence uint32) bool { return Follows(e.Sequence, sequence) }
+
+// Follows reports whether a packet with the given sequence number can belong to a flow whose
+// opening packet had the other one.
+func Follows(sequence, opening uint32) bool { return sequence-opening <= maxAdvance }
 
 func isNear(a, b uint32) bool {
 	distance := int32(a - b)
