Limit a server that returns while the store is away as a cold one

Cause: only an entry in the store made a server cold, and the first answer ended the suspicion, with all that was known of the server's absence. Ruled out: the trials during the suspicion, one in 0.3 s at each instance. Change: a server whose suspicion ends counts as cold for its service's warm-up time (warmup_s), with shares of the limit, until a reading of the store from after its return, or data on a flow from before its absence, shows that it has not started again. Without the store other data centres are told; digests carry servers that are suspected or have returned, for instances that start meanwhile.

--- a/internal/catalogue/record.go
+++ b/internal/catalogue/record.go
@@ -139,6 +139,8 @@
 	// WarmupRate is the rate that a cold server can handle, in requests a second; 0
 	// means that no rate is stated.
 	WarmupRate float64 `json:"warmupRate"`
+	// Warmup is how long a server is cold after its start; 0 means that this is not stated.
+	Warmup time.Duration `json:"warmup,omitempty"`
 }
 
 // Configuration is one version of the operator's configuration.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -26,6 +26,11 @@
 	// other instances, at intervals that begin with initialInterval and double.
 	startupPeriod   = 4 * time.Second
 	initialInterval = 100 * time.Millisecond
+	// maxReturns bounds the reports on servers in a digest.
+	maxReturns = 64
+	// helloPeers is the number of peers in the data centre that a starting instance asks as
+	// well each time: the seeds may know nothing of its servers.
+	helloPeers = 2
 	// receiveBufferSize bounds a datagram that is received, in bytes.
 	receiveBufferSize = 64 << 10
 )
@@ -85,7 +90,11 @@
 	// OnServiceSums is called with the sums of another data centre, at most 64; nil ignores
 	// them. It must not block.
 	OnServiceSums func(dataCentre string, sums []ServiceSum)
-	Random        *rand.Rand
+	// Returns returns reports on the servers of this data centre that may have started again
+	// without an entry in the store, or are suspected. Digests carry the first 64; nil means
+	// none. It must not block.
+	Returns func() []suspicion.Report
+	Random  *rand.Rand
 	// LastResume returns the end of the last pause of this process before now, or 0 if
 	// there was none, in nanoseconds.
 	LastResume func(now int64) int64
@@ -210,9 +219,15 @@
 }
 
 // Report sends an observation about a backend server to the instances of the data
-// centre.
+// centre. The return of a server concerns all instances, which share the limit of a cold
+// server: it goes to some of each other data centre as well, which relay it there.
 func (e *Exchange) Report(r suspicion.Report) {
-	e.sendAll(message{From: e.peers.self, Report: &r}, e.peers.local())
+	m := message{From: e.peers.self, Report: &r}
+	e.sendAll(m, e.peers.local())
+	if r.Kind == suspicion.Returned {
+		m.Relay = true
+		e.sendAll(m, e.peers.remote())
+	}
 }
 
 // LocalPeers returns the number of other instances in the data centre that are known.
@@ -252,6 +267,7 @@
 	if starting {
 		m.Hello = true
 		e.sendAll(m, e.otherSeeds())
+		e.sendAll(m, e.peers.inDataCentre(e.DataCentre, helloPeers))
 		m.Hello = false
 	} else {
 		e.sendAll(m, e.unknownSeeds())
@@ -300,6 +316,10 @@
 		return m
 	}
 	m.Regular = e.Reader.Regular()
+	if e.Returns != nil {
+		m.Returns = e.Returns()
+		m.Returns = m.Returns[:min(len(m.Returns), maxReturns)]
+	}
 	position := e.Mirror.Snapshot().Position
 	m.Epoch, m.Revision = position.Epoch, position.Revision
 	m.AgeMS = (now - known) / int64(time.Millisecond)
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -46,7 +46,7 @@
 	// regular reader. Awaiting confirms that.
 	StandBy  bool `json:"standBy,omitempty"`
 	Awaiting bool `json:"awaiting,omitempty"`
-	// Relay asks the receiver to forward the digest within its data centre.
+	// Relay asks the receiver to forward the digest or the report within its data centre.
 	Relay bool `json:"relay,omitempty"`
 	// Ping asks for an answer with Pong set, to check whether a data centre can be
 	// reached.
@@ -58,6 +58,9 @@
 	Peers []Peer `json:"peers,omitempty"`
 	// Report is the sender's observation about a backend server.
 	Report *suspicion.Report `json:"report,omitempty"`
+	// Returns holds reports on servers of the sender's data centre that may have started again
+	// without an entry in the store, or are suspected: the receiver may have started since.
+	Returns []suspicion.Report `json:"returns,omitempty"`
 	// Load is the sender's load report, base64 in a string, and Services the sums of its
 	// data centre, a list of ServiceSum. They are decoded separately, so that a malformed
 	// one doesn't affect the rest of the message.
--- a/internal/exchange/receive.go
+++ b/internal/exchange/receive.go
@@ -81,7 +81,14 @@
 	now := e.Clock()
 	e.recordPeers(m, now)
 	e.receiveLoad(m)
+	for _, r := range m.Returns {
+		r.Source = sourceOf(m.From.Address)
+		e.OnReport(r)
+	}
 	if m.Report != nil {
+		if m.Relay {
+			e.sendAll(message{From: e.peers.self, Report: m.Report}, e.peers.local())
+		}
 		m.Report.Source = sourceOf(m.From.Address)
 		e.OnReport(*m.Report)
 		return
--- a/internal/flowd/module.go
+++ b/internal/flowd/module.go
@@ -84,6 +84,7 @@
 	localPeers         func() int
 	probeDataCentre    func(dataCentre string)
 	reportServer       func(suspicion.Report)
+	returns            func() []suspicion.Report
 	peerReported       func(suspicion.Report)
 	dataCentreAnswered func(dataCentre string)
 	instancesChanged   func(all, local int)
@@ -134,6 +135,7 @@
 			}
 			return h.serviceSums()
 		},
+		Returns: func() []suspicion.Report { return h.returns() },
 		OnServiceSums: func(dataCentre string, sums []exchange.ServiceSum) {
 			if h.remoteSums != nil {
 				h.remoteSums(dataCentre, sums)
@@ -207,6 +209,7 @@
 	}
 	h.localPeers = e.LocalPeers
 	h.reportServer = e.Report
+	h.returns = p.Returns
 	h.probeDataCentre = e.ProbeDataCentre
 	connectLoad(h, e, p, log)
 	h.peerReported = p.PeerReport
--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -151,6 +151,9 @@
 	// shown that it is alive, with the report on it; ended says whether it ends a
 	// suspicion.
 	Refuted(b *catalogue.Backend, r suspicion.Report, ended bool)
+	// Returned is called when a suspicion of a server that may have started again has
+	// ended, with the report on it.
+	Returned(r suspicion.Report)
 	LoadObserver
 }
 
@@ -174,6 +177,7 @@
 	requests   responseQueue
 	suspicion  *suspicion.Table
 	warmup     *warmupBudget
+	returns    returns
 	// localInstances is the number of instances in the data centre.
 	localInstances int
 	outstanding    map[uint32]int
@@ -220,6 +224,7 @@
 		waitedOpenings: waitedOpenings{},
 		load:           newLoadSharing(random),
 	}
+	d.returns.servers = map[uint32]*serverReturn{}
 	d.flows.OnRemove = func(e *flowtable.Entry) { d.load.abandon(e, d.now) }
 	return d
 }
@@ -257,6 +262,8 @@
 		if known {
 			d.suspicion.Remove(b.Cookie)
 			d.warmup.remove(b.Cookie)
+			d.returns.remove(b.Cookie)
+			d.returns.changed = true
 			delete(d.outstanding, b.Cookie)
 			d.load.remove(b.Cookie)
 		}
@@ -274,9 +281,26 @@
 	}
 	switch r.Kind {
 	case suspicion.Handshake:
-		d.suspicion.RecordHandshake(r.Server, r.DataCentre, now)
+		last := d.suspicion.LastHandshake(r.Server)
+		if d.suspicion.RecordHandshake(r.Server, r.DataCentre, now).Ended || d.returns.absent(r.Server) {
+			d.returns.record(r.Server, last, now)
+		}
 	case suspicion.Data:
-		d.suspicion.RecordPossibleData(r.Server, r.DataCentre, now-int64(max(0, r.Age)), now)
+		last := d.suspicion.LastData(r.Server)
+		if d.suspicion.RecordPossibleData(r.Server, r.DataCentre, now-int64(max(0, r.Age)), now).Ended {
+			d.returns.record(r.Server, last, now)
+		}
+	case suspicion.Returned:
+		d.returns.learn(r.Server, now-int64(max(0, r.Age)))
+	case suspicion.Absent:
+		since, answered := now-int64(max(0, r.Age)), d.suspicion.LastHandshake(r.Server)
+		switch {
+		case d.suspicion.Tripped(r.Server):
+		case answered > since:
+			d.returns.learn(r.Server, answered)
+		default:
+			d.returns.learnAbsence(r.Server, since, now)
+		}
 	case suspicion.NoHandshake, suspicion.NoAcknowledgement, suspicion.NoData:
 		r.Age = max(0, r.Age)
 		if now-d.resumedAt >= int64(reportResumeDelay) {
@@ -288,6 +312,7 @@
 
 func (d *Decider) recordPeerFailure(r suspicion.Report, now int64) suspicion.Finding {
 	f := d.suspicion.RecordFailure(r, now)
+	d.returns.changed = d.returns.changed || f.Suspected
 	if b := d.observed.ByCookie(r.Server); f.Suspected && r.Kind == suspicion.NoHandshake && b != nil {
 		d.reportRetransmissions(b, now)
 	}
@@ -314,6 +339,8 @@
 	keep := func(cookie uint32) bool { return snap.ByCookie(cookie) != nil }
 	d.suspicion.Retain(keep)
 	d.warmup.prune(keep)
+	d.returns.prune(keep)
+	d.returns.changed = true
 	maps.DeleteFunc(d.starts, func(cookie uint32, _ int64) bool {
 		if keep(cookie) {
 			return false
@@ -330,6 +357,7 @@
 func (d *Decider) Decide(p *Packet, state CatalogueState, now int64) Verdict {
 	d.now = now
 	d.Observe(state.Snapshot)
+	d.returns.observe(state.Known)
 	d.held = p.Arrived != now
 	d.waited = d.hasWaited(p)
 	if !d.waited {
@@ -338,6 +366,7 @@
 	d.refreshDueLoad(now)
 	d.checkHandshakes(state.Snapshot, now)
 	d.checkRequests(state.Snapshot, now)
+	defer d.shareReturns(now)
 	switch p.Kind {
 	case Opening:
 		return d.decideOpening(p, state, now)
@@ -355,7 +384,16 @@
 // starting reports whether the instance has just started.
 func (d *Decider) starting(now int64) bool { return now-d.startedAt < int64(startupPeriod) }
 
+// Cold implements selection.View.
+func (d *Decider) Cold(b *catalogue.Backend, now int64) bool { return d.warmAt(b) > now }
+
+// warmAt returns when the warm-up of a server ends, 0 if it has none: by its entry in the
+// store, or because it may have started again without one.
+func (d *Decider) warmAt(b *catalogue.Backend) int64 {
+	return max(b.WarmAt, d.mayBeColdUntil(b))
+}
+
 // AdmitCold implements selection.View.
 func (d *Decider) AdmitCold(b *catalogue.Backend, now int64) bool {
-	return d.warmup.admit(b, d.starting(now), now)
+	return d.warmup.admit(b, d.warmAt(b), d.starting(now), now)
 }
--- a/internal/flowpath/decider_test.go
+++ b/internal/flowpath/decider_test.go
@@ -33,6 +33,7 @@
 	stalled    []string
 	refuted    []string
 	refutedBy  []suspicion.Kind
+	returned   []suspicion.Report
 	// reports holds the load reports that were made, rooms the services whose state has
 	// changed and speeds the servers whose speed has.
 	reports       [][]byte
@@ -104,6 +105,8 @@
 	h.refutedBy = append(h.refutedBy, r.Kind)
 }
 
+func (h *harness) Returned(r suspicion.Report) { h.returned = append(h.returned, r) }
+
 func (h *harness) ShareLoad(report []byte) { h.reports = append(h.reports, slices.Clone(report)) }
 func (h *harness) RoomChanged(service string, s overload.State, _ overload.Room, _ int) {
 	h.rooms = append(h.rooms, service+" "+stateNames[s])
--- a/internal/flowpath/established.go
+++ b/internal/flowpath/established.go
@@ -71,7 +71,7 @@
 		return nil
 	}
 	b := state.Snapshot.ByCookie(c)
-	if b == nil || b.Cold(now) || !d.selector.Accepts(state.Snapshot, b, now) {
+	if b == nil || d.Cold(b, now) || !d.selector.Accepts(state.Snapshot, b, now) {
 		return nil
 	}
 	return b
@@ -127,13 +127,13 @@
 func (d *Decider) recordProgress(p *Packet, e *flowtable.Entry, b *catalogue.Backend, now int64) {
 	if e.State == flowtable.Opening {
 		e.State, e.Cookie, e.Started, e.OpenedHere = flowtable.Open, b.Cookie, b.Started, true
-		e.Acknowledged = p.Acknowledged
+		e.Acknowledged, e.Opened = p.Acknowledged, now
 		d.recordHandshake(b, now)
 	}
 	if p.Acknowledged != e.Acknowledged {
 		d.sampleResponse(e, int32(p.Acknowledged-e.Acknowledged) > 0, now)
 		e.Acknowledged, e.AwaitingAnswer = p.Acknowledged, false
-		d.recordAcknowledgement(p, b, e.Last, now)
+		d.recordAcknowledgement(p, e, b, now)
 	}
 }
 
@@ -144,7 +144,7 @@
 	if e == nil {
 		e = d.flows.Add(hash, now)
 		e.State, e.Cookie, e.Started = flowtable.Open, b.Cookie, b.Started
-		e.Acknowledged, e.Sequence = p.Acknowledged, p.Sequence
+		e.Acknowledged, e.Sequence, e.Opened = p.Acknowledged, p.Sequence, now
 	}
 	gap := now - e.Last
 	e.Last = now
--- a/internal/flowpath/evidence.go
+++ b/internal/flowpath/evidence.go
@@ -69,6 +69,7 @@
 	r := reportOn(b, kind)
 	r.Age = time.Duration(now - sent)
 	f := d.suspicion.RecordFailure(r, now)
+	d.returns.changed = d.returns.changed || f.Suspected
 	d.observer.RecordFailure(b, r, f)
 	if f.Suspected && kind == suspicion.NoHandshake {
 		d.reportRetransmissions(b, now)
@@ -122,28 +123,41 @@
 	if !d.isCurrent() {
 		return
 	}
-	if r := d.suspicion.RecordHandshake(b.Cookie, b.DataCentre, now); r.Refutes {
+	last := d.suspicion.LastHandshake(b.Cookie)
+	r := d.suspicion.RecordHandshake(b.Cookie, b.DataCentre, now)
+	if r.Refutes {
 		d.observer.Refuted(b, reportOn(b, suspicion.Handshake), r.Ended)
 	}
+	if r.Ended || d.returns.absent(b.Cookie) {
+		d.returns.record(b.Cookie, last, now)
+		d.reportReturn(b, now)
+	}
 }
 
 // recordAcknowledgement handles an acknowledgement number that differs from that of the
-// flow's previous packet, which was forwarded at a time. Data packets and the end of a flow
-// are retransmitted, and may carry an old acknowledgement that passed through another
-// instance before; a packet without data is only sent when data arrives.
-func (d *Decider) recordAcknowledgement(p *Packet, b *catalogue.Backend, previous, now int64) {
+// flow's previous packet. Data packets and the end of a flow are retransmitted, and may carry
+// an old acknowledgement that passed through another instance before: the data arrived at
+// some time since the previous packet. A packet without data is only sent when data arrives.
+func (d *Decider) recordAcknowledgement(p *Packet, e *flowtable.Entry, b *catalogue.Backend, now int64) {
 	if !d.isCurrent() {
 		return
 	}
-	report := reportOn(b, suspicion.Data)
-	var r suspicion.Refutation
-	if p.Data == 0 && !p.Finish {
-		r = d.suspicion.RecordData(b.Cookie, b.DataCentre, now)
-	} else {
-		report.Age = time.Duration(now - previous)
-		r = d.suspicion.RecordPossibleData(b.Cookie, b.DataCentre, previous, now)
+	since := now
+	if p.Data > 0 || p.Finish {
+		since = e.Last
 	}
+	last := d.suspicion.LastData(b.Cookie)
+	r := d.suspicion.RecordPossibleData(b.Cookie, b.DataCentre, since, now)
 	if r.Refutes {
+		report := reportOn(b, suspicion.Data)
+		report.Age = time.Duration(now - since)
 		d.observer.Refuted(b, report, r.Ended)
 	}
+	if r.Ended {
+		d.returns.record(b.Cookie, last, now)
+	}
+	d.returns.confirm(b.Cookie, e.Opened, since)
+	if r.Ended {
+		d.reportReturn(b, now)
+	}
 }
--- a/internal/flowpath/opening.go
+++ b/internal/flowpath/opening.go
@@ -84,10 +84,11 @@
 // and another server is tried only when the first copy was not answered either. If the server
 // has answered others since, a packet was lost. Copies that were read together have waited in
 // this instance, so the server has had no time to answer yet. If the server has started again
-// since, the start that got the first packet answers none, and the flow is placed anew.
+// since, or may have, the start that got the first packet answers none, and the flow is placed
+// anew.
 func (d *Decider) decideCopy(v Verdict, e *flowtable.Entry, hash uint64, state CatalogueState, now int64) Verdict {
 	backend := state.Snapshot.ByCookie(e.Cookie)
-	if backend != nil && heldByEarlierStart(e, backend) {
+	if backend != nil && (heldByEarlierStart(e, backend) || d.mayHaveReturned(e)) {
 		return d.placeFlow(v, e, hash, cookie.None, state, now)
 	}
 	accepts := backend != nil && d.selector.Accepts(state.Snapshot, backend, now)
@@ -113,6 +114,13 @@
 	return v
 }
 
+// mayHaveReturned reports whether the server of an opening packet may have started again
+// after the packet.
+func (d *Decider) mayHaveReturned(e *flowtable.Entry) bool {
+	s := d.returns.unconfirmed(e.Cookie)
+	return s != nil && s.at > e.Sent
+}
+
 // decideLateCopy returns the verdict on a copy of the opening packet of a flow that is open
 // already. No other server may answer it, since that would replace the caller's cookie.
 func (d *Decider) decideLateCopy(v Verdict, e *flowtable.Entry, state CatalogueState, now int64) Verdict {
--- a/internal/flowpath/peerupdate.go
+++ b/internal/flowpath/peerupdate.go
@@ -1,6 +1,8 @@
 package flowpath
 
 import (
+	"time"
+
 	"balsamfork/internal/catalogue"
 	"balsamfork/internal/suspicion"
 )
@@ -54,6 +56,7 @@
 		case n := <-p.peerUpdate:
 			p.applyPeerUpdate(n)
 		default:
+			p.decider.shareReturns(p.Clock())
 			p.applyLoadUpdates()
 			return
 		}
@@ -106,6 +109,32 @@
 	p.Report(r)
 }
 
+// Returned implements Observer. It reads the store, so that the server does not count as cold
+// for longer than necessary; a read may not be allowed soon after the one before. If the store
+// can't be read, the instances of other data centres have to know of the return.
+func (p *Path) Returned(r suspicion.Report) {
+	returned := p.Clock()
+	ifUnread := func(do func()) func() {
+		return func() {
+			if p.CatalogueState().Known < returned {
+				do()
+			}
+		}
+	}
+	time.AfterFunc(returnReadDelay, p.Refresh)
+	time.AfterFunc(returnReadDelay+readRetryDelay, ifUnread(p.Refresh))
+	if r.DataCentre == p.DataCentre {
+		time.AfterFunc(returnReportDelay, ifUnread(func() {
+			r.Age = time.Duration(p.Clock() - returned)
+			p.Report(r)
+		}))
+	}
+}
+
+// Returns returns reports on the servers of this data centre that may have started again
+// without an entry in the store, or are suspected. It is safe for concurrent use.
+func (p *Path) Returns() []suspicion.Report { return p.decider.Returns(p.Clock()) }
+
 // handleFinding logs a new suspicion, and requests contact with a data centre that has
 // become unreachable.
 func (p *Path) handleFinding(b *catalogue.Backend, kind suspicion.Kind, f suspicion.Finding, evidence string) {
--- a/internal/flowpath/warmup.go
+++ b/internal/flowpath/warmup.go
@@ -59,9 +59,9 @@
 }
 
 // admit reports whether a flow may go to a cold server now, and uses up this
-// instance's share if so. An instance that is starting may know only some of the
-// others.
-func (w *warmupBudget) admit(b *catalogue.Backend, starting bool, now int64) bool {
+// instance's share if so. The server's warm-up ends at warmAt. An instance that is starting
+// may know only some of the others.
+func (w *warmupBudget) admit(b *catalogue.Backend, warmAt int64, starting bool, now int64) bool {
 	limit := b.WarmupRate*w.limits.Factor + w.limits.Slack
 	if limit <= 0 {
 		return false
@@ -76,7 +76,7 @@
 		next = admission{remaining: w.random.Float64(), updatedAt: now}
 	}
 	next.remaining -= float64(now-next.updatedAt) / interval
-	next.updatedAt, next.warmAt = now, b.WarmAt
+	next.updatedAt, next.warmAt = now, warmAt
 	admitted := next.remaining <= 0
 	if admitted {
 		next.remaining = 1
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -56,6 +56,8 @@
 	// Repeated says that the opening packet was sent a second time, to the same server or to
 	// another one, since it was not answered.
 	Repeated bool
+	// Opened is when the first packet of the open flow arrived, in nanoseconds.
+	Opened int64
 	// OpenedHere says that the flow was opened through this instance.
 	OpenedHere bool
 	// AwaitingAnswer says that a request has been forwarded since the
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -57,6 +57,8 @@
 	Suspected(b *catalogue.Backend, now int64) bool
 	// Load returns the load of a server as a fraction of its slots.
 	Load(b *catalogue.Backend) float64
+	// Cold reports whether a server is still in its warm-up, or may be.
+	Cold(b *catalogue.Backend, now int64) bool
 	// AdmitCold reports whether a cold server may get one more flow now. It is called
 	// at most once for a flow, with the chosen server.
 	AdmitCold(b *catalogue.Backend, now int64) bool
@@ -125,7 +127,7 @@
 		tier = tier.swapped()
 	}
 	chosen := leastLoaded(best[:found], v)
-	if chosen.Cold(now) && !v.AdmitCold(chosen, now) {
+	if v.Cold(chosen, now) && !v.AdmitCold(chosen, now) {
 		return Choice{Tier: tier}
 	}
 	return Choice{Backend: chosen, Tier: tier}
@@ -163,7 +165,7 @@
 		return Unusable
 	case v.Suspected(b, now):
 		return Suspected
-	case b.Cold(now):
+	case v.Cold(b, now):
 		return Cold
 	case b.DataCentre == s.DataCentre:
 		return Local
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -23,6 +23,7 @@
 
 func (v fakeView) Suspected(b *catalogue.Backend, _ int64) bool { return v.suspected[b.Name] }
 func (v fakeView) Load(b *catalogue.Backend) float64            { return v.load[b.Name] }
+func (v fakeView) Cold(b *catalogue.Backend, now int64) bool    { return b.Cold(now) }
 func (v fakeView) AdmitCold(*catalogue.Backend, int64) bool     { return !v.refuse }
 
 // snapshot returns a snapshot with n servers s0, s1, ... of service desk in data
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -70,6 +70,11 @@
 	// Handshake is a success: a server that had failures has answered an opening
 	// packet.
 	Handshake Kind = "handshake"
+	// Absent says that a server of the source's data centre is suspected, and Returned that
+	// it answers again and may have started again meanwhile. Neither counts as a failure or a
+	// success.
+	Absent   Kind = "absent"
+	Returned Kind = "returned"
 	// Data is a success: a caller has received data from a server that had failures.
 	Data Kind = "data"
 )
@@ -85,7 +90,8 @@
 	// Started is when the server started, as in catalogue.Server; 0 if it does not state
 	// that.
 	Started int64
-	// Age is how long before the report the packet was forwarded that was not answered.
+	// Age is how long before the report the packet was forwarded that was not answered, the
+	// server was alive at the latest, became suspected, or answered again.
 	Age time.Duration
 }
 
@@ -333,6 +339,24 @@
 	return t.HandshakeSuspected(id, now) && t.servers[id].lastAlive < t.servers[id].handshakes.since
 }
 
+// Tripped reports whether a server is suspected and has not answered since.
+func (t *Table) Tripped(id uint32) bool {
+	s := t.servers[id]
+	return s != nil && (s.handshakes.tripped || s.requests.tripped)
+}
+
+// Suspicions returns the servers of a data centre that are suspected and have not answered
+// since, with the start of the last suspicion.
+func (t *Table) Suspicions(dc string) iter.Seq2[uint32, int64] {
+	return func(yield func(id uint32, since int64) bool) {
+		for id, s := range t.servers {
+			if s.dataCentre == dc && t.Tripped(id) && !yield(id, max(s.handshakes.since, s.requests.since)) {
+				return
+			}
+		}
+	}
+}
+
 // EverAnswered reports whether a data centre has ever answered.
 func (t *Table) EverAnswered(dc string) bool {
 	d := t.dataCentres[dc]
