Treat a copy that leaves a returned server like one that moves

Cause: while a server may have started again, copies of opening packets that it got before were placed anew. If it was only suspected for lost packets, it holds the flow half open, and nothing told it the other server's cookie, as for copies that move for another reason. Change: both ways share one function. Test: TestCopyLeavesAReturnedServer.

--- a/internal/flowpath/opening.go
+++ b/internal/flowpath/opening.go
@@ -1,6 +1,7 @@
 package flowpath
 
 import (
+	"balsamfork/internal/catalogue"
 	"balsamfork/internal/cookie"
 	"balsamfork/internal/flowtable"
 	"balsamfork/internal/selection"
@@ -88,9 +89,13 @@
 // anew.
 func (d *Decider) decideCopy(v Verdict, e *flowtable.Entry, hash uint64, state CatalogueState, now int64) Verdict {
 	backend := state.Snapshot.ByCookie(e.Cookie)
-	if backend != nil && (heldByEarlierStart(e, backend) || d.mayHaveReturned(e)) {
+	if backend != nil && heldByEarlierStart(e, backend) {
 		return d.placeFlow(v, e, hash, cookie.None, state, now)
 	}
+	if backend != nil && d.mayHaveReturned(e) {
+		v = d.placeFlow(v, e, hash, cookie.None, state, now)
+		return moved(v, e, backend)
+	}
 	accepts := backend != nil && d.selector.Accepts(state.Snapshot, backend, now)
 	alive := d.suspicion.LastHandshake(e.Cookie) > e.Sent
 	early := now-e.Sent < int64(handshakeTimeout)
@@ -107,9 +112,22 @@
 		e.State, e.Cookie, e.Sent, e.Last = flowtable.Opening, tried, now, now
 		return Verdict{Backend: backend, Reason: Repeated, Service: v.Service}
 	}
-	v.Unanswered = backend
-	if v.Backend != nil {
-		e.UnansweredCookie, e.Repeated, v.Reason = tried, true, Moved
+	return moved(v, e, backend)
+}
+
+// moved returns the verdict on a copy that was placed anew, from a server that may hold the
+// flow half open, or nil.
+func moved(v Verdict, e *flowtable.Entry, from *catalogue.Backend) Verdict {
+	switch {
+	case v.Backend == nil:
+		v.Unanswered = from
+	case v.Backend == from:
+		v.Reason = Repeated
+	default:
+		v.Unanswered, v.Reason, e.Repeated = from, Moved, true
+		if from != nil {
+			e.UnansweredCookie = from.Cookie
+		}
 	}
 	return v
 }
--- a/internal/flowpath/returns_test.go
+++ b/internal/flowpath/returns_test.go
@@ -226,3 +226,28 @@
 	is.True(!n.Cold(b, n.now))
 	is.Equal(len(n.Returns(n.now)), 0)
 }
+
+// TestCopyLeavesAReturnedServer covers a server that was suspected for lost packets only: a
+// copy that goes to another one may open a second half of the flow there, as for any other.
+func TestCopyLeavesAReturnedServer(t *testing.T) {
+	is := is.New(t)
+	h, b := newReturnHarness(2)
+	other := h.mirror.Snapshot().Backends("desk")[1]
+	h.now += 300 * ms // since the trial before
+	for port := uint16(100); ; port++ {
+		v := h.open(port, 0)
+		if v.Backend != b {
+			h.send(port, v.Backend.Cookie, 1, 0)
+			continue
+		}
+		h.PeerReport(reportOn(b, suspicion.Handshake), h.now+ms)
+		h.now += 200 * ms
+		v = h.open(port, 1)
+		is.Equal(v.Reason, Moved)
+		is.Equal(v.Backend, other)
+		is.Equal(h.send(port, other.Cookie, 1, 0).HalfOpen, (*catalogue.Backend)(nil)) // it may be cold
+		h.now += int64(returnWarmup)
+		is.Equal(h.send(port, b.Cookie, 1, 100).HalfOpen, b)
+		return
+	}
+}
