Test that a packet read late is not refused, and moves within a service

And since the first copy of an opening packet stays with its server, TestCopyKeeps- ItsService no longer reached a copy that moves. Change: TestLatePacketIsNotRefused fails without the mend ("reset != forward"); the copies of the other test move again, as their servers are suspected.

--- a/internal/flowpath/admission_test.go
+++ b/internal/flowpath/admission_test.go
@@ -104,6 +104,32 @@
 	is.True(line.LoadAgeMS != nil && *line.AdmittedPart < 1)
 }
 
+// TestLatePacketIsNotRefused guards against an opening packet that was read 0.2 s late and
+// refused, while its copy waited behind it and was placed: a server accepted a flow whose
+// caller had been refused (soak seed 138).
+func TestLatePacketIsNotRefused(t *testing.T) {
+	is := is.New(t)
+	h := newSplitHarness(4)
+	h.fill()
+	p := Packet{Flow: flow(10), Kind: Opening, Sequence: 7}
+	find := func() (v Verdict) {
+		for n := byte(1); n < 200 && v.Reason != Overloaded; n++ {
+			p.Flow.Source = netip.AddrFrom4([4]byte{100, 64, 1, n})
+			v = h.decide(p)
+		}
+		return v
+	}
+	is.Equal(find().Reason, Overloaded)
+	h.drainedAt, h.emptyUntil = h.now-200*ms, h.now-200*ms
+	h.backlogged = true
+	v := h.decide(p)
+	is.Equal(v.Action, Forward)
+	p.Copy, h.now = 1, h.now+ms/2
+	again := h.decide(p)
+	is.Equal(again.Reason, Repeated)
+	is.Equal(again.Backend, v.Backend)
+}
+
 // TestCopyKeepsItsService guards against a flow that is opened at servers of two services,
 // because the service was full when its opening packet came and is not when the copy comes,
 // or because the weights have changed in between.
@@ -139,7 +165,11 @@
 			}
 			h.now += 200 * ms
 			for port, v := range first {
-				is.Equal(h.open(port, 2).Backend.Service, v.Service) // moved within its service
+				h.peerFailure(v.Backend, 7)
+				h.peerFailure(v.Backend, 8)
+				again := h.open(port, 2)
+				is.Equal(again.Reason, Moved)
+				is.Equal(again.Backend.Service, v.Service) // moved within its service
 			}
 		})
 	}
