--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -187,9 +187,9 @@
 	// as of the last one in which a server had started.
 	observed *catalogue.Snapshot
 	starts   map[uint32]int64
-	// lastDrained is when the socket was last empty, and resumedAt the end of the last
-	// pause.
-	lastDrained, resumedAt int64
+	// lastDrained is when the socket was last found empty, emptyUntil until when it was so,
+	// and resumedAt the end of the last pause.
+	lastDrained, emptyUntil, resumedAt int64
 	// held says that the packet that is being decided was held before, and waited that it
 	// may have waited through a pause: its caller may have given up meanwhile.
 	held, waited   bool
@@ -321,8 +321,11 @@
 	return f
 }
 
-// RecordRead records that a packet was read, and when the socket was last empty before.
-func (d *Decider) RecordRead(lastDrained int64) { d.lastDrained = lastDrained }
+// RecordRead records that a packet was read, when the socket was last found empty before,
+// and until when it was empty: if the read had to wait for the packet, until now.
+func (d *Decider) RecordRead(lastDrained, emptyUntil int64) {
+	d.lastDrained, d.emptyUntil = lastDrained, emptyUntil
+}
 
 // RecordResume records when the last pause of the instance ended, 0 if there was none. The
 // responses that it waited for at that time and the reports that peers sent meanwhile are
--- a/internal/flowpath/decider_test.go
+++ b/internal/flowpath/decider_test.go
@@ -41,6 +41,8 @@
 	// backlogged simulates packets that wait to be read.
 	backlogged bool
 	drainedAt  int64
+	// emptyUntil is until when the socket was empty.
+	emptyUntil int64
 	// quiet simulates packets between which nothing happens: the socket was last found
 	// empty right after the one before.
 	quiet bool
@@ -131,7 +133,8 @@
 		h.resumedAt = h.now
 	}
 	h.readAt = h.now
-	h.RecordRead(h.drainedAt)
+	h.emptyUntil = max(h.emptyUntil, h.drainedAt)
+	h.RecordRead(h.drainedAt, h.emptyUntil)
 	h.RecordResume(h.resumedAt)
 }
 
@@ -141,7 +144,7 @@
 	}
 	switch {
 	case h.quiet:
-		h.drainedAt = h.readAt
+		h.drainedAt, h.emptyUntil = h.readAt, h.now
 	case !h.backlogged:
 		h.drainedAt = h.now
 	}
--- a/internal/flowpath/evidence.go
+++ b/internal/flowpath/evidence.go
@@ -57,7 +57,16 @@
 // a response to it can be expected in time: it was not held, and packets are read as they
 // arrive.
 func (d *Decider) readsPromptly(now int64) bool {
-	return d.isCurrent() && now-d.lastDrained <= int64(maxReadDelay)
+	return d.isCurrent() && now-d.emptyUntil <= int64(maxReadDelay)
+}
+
+// recordCopy records a copy of an opening packet whose server had the time to answer. It
+// shows that the caller got no answer, even if no packet has shown before that the time is
+// over.
+func (d *Decider) recordCopy(e *flowtable.Entry, hash uint64, snap *catalogue.Snapshot, now int64) {
+	if d.isCurrent() && d.handshakes.cancel(hash, e.Sent) {
+		d.recordFailure(serverOf(e, snap), suspicion.NoHandshake, e.Sent, now)
+	}
 }
 
 // recordFailure records that a server has not answered a packet that was sent to it at a
--- a/internal/flowpath/opening.go
+++ b/internal/flowpath/opening.go
@@ -99,6 +99,9 @@
 	accepts := backend != nil && d.selector.Accepts(state.Snapshot, backend, now)
 	alive := d.suspicion.LastHandshake(e.Cookie) > e.Sent
 	early := now-e.Sent < int64(handshakeTimeout)
+	if !early && !alive {
+		d.recordCopy(e, hash, state.Snapshot, now)
+	}
 	first := !early && !e.Repeated
 	if accepts && (alive || early || first && !(reachabilityView{d}).Suspected(backend, now)) {
 		v.Backend, v.Reason = backend, Repeated
--- a/internal/flowpath/path.go
+++ b/internal/flowpath/path.go
@@ -191,7 +191,7 @@
 		}
 		now := p.Clock()
 		p.lastRead.Store(now)
-		p.decider.RecordRead(in.drained)
+		p.decider.RecordRead(in.drained, in.emptyUntil)
 		p.decider.RecordResume(p.LastResume(now))
 		if p.updatesPending.Load() {
 			p.applyPeerUpdates()
--- a/internal/flowpath/pause_test.go
+++ b/internal/flowpath/pause_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"balsamfork/internal/cookie"
 	"balsamfork/internal/suspicion"
 )
 
@@ -66,6 +67,25 @@
 	}
 }
 
+// TestReadThatWaitedThroughAPause guards against the packets for which a read has waited,
+// and that waited themselves while the instance was paused: their handshakes are not expected.
+func TestReadThatWaitedThroughAPause(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(4, nil)
+	h.quiet = true
+	h.now += 800 * ms
+	h.open(1, 0)
+	h.quiet, h.backlogged = false, true // the copies arrived together with it
+	h.open(1, 1)
+	is.Equal(h.open(1, 2).Action, Forward)
+	h.quiet, h.backlogged = true, false
+	for range 4 {
+		h.now += 150 * ms
+		h.send(99, cookie.None, 1, 0)
+	}
+	is.Equal(len(h.unanswered), 0)
+}
+
 // TestHeldOpeningPacketIsDroppedAfterAPause covers an instance that is paused while a packet
 // waits for the store.
 func TestHeldOpeningPacketIsDroppedAfterAPause(t *testing.T) {
--- a/internal/flowpath/reader.go
+++ b/internal/flowpath/reader.go
@@ -12,8 +12,12 @@
 type reader struct {
 	conn  syscall.RawConn
 	clock func() int64
-	// drained is when the socket was last found empty.
-	drained int64
+	// drained is when the socket was last found empty, and emptyUntil the last time up to
+	// which it was so: the packet for which a read has waited arrived then, unless the
+	// process was paused while the read waited.
+	drained, emptyUntil int64
+	// blocked is set if the read in progress has found the socket empty.
+	blocked bool
 	buffer  []byte
 	size    int
 	err     error
@@ -35,10 +39,13 @@
 // read waits for a packet and returns its size. A packet that is larger than the
 // buffer is truncated.
 func (r *reader) read(buffer []byte) (int, error) {
-	r.buffer = buffer
+	r.buffer, r.blocked = buffer, false
 	if err := r.conn.Read(r.receive); err != nil {
 		return 0, err
 	}
+	if r.blocked {
+		r.emptyUntil = r.clock()
+	}
 	return r.size, r.err
 }
 
@@ -51,6 +58,7 @@
 	}
 	if r.err == unix.EAGAIN {
 		r.drained = r.clock()
+		r.emptyUntil, r.blocked = r.drained, true
 		return false
 	}
 	return true
--- a/internal/flowpath/reader_test.go
+++ b/internal/flowpath/reader_test.go
@@ -35,3 +35,34 @@
 	is.Equal(interrupts, 0)
 	is.Equal(r.drained, int64(0))
 }
+
+// TestReadThatWaitsShowsAnEmptySocket guards against packets that are taken to have waited
+// since the one before, although the read had to wait for the first of them.
+func TestReadThatWaitsShowsAnEmptySocket(t *testing.T) {
+	is := is.New(t)
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	is.NoErr(err)
+	defer conn.Close()
+	now := int64(0)
+	r, err := newReader(conn, func() int64 { now++; return now })
+	is.NoErr(err)
+	blocked := false
+	r.readSocket = func(fd int, buffer []byte) (int, error) {
+		if blocked {
+			return unix.Read(fd, buffer)
+		}
+		blocked = true
+		for range 2 {
+			_, err := conn.WriteToUDP([]byte("packet"), conn.LocalAddr().(*net.UDPAddr))
+			is.NoErr(err)
+		}
+		return 0, unix.EAGAIN
+	}
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(time.Second)))
+	for range 2 { // the second packet was there when the first was read
+		_, err := r.read(make([]byte, 100))
+		is.NoErr(err)
+		is.Equal(r.drained, int64(1))
+		is.Equal(r.emptyUntil, int64(2))
+	}
+}
--- a/internal/flowpath/responsequeue.go
+++ b/internal/flowpath/responsequeue.go
@@ -56,6 +56,17 @@
 
 func (q *responseQueue) clear() { q.first, q.count = 0, 0 }
 
+// cancel makes the answer to a packet no longer waited for, and reports whether it was.
+func (q *responseQueue) cancel(flow uint64, sent int64) bool {
+	for n := range q.count {
+		if r := &q.ring[(q.first+n)%maxPendingResponses]; *r == (pendingResponse{flow: flow, sent: sent}) {
+			*r = pendingResponse{}
+			return true
+		}
+	}
+	return false
+}
+
 // overdue removes and returns the oldest packet that should have been answered by
 // now. Drained is when the socket was last empty: on a slow instance, the packet that
 // shows the answer may still wait to be read.
--- a/internal/flowpath/unresponsive_test.go
+++ b/internal/flowpath/unresponsive_test.go
@@ -463,7 +463,7 @@
 // 150 ms: it records handshakes that do not come as a busy one does. It guards against
 // packets that are taken to have waited since the one before, whose servers are then not
 // expected to answer in time, and against missing handshakes that are forgotten when the
-// copy of their opening packet goes to another server.
+// next packet is the copy of their opening packet, or that count twice.
 func TestQuietInstanceNoticesMissingHandshakes(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(5, nil)
@@ -490,10 +490,12 @@
 		h.now += 100 * ms
 		if v := h.open(port, 0); v.Backend == silent {
 			h.now += 200 * ms
-			is.Equal(h.open(port, 1).Reason, Moved) // the next packet is its copy
+			is.Equal(h.open(port, 1).Reason, Repeated) // the next packet is its copy
 			is.Equal(h.unanswered, []string{silent.Name, silent.Name})
 		} else {
 			h.send(port, v.Backend.Cookie, 1, 0)
 		}
 	}
+	quiet(2)
+	is.Equal(h.unanswered, []string{silent.Name, silent.Name})
 }
