Report each retransmission to peers once

Cause: found by reading. Each further suspicion of a server reported the retransmissions of the last 3 s again, also those that had been reported when they were seen. Peers counted them as further ones, so fewer losses than four in a row could make a full server dead. Change: only those from before a suspicion are reported with it, and once. Test: TestRetransmissionsBeforeASuspicion asks for them twice.

--- a/internal/flowpath/decider.go
+++ b/internal/flowpath/decider.go
@@ -313,7 +313,7 @@
 func (d *Decider) recordPeerFailure(r suspicion.Report, now int64) suspicion.Finding {
 	f := d.suspicion.RecordFailure(r, now)
 	d.returns.changed = d.returns.changed || f.Suspected
-	if f.Suspected && r.Kind == suspicion.NoHandshake && d.observed != nil {
+	if f.Suspected && r.Kind != suspicion.NoData && d.observed != nil {
 		if b := d.observed.ByCookie(r.Server); b != nil {
 			d.reportRetransmissions(b, now)
 		}
--- a/internal/flowpath/evidence.go
+++ b/internal/flowpath/evidence.go
@@ -80,14 +80,14 @@
 	f := d.suspicion.RecordFailure(r, now)
 	d.returns.changed = d.returns.changed || f.Suspected
 	d.observer.RecordFailure(b, r, f)
-	if f.Suspected && kind == suspicion.NoHandshake {
+	if f.Suspected && kind != suspicion.NoData {
 		d.reportRetransmissions(b, now)
 	}
 }
 
 // reportRetransmissions reports the retransmissions from before a server was suspected.
 func (d *Decider) reportRetransmissions(b *catalogue.Backend, now int64) {
-	for at := range d.suspicion.Retransmissions(b.Cookie, now) {
+	for _, at := range d.suspicion.TakeRetransmissions(b.Cookie, now) {
 		r := reportOn(b, suspicion.NoAcknowledgement)
 		r.Age = time.Duration(now - at)
 		d.observer.RecordFailure(b, r, suspicion.Finding{})
--- a/internal/flowpath/unresponsive_test.go
+++ b/internal/flowpath/unresponsive_test.go
@@ -149,6 +149,8 @@
 	h.peerFailure(b, 7)
 	h.peerFailure(b, 8)
 	is.Equal(h.unanswered, []string{"s0", "s0", "s0"})
+	h.peerFailure(b, 9)
+	is.Equal(len(h.unanswered), 3) // each is reported once
 	is.Equal(h.send(0, b.Cookie, 1, 100).Action, Forward)
 	h.peerRetransmission(b, 7)
 	for port := range uint16(3) {
--- a/internal/suspicion/circuit.go
+++ b/internal/suspicion/circuit.go
@@ -7,6 +7,8 @@
 type failure struct {
 	source uint64
 	at     int64
+	// unreported says that the peers don't know of it.
+	unreported bool
 }
 
 // failureList holds the newest failures of one kind, the newest first.
--- a/internal/suspicion/suspicion.go
+++ b/internal/suspicion/suspicion.go
@@ -175,23 +175,26 @@
 // and that it was sent again without an acknowledgement. Unlike a failure, it does not
 // prolong a suspicion.
 func (t *Table) RecordRetransmission(id uint32, dc string, at int64) {
-	t.server(id, dc).unacknowledged.insert(failure{at: at})
+	t.server(id, dc).unacknowledged.insert(failure{at: at, unreported: true})
 }
 
-// Retransmissions calls yield with the time of each retransmission through this instance
-// since the server was last alive that still counts.
-func (t *Table) Retransmissions(id uint32, now int64) iter.Seq[int64] {
-	return func(yield func(at int64) bool) {
-		s := t.servers[id]
-		if s == nil {
-			return
-		}
-		for _, f := range s.unacknowledged {
-			if f.source == 0 && f.at > s.lastAlive && now-f.at <= int64(deadWindow) && !yield(f.at) {
-				return
-			}
+// TakeRetransmissions returns the time of each retransmission by RecordRetransmission since
+// the server was last alive that still counts, and returns it once only: a peer would count
+// a second report as another retransmission.
+func (t *Table) TakeRetransmissions(id uint32, now int64) []int64 {
+	s := t.servers[id]
+	if s == nil {
+		return nil
+	}
+	var times []int64
+	for i := range s.unacknowledged {
+		f := &s.unacknowledged[i]
+		if f.unreported && f.at > s.lastAlive && now-f.at <= int64(deadWindow) {
+			f.unreported = false
+			times = append(times, f.at)
 		}
 	}
+	return times
 }
 
 // Dead reports whether it is certain that a server answers no instance: it is suspected of
--- a/internal/suspicion/suspicion_test.go
+++ b/internal/suspicion/suspicion_test.go
@@ -197,11 +197,13 @@
 	is.True(!s.Suspected(1, at) && !s.Dead(1, at))
 	suspect(s, 1, at+ms)
 	is.True(!s.Dead(1, at+ms)) // seen by one instance only
-	is.Equal(slices.Collect(s.Retransmissions(1, at+ms)), slices.Repeat([]int64{at}, deadThreshold))
+	is.Equal(s.TakeRetransmissions(1, at+ms), slices.Repeat([]int64{at}, deadThreshold))
+	is.Equal(len(s.TakeRetransmissions(1, at+ms)), 0) // each once
 	s.RecordFailure(Report{Kind: NoAcknowledgement, Server: 1, Source: 7}, at+ms)
 	is.True(s.Dead(1, at+ms))
 	is.Equal(s.RecordData(1, "b", at+2*ms), Refutation{Refutes: true})
-	is.Equal(len(slices.Collect(s.Retransmissions(1, at+2*ms))), 0)
+	s.RecordRetransmission(1, "b", at+ms)
+	is.Equal(len(s.TakeRetransmissions(1, at+3*ms)), 0) // the server was alive later
 }
 
 // TestOldDataRefutesOlderFailures covers an acknowledgement that a caller may have sent before
