--- a/internal/flowpath/decider_test.go
+++ b/internal/flowpath/decider_test.go
@@ -163,6 +163,16 @@
 	return h.decide(Packet{Flow: flow(port), Kind: Opening, Copy: copies})
 }
 
+// openMoved sends the opening packet and the copies of a flow whose server does not answer, and
+// returns that server and the one that gets the last copy.
+func (h *harness) openMoved(port uint16) (first, second *catalogue.Backend) {
+	first = h.open(port, 0).Backend
+	h.now += 200 * ms
+	h.open(port, 1)
+	h.now += 400 * ms
+	return first, h.open(port, 2).Backend
+}
+
 func (h *harness) send(port uint16, c, acknowledged uint32, data int) Verdict {
 	return h.decide(Packet{Flow: flow(port), Kind: Established, Cookie: c, Acknowledged: acknowledged, Data: data})
 }
@@ -322,11 +332,7 @@
 func TestLateSecondAnswerDoesNotMoveAFlow(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(5, nil)
-	first := h.open(1, 0).Backend
-	h.now += 200 * ms
-	h.open(1, 1)
-	h.now += 400 * ms
-	second := h.open(1, 2).Backend
+	first, second := h.openMoved(1)
 	h.send(1, first.Cookie, 1, 0)
 	v := h.send(1, second.Cookie, 1, 100)
 	is.Equal(v.Reason, Repaired)
@@ -347,11 +353,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			h := newHarness(5, nil)
-			first := h.open(1, 0).Backend
-			h.now += 200 * ms
-			h.open(1, 1)
-			h.now += 400 * ms
-			second := h.open(1, 2).Backend
+			first, second := h.openMoved(1)
 			is.True(second != first)
 			holder, half := first, second
 			if c.opensSecond {
