Refuse no packet that may have waited while the process was not scheduled

By reading: since instances with few packets notice missing handshakes, a packet for which a read had to wait counts as read promptly, also if the process was not scheduled for less than the 0.5 s of a pause after it arrived, and its copy behind it is placed. Test: TestLatePacketIsNotRefused with a read that had to wait fails before ("reset != forward").

--- a/internal/flowpath/admission.go
+++ b/internal/flowpath/admission.go
@@ -57,5 +57,12 @@
 	source := p.Flow.Source.As4()
 	caller := table.Mix(uint64(binary.BigEndian.Uint32(source[:])))
 	admitted := s.admission.Admit(route.Requests.Rank(), caller, now+d.load.origin)
-	return !admitted && d.load.fresh && d.readsPromptly(now)
+	return !admitted && d.load.fresh && d.certainlyPrompt(now)
+}
+
+// certainlyPrompt reports whether the packet that is being decided can't have waited to be
+// read. A process that is not scheduled for a while after its read had to wait takes the
+// packets that have arrived meanwhile for new ones; a refusal must not rest on that.
+func (d *Decider) certainlyPrompt(now int64) bool {
+	return d.isCurrent() && now-d.lastDrained <= int64(maxReadDelay)
 }
--- a/internal/flowpath/admission_test.go
+++ b/internal/flowpath/admission_test.go
@@ -106,8 +106,15 @@
 
 // TestLatePacketIsNotRefused guards against an opening packet that was read 0.2 s late and
 // refused, while its copy waited behind it and was placed: a server accepted a flow whose
-// caller had been refused (soak seed 138).
+// caller had been refused (soak seeds 138 and 45006). The read may have had to wait for the
+// packet, and the process was not scheduled then.
 func TestLatePacketIsNotRefused(t *testing.T) {
+	for _, emptyUntil := range []int64{-200 * ms, 0} {
+		testLatePacket(t, emptyUntil)
+	}
+}
+
+func testLatePacket(t *testing.T, emptyUntil int64) {
 	is := is.New(t)
 	h := newSplitHarness(4)
 	h.fill()
@@ -120,7 +127,7 @@
 		return v
 	}
 	is.Equal(find().Reason, Overloaded)
-	h.drainedAt, h.emptyUntil = h.now-200*ms, h.now-200*ms
+	h.drainedAt, h.emptyUntil = h.now-200*ms, h.now+emptyUntil
 	h.backlogged = true
 	v := h.decide(p)
 	is.Equal(v.Action, Forward)
