--- a/review/standin3/backend.go
+++ b/review/standin3/backend.go
@@ -43,6 +43,8 @@
 	seq      int
 	refused  int
 	openings []time.Time // of flows that it took
+	silent   bool        // it has crashed
+	warmAt   time.Time   // the end of its warm-up
 }
 
 // served is a flow at a backend.
@@ -79,7 +81,7 @@
 	b.seq++
 	b.w.store.Put(b.key(), map[string]any{
 		"service": b.service, "address": b.address.String(), "zone": b.zone, "version": "v1", "slots": b.slots,
-		"state": b.state, "warmup_left_ms": 0, "seq": b.seq, "born": b.born,
+		"state": b.state, "warmup_left_ms": max(0, time.Until(b.warmAt).Milliseconds()), "seq": b.seq, "born": b.born,
 	})
 }
 
@@ -91,7 +93,9 @@
 	time.Sleep(time.Duration(rand.Int64N(int64(heartbeatInterval))))
 	for {
 		b.mu.Lock()
-		b.register()
+		if !b.silent {
+			b.register()
+		}
 		b.mu.Unlock()
 		select {
 		case <-stop:
@@ -133,7 +137,9 @@
 		id := binary.BigEndian.Uint64(buffer)
 		if p, ok := decode(buffer[8:n]); ok && (id == 0 || id == b.number) {
 			b.mu.Lock()
-			b.handle(&p)
+			if !b.silent {
+				b.handle(&p)
+			}
 			b.mu.Unlock()
 		}
 	}
@@ -289,7 +295,7 @@
 				next()
 				return
 			}
-			b.busy--
+			b.busy = max(0, b.busy-1)
 		})
 	}
 	switch {
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -68,6 +68,7 @@
 	backends     []*backend
 	responseSize int
 	maxConns     int
+	warmupRate   float64 // warmup_per_s
 	// loss is the share of datagrams between callers and backends that is lost.
 	loss     float64
 	dir      string
@@ -114,7 +115,7 @@
 		return nil, err
 	}
 	return &world{
-		network: network, zones: zones, dir: dir, record: record, began: time.Now(), responseSize: responseSize, maxConns: 4333,
+		network: network, zones: zones, dir: dir, record: record, began: time.Now(), responseSize: responseSize, maxConns: 4333, warmupRate: 4,
 		store: platformtest.NewStore(),
 		flows: map[netip.AddrPort]*seenFlow{}, runs: map[string]int{}, outcomes: map[string]int{}, openings: map[uint64]int{},
 	}, nil
@@ -288,7 +289,7 @@
 		if !seen[r.service] {
 			seen[r.service] = true
 			services = append(services, map[string]any{
-				"name": r.service, "health_path": "/health", "max_conns": w.maxConns, "protocol": "h1", "tls": false, "warmup_s": 2.0, "warmup_per_s": 10.0,
+				"name": r.service, "health_path": "/health", "max_conns": w.maxConns, "protocol": "h1", "tls": false, "warmup_s": 2.0, "warmup_per_s": w.warmupRate,
 			})
 		}
 	}
