--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Builds the stand-ins of the third review into target/, after the build of deploy/system.toml.
-# Needs no network beyond the modules in go.mod.
+# Needs the modules of go.mod and nothing more.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target
--- a/review/standin3/consumer.go
+++ b/review/standin3/consumer.go
@@ -68,6 +68,30 @@
 	server   uint64 // the backend whose answer opened the flow
 	received int
 	openedAt time.Time
+	// lastAt is when the flow last sent or received a packet, and pause its longest time
+	// without one.
+	lastAt time.Time
+	pause  time.Duration
+}
+
+// The bounds from which on flows don't count for rule FLOW: idle_timeout_ms of the
+// configuration and max_flow_s of the settings.
+const (
+	idleTimeout = 15 * time.Second
+	maxFlowAge  = 60 * time.Second
+)
+
+// touch records that the flow has sent or received a packet.
+func (f *callerFlow) touch() {
+	f.pause, f.lastAt = f.longestPause(), time.Now()
+}
+
+// longestPause returns the longest time that the flow has been idle.
+func (f *callerFlow) longestPause() time.Duration {
+	if f.lastAt.IsZero() {
+		return 0
+	}
+	return max(f.pause, time.Since(f.lastAt))
 }
 
 // The results of a request, or of opening a flow.
@@ -84,6 +108,7 @@
 )
 
 func (f *callerFlow) send(flags byte, seq, ack uint32, data []byte) {
+	f.touch()
 	if f.c.w.loses() {
 		return
 	}
@@ -102,6 +127,7 @@
 	case p := <-f.in:
 		if p.sum != 0 {
 			f.echo = p.echo
+			f.touch() // a reset of the system is no packet of the flow
 		}
 		return p, true
 	case <-t.C:
@@ -121,6 +147,7 @@
 	c.port++
 	c.mu.Unlock()
 	began := time.Now()
+	c.w.recordSent(f.local, began)
 	for n, until := range []time.Duration{200, 600, 1400} {
 		f.send(flagSYN, f.seq, uint32(n), nil)
 		for {
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -87,11 +87,14 @@
 	doubled  int
 	// stalledAt is when the stand-ins were last held up by the machine.
 	stalledAt time.Time
+	// aftermath is how much longer than the stability window a delay may show.
+	aftermath time.Duration
 }
 
 // seenFlow is what the backends and the consumer have seen of a flow.
 type seenFlow struct {
 	backend  *backend
+	sent     time.Time
 	openedAt time.Time
 	offered  []uint64 // backends that took an opening packet of the flow
 	arrivals []arrival
@@ -171,7 +174,7 @@
 func (w *world) calm() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return time.Since(w.stalledAt) > stabilityWindow
+	return time.Since(w.stalledAt) > stabilityWindow+w.aftermath
 }
 
 func (w *world) loses() bool { return w.loss > 0 && rand.Float64() < w.loss }
@@ -185,8 +188,20 @@
 	return f
 }
 
-// recordOpening records that a backend took the opening packet of a flow.
-func (w *world) recordOpening(key netip.AddrPort, b *backend) {
+// opening is a flow whose opening packet a backend took: when the consumer first sent it, and
+// when it arrived.
+type opening struct{ sent, arrived time.Time }
+
+// recordSent records when the consumer sent the first opening packet of a flow.
+func (w *world) recordSent(key netip.AddrPort, at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.flow(key).sent = at
+}
+
+// recordOpening records that a backend took the opening packet of a flow, and returns when it
+// was sent first.
+func (w *world) recordOpening(key netip.AddrPort, b *backend) (sent time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	f := w.flow(key)
@@ -196,6 +211,7 @@
 		w.doubled++
 		w.logf("flow %v was offered to two backends: %x", key, f.offered)
 	}
+	return f.sent
 }
 
 // opened records that a backend has the end of the handshake of a flow.
