--- a/review/standin3/roll.go
+++ b/review/standin3/roll.go
@@ -22,6 +22,7 @@
 		flowLength   = 3 * time.Second
 	)
 	w.loss = 0.005
+	w.aftermath = 10 * time.Second // a backend repeats its answer for so long
 	if err := w.startStore(); err != nil {
 		return false, err
 	}
